Planner without fixed sizes, one merged request a kind of machine; split off rent.c

Ruled out: processor (leader 14% of its share). Now wants gather per kind until a request may go, jobs are packed bin by bin, arrays grow.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -14,7 +14,9 @@
 
 #define TW_LEADER_KEY "leader"
 #define TW_MAX_PEERS 16
-#define TW_MAX_TXNS 3 /* transactions in flight, over disjoint jobs */
+#define TW_MAX_ZONES 16
+#define TW_RENT_NUMBER 50 /* machines a request to the cloud, by the protocol */
+#define TW_MAX_TXNS 3     /* transactions in flight, over disjoint jobs */
 
 struct job;
 struct machine;
@@ -217,8 +219,24 @@
     int rack, zone, loaner;
     double refused_until;
     int refused;
+    int have;            /* scratch: machines of the type in the zone */
+    int want;            /* to be asked for, as of the last plan */
+    double wanted_since; /* 0: not wanted */
 } offer;
 
+/* Room as the plan sees it: of a machine, or of one that is to come. */
+typedef struct bin {
+    machine *m; /* NULL: to come */
+    offer *o;   /* of one to be rented */
+    int rack, loaner, busy, tried;
+    const char *yard;
+    double c, g, mem;
+} bin;
+typedef struct bins {
+    bin *v;
+    int n, cap;
+} bins;
+
 typedef struct ask {
     char name[TW_NAME];
     int rack, zone, loaner, number, busy;
@@ -318,7 +336,7 @@
     struct {
         char yard[TW_NAME];
         double cores, used_c, gpus, used_g;
-    } zones[16]; /* how full each zone is, as of the last pass */
+    } zones[TW_MAX_ZONES]; /* how full each zone is, as of the last pass */
     int nzones;
     int sched_dirty;
     double next_sched, next_recheck;
@@ -407,6 +425,7 @@
 double tw_predict(const tw_core *c, const job *j, const machine *m, double *run);
 double tw_estimate(const job *j); /* run time on a machine of slowness 1 */
 int tw_place_new(tw_core *c, job *j);
+int tw_max_live(const tw_core *c);
 int tw_zone_allows(const tw_core *c, const job *j, const char *yard);
 int tw_quota_allows(const tw_core *c, const job *j);
 double tw_max_cores_per_gpu(const tw_core *c);
@@ -438,7 +457,20 @@
 void tw_deputy_jobs(tw_core *c, call *k, int status, const char *body, size_t len);
 void tw_deputy_end(tw_core *c);
 
+/* plan.c */
+void tw_plan(tw_core *c);
+int tw_bin_fits(const bin *b, const tw_wire_job *s);
+int tw_bin_allowed(const bin *b, const tw_wire_job *s, uint32_t racks);
+int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const job *j);
+void tw_bin_take(bin *b, const tw_wire_job *s);
+void tw_bin_give(bin *b, const tw_wire_job *s);
+
+/* move.c */
+void tw_return_idle(tw_core *c);
+void tw_consolidate(tw_core *c, bins *bs);
+
 /* rent.c */
+const char *tw_offer_yard(const tw_core *c, const offer *o);
 void tw_rent_tick(tw_core *c);
 void tw_rent_response(tw_core *c, call *k, int status, const char *body, size_t len);
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -109,7 +109,7 @@
         if (!tw_machine_usable(c, m) || m->loaner) continue;
         int z = 0;
         while (z < c->nzones && strcmp(c->zones[z].yard, m->yard)) z++;
-        if (z == 16) continue;
+        if (z == TW_MAX_ZONES) continue;
         if (z == c->nzones) {
             memset(&c->zones[z], 0, sizeof c->zones[z]);
             snprintf(c->zones[c->nzones++].yard, TW_NAME, "%s", m->yard);
@@ -183,7 +183,7 @@
 }
 
 /* The record must stay under the state service's value limit. */
-static int max_live(const tw_core *c) {
+int tw_max_live(const tw_core *c) {
     double room = c->cf->state_value_kb * 1024 * 0.8 - 1500;
     return room < 80 ? 2 : (int)(room / 40);
 }
@@ -282,7 +282,7 @@
 
 /* Places what it can of a job; the number of tasks placed. */
 static int place_job(tw_core *c, job *j, int limit) {
-    int placed = 0, index, cap = max_live(c);
+    int placed = 0, index, cap = tw_max_live(c);
     uint64_t attempt = j->next_try;
     if (j->s.gang) {
         if (j->nlive) return 0; /* until the rest of the last attempt is gone */
