A leader that may be deposed unseen answers workers for cancel_s less a lease at most

Without the state service a leader now answers only while all nodes say that they know no later token, and then for cancel_s - lease_s (1 + margin). Ruled out: planner (same with the old one).

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -122,7 +122,7 @@
     c->peers = tw_zalloc(cf->npeers * sizeof *c->peers);
     for (size_t i = 0; i < cf->npeers; i++) {
         c->peers[i].cf = cf->peers[i];
-        c->peers[i].ok_at = -1e9;
+        c->peers[i].ok_at = c->peers[i].vouched_at = -1e9;
     }
     for (size_t i = 0; i < cf->nobjectives; i++) {
         const tw_conf_objective *o = &cf->objectives[i];
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -246,8 +246,9 @@
 
 typedef struct peer {
     tw_conf_peer cf;
-    uint64_t token; /* what it said it had seen */
-    double ok_at;   /* when a ping was last answered (send time) */
+    uint64_t token;    /* what it said it had seen */
+    double ok_at;      /* when a ping was last answered (send time) */
+    double vouched_at; /* the same, and it can't have led since the time before */
     double next;
     int busy, state_ok;
     uint64_t dep_stamp; /* of its key as a deputy, 0: none */
@@ -364,6 +365,7 @@
 void tw_saw_token(tw_core *c, uint64_t token, const char *leader);
 void tw_step_down(tw_core *c, const char *why);
 double tw_predecessor_end(const tw_core *c);
+double tw_blind_s(const tw_core *c);
 void tw_ping_request(tw_core *c, uint64_t conn, const char *body, size_t len);
 peer *tw_peer_of(tw_core *c, const char *name);
 int tw_isolated(const tw_core *c);
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -12,20 +12,36 @@
 
 static double hold_s(const tw_core *c) { return c->cf->tune.hold_ratio * c->cf->lease_s; }
 
+/* A job cancelled at another node must be gone cancel_s later, even where nobody can say so: by its
+ * machine's lease. So whoever cannot exclude that another leads answers for this long at most. */
+double tw_blind_s(const tw_core *c) {
+    const tw_conf *cf = c->cf;
+    double s = cf->cancel_s - cf->lease_s * (1 + cf->tune.margin_ratio + 2 * cf->tune.drift);
+    return fmax(0, fmin(s, hold_s(c)));
+}
+
+/* Until when surely no other node had led: when all of them last said that they know of no token
+ * later than ours. One that started anew since may have led in between. */
+static double sole_until(const tw_core *c) {
+    double t = INFINITY;
+    for (size_t i = 0; i < c->npeers; i++) t = fmin(t, c->peers[i].vouched_at);
+    return t;
+}
+
 /* Without the state service nobody can tell an outage from being cut off alone. Renewing the
  * workers' leases under the old token goes on for a bounded time; a successor waits that time out
  * before it takes a silent machine's tasks for ended (tw_predecessor_end). */
 int tw_holding(const tw_core *c) {
     if (c->role != R_LEADER || c->phase != PH_ACTIVE || c->now < c->auth_until) return 0;
-    /* Cut off from everybody: then it is rather us than the state service. */
-    if (c->now > c->auth_until + c->cf->lease_s && tw_isolated(c)) return 0;
-    return c->now < c->auth_until + hold_s(c);
+    return c->now < c->auth_until + hold_s(c) &&
+           c->now < fmax(c->auth_until, sole_until(c)) + tw_blind_s(c);
 }
 
 /* Until when some earlier leader may have answered a worker that has not seen our token. */
 double tw_predecessor_end(const tw_core *c) {
     if (c->all_confirmed_at > 0) return c->all_confirmed_at;
-    return c->acquired_at + hold_s(c) * (1 + 2 * c->cf->tune.drift);
+    /* From our acquisition on it can't hear from all nodes that none leads. */
+    return c->acquired_at + tw_blind_s(c) * (1 + 2 * c->cf->tune.drift);
 }
 
 peer *tw_peer_of(tw_core *c, const char *name) {
@@ -101,6 +117,7 @@
 static void ping(tw_core *c, peer *p) {
     tw_wire_ping m = {.token = c->seen_token,
                       .state_ok = c->now - c->state_ok_at < c->ttl,
+                      .up_s = c->now - c->started_at,
                       .leading = tw_authority(c)};
     snprintf(m.name, sizeof m.name, "%s", c->cf->host_name);
     if (tw_authority(c)) snprintf(m.leader, sizeof m.leader, "%s", c->cf->host_name);
@@ -131,6 +148,7 @@
     if (p) heard_peer(c, p, &m);
     tw_wire_ping a = {.token = c->seen_token,
                       .state_ok = c->now - c->state_ok_at < c->ttl,
+                      .up_s = c->now - c->started_at,
                       .leading = tw_authority(c)};
     snprintf(a.name, sizeof a.name, "%s", c->cf->host_name);
     if (tw_authority(c)) snprintf(a.leader, sizeof a.leader, "%s", c->cf->host_name);
@@ -243,6 +261,8 @@
         if (!p) break;
         p->busy = 0;
         if (status == 200 && !tw_wire_ping_parse(&m, body, len)) {
+            int restarted = c->now - m.up_s > p->vouched_at;
+            if (tw_authority(c) || !restarted) p->vouched_at = k->sent;
             p->ok_at = k->sent;
             heard_peer(c, p, &m);
         }
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -21,15 +21,11 @@
 
 /* The tasks of a job cancelled meanwhile must be gone cancel_s after its user was told, lapsing
  * included. So a deputy reads, as often as it can, which jobs are cancelled, and stops their tasks;
- * it answers only for a time after it last heard the leader or began such a reading. */
-static double contact_limit(const tw_core *c) {
-    const tw_conf *cf = c->cf;
-    return cf->cancel_s - cf->lease_s * (1 + cf->tune.margin_ratio + 2 * cf->tune.drift);
-}
+ * it answers only for tw_blind_s after it last heard the leader or began such a reading. */
 
 static int entitled(const tw_core *c) {
     return c->role == R_FOLLOWER && c->dep_token && c->dep_token == c->seen_token &&
-           c->now < c->dep_until && c->now < c->contact_at + contact_limit(c);
+           c->now < c->dep_until && c->now < c->contact_at + tw_blind_s(c);
 }
 
 static void answer_deputy(tw_core *c, uint64_t conn, const tw_wire_report *r) {
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -622,6 +622,7 @@
                     get_bool(o, "stateOk", &p->state_ok) || get_bool(o, "leading", &p->leading)
                 ? -1
                 : 0;
+    if (!r && get_num(o, "upS", 0, &p->up_s)) p->up_s = 0;
     cJSON_Delete(o);
     return r;
 }
@@ -632,5 +633,6 @@
     add_u64(o, "token", p->token);
     cJSON_AddBoolToObject(o, "stateOk", p->state_ok);
     cJSON_AddBoolToObject(o, "leading", p->leading);
+    cJSON_AddNumberToObject(o, "upS", p->up_s);
     return finish(o);
 }
--- a/tests/runner/runner.c
+++ b/tests/runner/runner.c
@@ -17,8 +17,9 @@
     tw_core *core;
     tw_conf conf;
     int alive, gen;
-    double no_state_until; /* 503 from the state service for this node only */
-    double alone_until;    /* state service and peers hang for it */
+    double no_state_until;   /* 503 from the state service for this node only */
+    double no_workers_until; /* messages from and to workers get lost for it */
+    double alone_until;      /* state service and peers hang for it */
 } node;
 
 enum { C_REPORT, C_USER, C_PEER, C_RAW };
@@ -77,13 +78,20 @@
 static double wall(void) { return 1e9 + W.now; }
 static double steady(int n) { return 1000 + W.now * (1 + 0.0002 * n); } /* clocks drift apart */
 
+/* The zone is cut off from everything, also from what belongs to no zone. */
+static char island[TW_NAME];
+static double island_until, refuse_peers_until, slow_state_until, slow_state_s;
+static int cut_off(const char *zone) { return W.now < island_until && !strcmp(zone, island); }
+
 static int apart(const char *z1, const char *z2) {
+    if (*z1 && *z2 && cut_off(z1) != cut_off(z2)) return 1;
     if (W.now >= cut_until || !*z1 || !*z2) return 0;
     return (!strcmp(z1, cut_a) && !strcmp(z2, cut_b)) || (!strcmp(z1, cut_b) && !strcmp(z2, cut_a));
 }
 /* How long a message between zones takes; < 0: it never arrives. */
 static double travel(const char *z1, const char *z2) {
     if (!apart(z1, z2)) return LATENCY;
+    if (cut_off(z1) != cut_off(z2)) return -1;
     return cut_hold ? cut_until - W.now + LATENCY : -1;
 }
 
@@ -177,6 +185,7 @@
 static void call_out(int n, const tw_fx *f) {
     int alone = W.now < N[n].alone_until;
     respond(n, N[n].gen, f->id, 0, NULL, f->timeout_s);
+    if (cut_off(W.node_zone[n]) && (f->to == TW_TO_STATE || f->to == TW_TO_CLOUD)) return;
     if (f->to == TW_TO_STATE) {
         if (alone) return;
         if (W.now < N[n].no_state_until) {
@@ -186,12 +195,17 @@
             late_txn = 0;
         } else {
             /* A watch is answered after a while, with what there is by then. */
-            carry(strncmp(f->path, "/follow", 7) ? LATENCY : 0.5, ev_state, n, f);
+            double slow = W.now < slow_state_until ? slow_state_s : LATENCY;
+            carry(strncmp(f->path, "/follow", 7) ? slow : 0.5, ev_state, n, f);
         }
     } else if (f->to == TW_TO_CLOUD) {
         carry(LATENCY * 10, ev_cloud, n, f);
     } else if (f->to == TW_TO_PEER) {
         int i = f->addr[7] - '1';
+        if (W.now < refuse_peers_until) {
+            respond(n, N[n].gen, f->id, 0, NULL, LATENCY);
+            return;
+        }
         double dt = travel(W.node_zone[n], W.node_zone[i]);
         if (alone || W.now < N[i].alone_until || dt < 0) return;
         carry(dt, ev_peer, n, f)->c = i;
@@ -199,7 +213,7 @@
         for (int i = 0; i < W.nworkers; i++) {
             if (strcmp(W.w[i].endpoint, f->addr)) continue;
             double dt = travel(W.node_zone[n], W.w[i].yard);
-            if (dt < 0 || W.w[i].deaf) return;
+            if (dt < 0 || W.w[i].deaf || W.now < N[n].no_workers_until) return;
             if (late_orders_w == i) {
                 dt = late_orders_s;
                 late_orders_w = -1;
@@ -408,6 +422,7 @@
     x->last_report = W.now;
     x->next_report = W.now + W.report_s;
     double dt = travel(x->yard, W.node_zone[x->node]);
+    if (W.now < N[x->node].no_workers_until) dt = -1;
     if (dt >= 0) report_to(i, x->node, dt, body, x->in_flight);
     if (dup_w == i) {
         report_to(i, -1, dup_s, body, -1);
@@ -440,7 +455,7 @@
     static int rr;
     for (int i = 0; i < W.nnodes; i++) {
         int n = (rr++) % W.nnodes;
-        if (N[n].alive) return n;
+        if (N[n].alive && !cut_off(W.node_zone[n])) return n;
     }
     return -1;
 }
@@ -694,6 +709,17 @@
     } else if (!strcmp(w[0], "alone")) {
         int k = node_of(w[1]);
         if (k >= 0) N[k].alone_until = W.now + a2;
+    } else if (!strcmp(w[0], "noworkers")) {
+        int k = node_of(w[1]);
+        if (k >= 0) N[k].no_workers_until = W.now + a2;
+    } else if (!strcmp(w[0], "island")) {
+        snprintf(island, sizeof island, "%s", w[1]);
+        island_until = W.now + a2;
+    } else if (!strcmp(w[0], "refusepeers")) {
+        refuse_peers_until = W.now + a1;
+    } else if (!strcmp(w[0], "slowstate")) {
+        slow_state_s = a1;
+        slow_state_until = W.now + a2;
     } else if (!strcmp(w[0], "cut")) {
         snprintf(cut_a, sizeof cut_a, "%s", w[1]);
         snprintf(cut_b, sizeof cut_b, "%s", w[2]);
