--- a/src/core/core.c
+++ b/src/core/core.c
@@ -69,6 +69,7 @@
 call *tw_call(tw_core *c, int kind, int to, const char *addr, const char *method, const char *path,
               char *body, double timeout_s) {
     call *k = tw_zalloc(sizeof *k);
+    if (to == TW_TO_STATE) c->calls_made[kind]++;
     k->id = ++c->next_call;
     k->kind = kind;
     k->sent = c->now;
@@ -226,6 +227,7 @@
     HASH_FIND(hh, c->calls, &id, sizeof id, k);
     if (!k) return;
     HASH_DEL(c->calls, k);
+    if (status == 429) c->calls_refused++;
     switch (k->kind) {
     case K_LEADER_GET:
     case K_LEADER_WATCH:
@@ -277,8 +279,25 @@
     return s < 0.05 ? 0.05 : s > 0.1 ? 0.1 : s;
 }
 
+/* What the state service was asked for: its limit is for all nodes together. */
+static void log_calls(tw_core *c) {
+    if (c->now < c->next_calls_log) return;
+    c->next_calls_log = c->now + c->cf->lease_s;
+    const unsigned *n = c->calls_made;
+    tw_log_debug(
+        "event=state_calls s=%.0f key=%u watch=%u elect=%u renew=%u txn=%u read=%u load=%u "
+        "deputy=%u deputies=%u list=%u news=%u refused=%u",
+        c->cf->lease_s, n[K_LEADER_GET], n[K_LEADER_WATCH],
+        n[K_GRANT] + n[K_ACQUIRE] + n[K_GRANT_DEL], n[K_RENEW], n[K_TXN] + n[K_CREATE],
+        n[K_JOB_READ] + n[K_LOOKUP], n[K_LOAD], n[K_DEPUTY], n[K_DEPUTIES], n[K_DEP_JOBS],
+        n[K_NEWS_LIST] + n[K_NEWS] + n[K_NEWS_DEL], c->calls_refused);
+    memset(c->calls_made, 0, sizeof c->calls_made);
+    c->calls_refused = 0;
+}
+
 void tw_core_tick(tw_core *c, double now, double wall) {
     at(c, now, wall);
+    log_calls(c);
     tw_election_tick(c);
     tw_jobs_tick(c);
     tw_deputy_tick(c);
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -184,7 +184,8 @@
     K_DEP_JOBS,
     K_NEWS_LIST,
     K_NEWS,
-    K_NEWS_DEL
+    K_NEWS_DEL,
+    K_KINDS
 };
 typedef struct call {
     uint64_t id;
@@ -271,6 +272,8 @@
     gsl_rng *rng;
     tw_fx *fx_head, *fx_tail;
     call *calls;
+    unsigned calls_made[K_KINDS], calls_refused; /* to the state service, since the last log line */
+    double next_calls_log;
     uint64_t next_call;
 
     /* election */
