A zone's node renews leases by the leader's last grant when its zone is cut off from all

Each answer of the leader to a ping now grants what the leader itself may do unseen (cancel_s less a lease); a lapsed lease is believed only when the zone's nodes said later that they had not answered, or their grants are over. Ruled out: waiting longer alone (tasks ended by lease, not by us). Tasks still end where the cut is longer than grant and lease.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -202,6 +202,7 @@
 
 typedef struct parked {
     uint64_t conn;
+    char tray[TW_NAME];
     char *body;
     double until;
     struct parked *prev, *next;
@@ -254,7 +255,10 @@
     double next;
     int busy, state_ok;
     uint64_t dep_stamp; /* of its key as a deputy, 0: none */
-    double dep_until;   /* it may answer workers until then */
+    double dep_until;   /* it may answer workers until then, by its key */
+    double grant_until; /* and by our answer to its ping, as long as it can't reach us */
+    double dep_last;    /* when it last did, as it said in answer to a ping sent at dep_asof */
+    double dep_asof;
 } peer;
 
 typedef struct gone {
@@ -295,7 +299,12 @@
 
     /* as a deputy, see relay.c */
     uint64_t dep_token, dep_seq;
-    double dep_until, contact_at, relay_bad_until;
+    double dep_until, dep_read_at, relay_bad_until;
+    uint64_t grant_token; /* by the leader's answer to a ping */
+    double grant_until;
+    double dep_last;      /* when we last answered a worker as a deputy */
+    struct gone *relayed; /* workers, and when the leader last answered them through us */
+    double relayed_tidy;
     int dep_busy, nparked;
     double dep_try;        /* no earlier attempt to become one */
     struct parked *parked; /* reports that wait for a leader */
@@ -456,7 +465,8 @@
 void tw_deputy_response(tw_core *c, call *k, int status);
 peer *tw_home_of(tw_core *c, const char *yard);
 double tw_deputy_s(const tw_core *c);
-double tw_deputies_until(const tw_core *c);
+double tw_deputies_until(const tw_core *c, const char *yard);
+void tw_deputy_granted(tw_core *c, double sent, uint64_t token);
 int tw_deputy_conds(const tw_core *c, tw_wire_cond *conds, char (*keys)[TW_NAME + 8]);
 void tw_deputies_read(tw_core *c);
 void tw_deputies_page(tw_core *c, call *k, int status, const char *body, size_t len);
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -145,6 +145,7 @@
     tw_wire_ping m = {.token = c->seen_token,
                       .state_ok = c->now - c->state_ok_at < 2 * c->ttl,
                       .up_s = c->now - c->started_at,
+                      .deputy_s = c->now - fmax(c->started_at, c->dep_last),
                       .leading = tw_authority(c)};
     snprintf(m.name, sizeof m.name, "%s", c->cf->host_name);
     if (tw_authority(c)) snprintf(m.leader, sizeof m.leader, "%s", c->cf->host_name);
@@ -176,9 +177,12 @@
     tw_wire_ping a = {.token = c->seen_token,
                       .state_ok = c->now - c->state_ok_at < 2 * c->ttl,
                       .up_s = c->now - c->started_at,
+                      .deputy_s = c->now - fmax(c->started_at, c->dep_last),
                       .leading = tw_authority(c)};
     snprintf(a.name, sizeof a.name, "%s", c->cf->host_name);
     if (tw_authority(c)) snprintf(a.leader, sizeof a.leader, "%s", c->cf->host_name);
+    /* With this answer it may renew leases in its zone for a while, should it lose us. */
+    if (p && a.leading) p->grant_until = c->now + tw_blind_s(c) * (1 + 2 * c->cf->tune.drift);
     tw_reply(c, conn, 200, 0, tw_wire_ping_text(&a));
 }
 
@@ -191,7 +195,10 @@
     c->next_renew = c->now;
     c->renew_busy = 0;
     c->all_confirmed_at = c->npeers ? 0 : c->now;
-    for (size_t i = 0; i < c->npeers; i++) c->peers[i].next = c->now;
+    for (size_t i = 0; i < c->npeers; i++) {
+        c->peers[i].next = c->now;
+        c->peers[i].grant_until = 0; /* given by us in an earlier term: under an older token */
+    }
     tw_saw_token(c, token, c->cf->host_name);
     tw_log_info("event=leader token=%llu", (unsigned long long)token);
     tw_recover_begin(c);
@@ -298,7 +305,11 @@
             int restarted = c->now - m.up_s > p->vouched_at;
             if (tw_authority(c) || !restarted) p->vouched_at = k->sent;
             p->ok_at = k->sent;
+            /* Said after the ping was sent; a late copy of a request would not tell when. */
+            p->dep_last = c->now - m.deputy_s;
+            p->dep_asof = k->sent;
             heard_peer(c, p, &m);
+            if (m.leading) tw_deputy_granted(c, k->sent, m.token);
         }
         break;
     }
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -182,7 +182,7 @@
      * asked, twice, hangs or is gone. */
     double grace = !m->contact && m->probe_fails >= 2 ? -1 : 0.3;
     double from = fmax(fmax(m->heard, m->contact), c->acquired_at + grace * c->cf->lease_s);
-    return c->now - fmax(from, tw_deputies_until(c));
+    return c->now - fmax(from, tw_deputies_until(c, m->yard));
 }
 
 int tw_machine_silent(const tw_core *c, const machine *m) {
@@ -199,11 +199,21 @@
  * seen our token may still have been answered by a predecessor. */
 static double lapse_at(const tw_core *c, const machine *m) {
     const tw_conf *cf = c->cf;
-    double from = fmax(fmax(m->heard, m->renewed), tw_deputies_until(c));
+    double from = fmax(fmax(m->heard, m->renewed), tw_deputies_until(c, m->yard));
     /* Once it knows our token, a predecessor's answers no longer count; until then they may have.
      */
     from = fmax(from, m->confirmed ? m->confirmed_at : tw_predecessor_end(c));
-    return from + cf->lease_s * (1 + 2 * cf->tune.drift) + cf->tune.margin_ratio * cf->lease_s;
+    const double lease = cf->lease_s * (1 + 2 * cf->tune.drift + cf->tune.margin_ratio);
+    double at = from + lease;
+    /* Nodes of its zone that may have answered it while they could not reach us: either one said
+     * later that it had not, or its grant is over. */
+    for (size_t i = 0; i < c->npeers; i++) {
+        const peer *p = &c->peers[i];
+        if (p->grant_until <= 0 || (*m->yard && strcmp(m->yard, p->cf.zone))) continue;
+        double said = fmax(from, p->dep_last) + lease;
+        at = fmax(at, said < p->dep_asof ? said : fmax(from, p->grant_until) + lease);
+    }
+    return at;
 }
 
 /* ---- reports ---- */
@@ -750,7 +760,8 @@
             ask_release(c, m, "never_up");
     } else if (m->deaf >= 3) {
         ask_release(c, m, "deaf");
-    } else if (tw_machine_silent(c, m) && c->now > tw_deputies_until(c) && !zone_cut(c, m)) {
+    } else if (tw_machine_silent(c, m) && c->now > tw_deputies_until(c, m->yard) &&
+               !zone_cut(c, m)) {
         ask_release(c, m, "silent");
     } else if (c->now > fmax(lapse_at(c, m), m->contact) + cf->lease_s) {
         ask_release(c, m, "lost");
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -15,24 +15,54 @@
 
 static void key_of(char *to, size_t cap, const char *node) { snprintf(to, cap, "dep/%s", node); }
 
-static void hand_on(tw_core *c, uint64_t conn, char *body, double until);
+static void hand_on(tw_core *c, uint64_t conn, const char *tray, char *body, double until);
 
 /* ---- at a follower ---- */
 
 /* The tasks of a job cancelled meanwhile must be gone cancel_s after its user was told, lapsing
  * included. So a deputy reads, as often as it can, which jobs are cancelled, and stops their tasks;
- * it answers only for tw_blind_s after it last heard the leader or began such a reading. */
+ * it answers a worker only for tw_blind_s after the leader last did through it, or after it
+ * began such a reading. */
 
-static int entitled(const tw_core *c) {
-    return c->role == R_FOLLOWER && c->dep_token && c->dep_token == c->seen_token &&
-           c->now < c->dep_until && c->now < c->contact_at + tw_blind_s(c);
+static int entitled(tw_core *c, const char *tray) {
+    gone *g;
+    HASH_FIND_STR(c->relayed, tray, g);
+    double known = fmax(g ? g->at : -INFINITY, c->dep_read_at > 0 ? c->dep_read_at : -INFINITY);
+    if (c->role != R_FOLLOWER || c->now >= known + tw_blind_s(c)) return 0;
+    return (c->dep_token && c->dep_token == c->seen_token && c->now < c->dep_until) ||
+           (c->grant_token && c->grant_token == c->seen_token && c->now < c->grant_until);
 }
 
-static void answer_deputy(tw_core *c, uint64_t conn, const tw_wire_report *r) {
-    if (!entitled(c)) {
-        tw_reply_error(c, conn, 503, 1, "leader does not answer");
-        return;
+/* The leader's answer to a ping: should we lose it, we may answer our zone's workers for as long as
+ * it would itself without the state service. */
+void tw_deputy_granted(tw_core *c, double sent, uint64_t token) {
+    if (token != c->seen_token || c->role != R_FOLLOWER) return;
+    c->grant_token = token;
+    c->grant_until = sent + tw_blind_s(c) * (1 - 2 * c->cf->tune.drift);
+}
+
+static void note_relayed(tw_core *c, const char *tray, double at) {
+    gone *g, *t;
+    HASH_FIND_STR(c->relayed, tray, g);
+    if (!g) {
+        g = tw_zalloc(sizeof *g);
+        snprintf(g->name, sizeof g->name, "%s", tray);
+        HASH_ADD_STR(c->relayed, name, g);
+    }
+    g->at = at;
+    if (c->now < c->relayed_tidy) return;
+    c->relayed_tidy = c->now + c->cf->lease_s;
+    HASH_ITER(hh, c->relayed, g, t) {
+        if (c->now < g->at + tw_blind_s(c)) continue;
+        HASH_DEL(c->relayed, g);
+        free(g);
     }
+}
+
+static void answer_deputy(tw_core *c, uint64_t conn, const tw_wire_report *r) {
+    if (c->now > c->dep_last + c->cf->lease_s)
+        tw_log_info("event=deputising token=%llu", (unsigned long long)c->seen_token);
+    c->dep_last = c->now;
     tw_wire_order o[64] = {0};
     int n = 0;
     for (int i = 0; r && i < r->npieces && n < 64; i++) {
@@ -43,7 +73,7 @@
         o[n] = (tw_wire_order){.verb = TW_VERB_KILL, .index = w->index, .attempt = w->attempt};
         snprintf(o[n++].job, sizeof o[0].job, "%s", w->job);
     }
-    tw_reply(c, conn, 200, 0, tw_wire_orders_text(c->dep_token, 0, o, (size_t)n));
+    tw_reply(c, conn, 200, 0, tw_wire_orders_text(c->seen_token, 0, o, (size_t)n));
 }
 
 static void list_jobs(tw_core *c) {
@@ -83,7 +113,7 @@
         snprintf(c->dep_list_after, sizeof c->dep_list_after, "%s", e[n - 1].key);
         list_jobs(c);
     } else {
-        c->contact_at = fmax(c->contact_at, c->dep_list_from);
+        c->dep_read_at = fmax(c->dep_read_at, c->dep_list_from);
     }
     tw_wire_entries_free(e, n);
 }
@@ -105,6 +135,11 @@
     c->parked = NULL;
     c->nparked = 0;
     forget_aborted(c);
+    gone *g, *t;
+    HASH_ITER(hh, c->relayed, g, t) {
+        HASH_DEL(c->relayed, g);
+        free(g);
+    }
 }
 
 void tw_deputy_tick(tw_core *c) {
@@ -118,7 +153,7 @@
                 tw_hello(c, p->conn, p->body, strlen(p->body), 0);
                 free(p->body);
             } else {
-                hand_on(c, p->conn, p->body, p->until);
+                hand_on(c, p->conn, p->tray, p->body, p->until);
             }
             free(p);
         }
@@ -155,7 +190,8 @@
     c->dep_busy = 0;
     if (status == 200 || status == 409) c->state_ok_at = c->now;
     if (status == 200) {
-        if (!entitled(c)) tw_log_info("event=deputy token=%llu", (unsigned long long)k->vers[0]);
+        if (c->now >= c->dep_until)
+            tw_log_info("event=deputy token=%llu", (unsigned long long)k->vers[0]);
         c->dep_token = k->vers[0];
         c->dep_until = k->sent + tw_deputy_s(c) * (1 - 2 * c->cf->tune.drift);
         c->parked_next = c->now;
@@ -165,7 +201,7 @@
 
 /* A worker that is turned away tries the other nodes; with its zone cut off that costs it 5 s each,
  * and its lease. So while the leader changes, a report waits here, well under the worker's 4 s. */
-static void park(tw_core *c, uint64_t conn, char *body, double until) {
+static void park(tw_core *c, uint64_t conn, const char *tray, char *body, double until) {
     parked *p = c->now < until ? tw_zalloc(sizeof *p) : NULL;
     if (!p || c->nparked >= c->cf->sockets / 2) {
         tw_reply_error(c, conn, 503, 1, "no leader answers");
@@ -174,31 +210,35 @@
         return;
     }
     p->conn = conn;
+    snprintf(p->tray, sizeof p->tray, "%s", tray);
     p->body = body;
     p->until = until;
     DL_APPEND(c->parked, p);
     c->nparked++;
 }
 
-static void hand_on(tw_core *c, uint64_t conn, char *body /* owned */, double until) {
+static void hand_on(tw_core *c, uint64_t conn, const char *tray, char *body /* owned */,
+                    double until) {
     peer *l = *c->leader ? tw_peer_of(c, c->leader) : NULL;
     tw_wire_report r;
     if (!l) {
-        park(c, conn, body, until);
+        park(c, conn, tray, body, until);
     } else if (c->now >= c->relay_bad_until) {
         call *k = tw_call(c, K_RELAY, TW_TO_PEER, l->cf.addr, "POST", "/peer/hello", strdup(body),
                           RELAY_S);
         k->conn = conn;
         k->text = body;
         k->until = until;
-    } else if (entitled(c) && !tw_wire_report_parse(&r, body, strlen(body))) {
+        snprintf(k->name, sizeof k->name, "%s", tray);
+    } else if (entitled(c, tray) && !tw_wire_report_parse(&r, body, strlen(body))) {
+        /* The grant ends; a key, where the state service can be reached, goes on. */
         if (c->now > c->dep_until - 0.5 * tw_deputy_s(c)) become_deputy(c);
         answer_deputy(c, conn, &r);
         tw_wire_report_free(&r);
         free(body);
     } else {
         become_deputy(c);
-        park(c, conn, body, until);
+        park(c, conn, tray, body, until);
     }
 }
 
@@ -216,7 +256,7 @@
     }
     char *copy = tw_zalloc(len + 1);
     memcpy(copy, body, len);
-    hand_on(c, conn, copy, c->now + PARK_S);
+    hand_on(c, conn, r->tray, copy, c->now + PARK_S);
 }
 
 void tw_relay_response(tw_core *c, call *k, int status, const char *body, size_t len) {
@@ -224,7 +264,7 @@
     k->text = NULL;
     if (status == 200 && c->role == R_FOLLOWER) {
         c->relay_bad_until = 0;
-        c->contact_at = k->sent;
+        note_relayed(c, k->name, k->sent);
         char *copy = tw_zalloc(len + 1);
         memcpy(copy, body, len);
         tw_reply(c, k->conn, 200, 0, copy);
@@ -238,9 +278,9 @@
     }
     if (status == 0) c->relay_bad_until = c->now + RELAY_S;
     if (status == 0)
-        hand_on(c, k->conn, report, k->until);
+        hand_on(c, k->conn, k->name, report, k->until);
     else
-        park(c, k->conn, report, k->until);
+        park(c, k->conn, k->name, report, k->until);
 }
 
 /* A live node of that zone, for workers to report to; NULL: none known. */
@@ -254,9 +294,10 @@
 /* ---- at the leader ---- */
 
 /* Until when some deputy may have answered workers. */
-double tw_deputies_until(const tw_core *c) {
+double tw_deputies_until(const tw_core *c, const char *yard) {
     double t = 0;
-    for (size_t i = 0; i < c->npeers; i++) t = fmax(t, c->peers[i].dep_until);
+    for (size_t i = 0; i < c->npeers; i++)
+        if (!*yard || !strcmp(yard, c->peers[i].cf.zone)) t = fmax(t, c->peers[i].dep_until);
     return t;
 }
 
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -631,6 +631,7 @@
                 ? -1
                 : 0;
     if (!r && get_num(o, "upS", 0, &p->up_s)) p->up_s = 0;
+    if (!r && get_num(o, "deputyS", 0, &p->deputy_s)) p->deputy_s = 0;
     cJSON_Delete(o);
     return r;
 }
@@ -642,5 +643,6 @@
     cJSON_AddBoolToObject(o, "stateOk", p->state_ok);
     cJSON_AddBoolToObject(o, "leading", p->leading);
     cJSON_AddNumberToObject(o, "upS", p->up_s);
+    cJSON_AddNumberToObject(o, "deputyS", p->deputy_s);
     return finish(o);
 }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -167,7 +167,8 @@
     uint64_t token; /* highest token this node knows of; it answers no worker with a lower one */
     int state_ok;   /* its calls to the state service succeed */
     int leading;
-    double up_s; /* since it started */
+    double up_s;     /* since it started */
+    double deputy_s; /* since it last answered a worker as a deputy, or started */
 } tw_wire_ping;
 int tw_wire_ping_parse(tw_wire_ping *p, const char *text, size_t len);
 char *tw_wire_ping_text(const tw_wire_ping *p);
--- a/tests/runner/runner.c
+++ b/tests/runner/runner.c
@@ -10,7 +10,7 @@
 #include <string.h>
 #include <uthash.h>
 
-#define MAX_NODES 3
+#define MAX_NODES 8
 #define LATENCY 0.002
 
 typedef struct node {
@@ -782,6 +782,7 @@
 
 static void settings_line(char **w, int n, const char *line) {
     if (!strcmp(w[0], "node")) {
+        if (W.nnodes == MAX_NODES) exit(2);
         snprintf(W.nodes[W.nnodes], 32, "%s", w[1]);
         snprintf(W.node_zone[W.nnodes++], 32, "%s", w[2]);
     } else if (!strcmp(w[0], "team")) {
