--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -309,7 +309,8 @@
     double dep_try;        /* no earlier attempt to become one */
     struct parked *parked; /* reports that wait for a leader */
     double parked_next;
-    gone *dep_aborted; /* cancelled jobs, whose tasks a deputy stops */
+    gone *dep_aborted;   /* cancelled jobs, whose tasks a deputy stops: read as one by its key */
+    gone *grant_aborted; /* and named with the leader's last grant */
     int dep_listing;
     double dep_list_from, dep_list_next;
     char dep_list_after[256];
@@ -466,7 +467,7 @@
 peer *tw_home_of(tw_core *c, const char *yard);
 double tw_deputy_s(const tw_core *c);
 double tw_deputies_until(const tw_core *c, const char *yard);
-void tw_deputy_granted(tw_core *c, double sent, uint64_t token);
+void tw_deputy_granted(tw_core *c, double sent, uint64_t token, const char *body, size_t len);
 int tw_deputy_conds(const tw_core *c, tw_wire_cond *conds, char (*keys)[TW_NAME + 8]);
 void tw_deputies_read(tw_core *c);
 void tw_deputies_page(tw_core *c, call *k, int status, const char *body, size_t len);
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -16,7 +16,7 @@
  * machine's lease. So whoever cannot exclude that another leads answers for this long at most. */
 double tw_blind_s(const tw_core *c) {
     const tw_conf *cf = c->cf;
-    double s = cf->cancel_s - cf->lease_s * (1 + cf->tune.margin_ratio + 2 * cf->tune.drift);
+    double s = cf->cancel_s - cf->lease_s * (1 + 0.4 * cf->tune.margin_ratio + 2 * cf->tune.drift);
     return fmax(0, fmin(s, hold_s(c)));
 }
 
@@ -150,8 +150,8 @@
     snprintf(m.name, sizeof m.name, "%s", c->cf->host_name);
     if (tw_authority(c)) snprintf(m.leader, sizeof m.leader, "%s", c->cf->host_name);
     p->busy = 1;
-    call *k =
-        tw_call(c, K_PING, TW_TO_PEER, p->cf.addr, "POST", "/peer/ping", tw_wire_ping_text(&m), 1);
+    call *k = tw_call(c, K_PING, TW_TO_PEER, p->cf.addr, "POST", "/peer/ping",
+                      tw_wire_ping_text(&m, NULL, 0), 1);
     snprintf(k->name, sizeof k->name, "%s", p->cf.name);
 }
 
@@ -166,6 +166,20 @@
     tw_log_info("event=peers_confirmed token=%llu", (unsigned long long)c->token);
 }
 
+#define MAX_ABORTED 500 /* ids in an answer; with more of them no grant is given */
+
+/* Cancelled jobs of which something may still run: whoever answers workers must stop it. */
+static int aborted_live(const tw_core *c, const char **ids) {
+    const job *j;
+    int n = 0;
+    DL_FOREACH(c->active, j) {
+        if (j->stage != TW_STAGE_ABORTED || !j->live) continue;
+        if (n < MAX_ABORTED) ids[n] = j->id;
+        n++;
+    }
+    return n;
+}
+
 void tw_ping_request(tw_core *c, uint64_t conn, const char *body, size_t len) {
     tw_wire_ping m;
     if (tw_wire_ping_parse(&m, body, len)) {
@@ -182,8 +196,14 @@
     snprintf(a.name, sizeof a.name, "%s", c->cf->host_name);
     if (tw_authority(c)) snprintf(a.leader, sizeof a.leader, "%s", c->cf->host_name);
     /* With this answer it may renew leases in its zone for a while, should it lose us. */
+    const char *ids[MAX_ABORTED];
+    int n = a.leading ? aborted_live(c, ids) : 0;
+    if (n > MAX_ABORTED) {
+        tw_log_info("event=no_grant aborted=%d", n);
+        a.leading = n = 0;
+    }
     if (p && a.leading) p->grant_until = c->now + tw_blind_s(c) * (1 + 2 * c->cf->tune.drift);
-    tw_reply(c, conn, 200, 0, tw_wire_ping_text(&a));
+    tw_reply(c, conn, 200, 0, tw_wire_ping_text(&a, ids, n));
 }
 
 static void become_leader(tw_core *c, uint64_t token) {
@@ -309,7 +329,7 @@
             p->dep_last = c->now - m.deputy_s;
             p->dep_asof = k->sent;
             heard_peer(c, p, &m);
-            if (m.leading) tw_deputy_granted(c, k->sent, m.token);
+            if (m.leading) tw_deputy_granted(c, k->sent, m.token, body, len);
         }
         break;
     }
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -160,6 +160,7 @@
 
 void tw_job_finish(tw_core *c, job *j, int stage) {
     j->stage = stage;
+    tw_log_debug("event=over id=%s stage=%d", j->id, stage);
     tw_job_changed(c, j, 1);
 }
 
@@ -511,6 +512,8 @@
         arrival(c, j->lane, j);
         wait_for(c, j, conn, 0);
         tw_job_changed(c, j, 1);
+        tw_log_debug("event=submitted id=%s lane=%s team=%d pieces=%d cores=%g gpus=%g mem=%g",
+                     j->id, j->s.lane, j->team, j->pieces, j->s.cores, j->s.gpus, j->s.memory_gb);
         /* One write holds the acceptance and the first placements. */
         if (!tw_place_new(c, j)) c->sched_dirty = 1;
     }
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -25,20 +25,45 @@
  * began such a reading. */
 
 static int entitled(tw_core *c, const char *tray) {
+    if (c->role != R_FOLLOWER) return 0;
+    if (c->grant_token && c->grant_token == c->seen_token && c->now < c->grant_until) return 1;
     gone *g;
     HASH_FIND_STR(c->relayed, tray, g);
     double known = fmax(g ? g->at : -INFINITY, c->dep_read_at > 0 ? c->dep_read_at : -INFINITY);
-    if (c->role != R_FOLLOWER || c->now >= known + tw_blind_s(c)) return 0;
-    return (c->dep_token && c->dep_token == c->seen_token && c->now < c->dep_until) ||
-           (c->grant_token && c->grant_token == c->seen_token && c->now < c->grant_until);
+    return c->now < known + tw_blind_s(c) && c->dep_token && c->dep_token == c->seen_token &&
+           c->now < c->dep_until;
+}
+
+static void forget(gone **set) {
+    gone *g, *t;
+    HASH_ITER(hh, *set, g, t) {
+        HASH_DEL(*set, g);
+        free(g);
+    }
+}
+
+static void remember(gone **set, const char *name) {
+    gone *g;
+    HASH_FIND_STR(*set, name, g);
+    if (g) return;
+    g = tw_zalloc(sizeof *g);
+    snprintf(g->name, sizeof g->name, "%s", name);
+    HASH_ADD_STR(*set, name, g);
 }
 
 /* The leader's answer to a ping: should we lose it, we may answer our zone's workers for as long as
- * it would itself without the state service. */
-void tw_deputy_granted(tw_core *c, double sent, uint64_t token) {
+ * it would itself without the state service. With it come the cancelled jobs that may still run:
+ * what is cancelled later has cancel_s from then on. */
+void tw_deputy_granted(tw_core *c, double sent, uint64_t token, const char *body, size_t len) {
+    char(*ids)[TW_WIRE_ID];
+    int n;
     if (token != c->seen_token || c->role != R_FOLLOWER) return;
     c->grant_token = token;
     c->grant_until = sent + tw_blind_s(c) * (1 - 2 * c->cf->tune.drift);
+    forget(&c->grant_aborted);
+    if (tw_wire_aborted_parse(&ids, &n, body, len)) return;
+    for (int i = 0; i < n; i++) remember(&c->grant_aborted, ids[i]);
+    free(ids);
 }
 
 static void note_relayed(tw_core *c, const char *tray, double at) {
@@ -67,9 +92,10 @@
     int n = 0;
     for (int i = 0; r && i < r->npieces && n < 64; i++) {
         const tw_wire_piece *w = &r->pieces[i];
-        gone *g;
+        gone *g, *named;
         HASH_FIND_STR(c->dep_aborted, w->job, g);
-        if (!g || w->stage == TW_PIECE_EXITED) continue;
+        HASH_FIND_STR(c->grant_aborted, w->job, named);
+        if ((!g && !named) || w->stage == TW_PIECE_EXITED) continue;
         o[n] = (tw_wire_order){.verb = TW_VERB_KILL, .index = w->index, .attempt = w->attempt};
         snprintf(o[n++].job, sizeof o[0].job, "%s", w->job);
     }
@@ -98,15 +124,9 @@
         return;
     }
     for (int i = 0; i < n; i++) {
-        gone *g;
-        if (strlen(e[i].key) <= 4 ||
-            tw_wire_record_stage(e[i].data, strlen(e[i].data)) != TW_STAGE_ABORTED)
-            continue;
-        HASH_FIND_STR(c->dep_aborted, e[i].key + 4, g);
-        if (g) continue;
-        g = tw_zalloc(sizeof *g);
-        snprintf(g->name, sizeof g->name, "%.*s", TW_NAME - 1, e[i].key + 4);
-        HASH_ADD_STR(c->dep_aborted, name, g);
+        if (strlen(e[i].key) > 4 &&
+            tw_wire_record_stage(e[i].data, strlen(e[i].data)) == TW_STAGE_ABORTED)
+            remember(&c->dep_aborted, e[i].key + 4);
     }
     *c->dep_list_after = 0;
     if (more && n) {
@@ -118,14 +138,6 @@
     tw_wire_entries_free(e, n);
 }
 
-static void forget_aborted(tw_core *c) {
-    gone *g, *t;
-    HASH_ITER(hh, c->dep_aborted, g, t) {
-        HASH_DEL(c->dep_aborted, g);
-        free(g);
-    }
-}
-
 void tw_deputy_end(tw_core *c) {
     parked *p, *n;
     DL_FOREACH_SAFE(c->parked, p, n) {
@@ -134,12 +146,9 @@
     }
     c->parked = NULL;
     c->nparked = 0;
-    forget_aborted(c);
-    gone *g, *t;
-    HASH_ITER(hh, c->relayed, g, t) {
-        HASH_DEL(c->relayed, g);
-        free(g);
-    }
+    forget(&c->dep_aborted);
+    forget(&c->grant_aborted);
+    forget(&c->relayed);
 }
 
 void tw_deputy_tick(tw_core *c) {
@@ -159,7 +168,7 @@
         }
     }
     if (c->role != R_FOLLOWER || c->now >= c->dep_until) {
-        if (c->dep_aborted && !c->dep_listing) forget_aborted(c);
+        if (c->dep_aborted && !c->dep_listing) forget(&c->dep_aborted);
         return;
     }
     if (c->dep_listing || c->now < c->dep_list_next) return;
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -635,7 +635,10 @@
     cJSON_Delete(o);
     return r;
 }
-char *tw_wire_ping_text(const tw_wire_ping *p) {
+int tw_wire_aborted_parse(char (**ids)[TW_WIRE_ID], int *n, const char *text, size_t len) {
+    return strings_parse((void **)ids, TW_WIRE_ID, n, "aborted", text, len);
+}
+char *tw_wire_ping_text(const tw_wire_ping *p, const char *const *aborted, int naborted) {
     cJSON *o = cJSON_CreateObject();
     cJSON_AddStringToObject(o, "name", p->name);
     if (*p->leader) cJSON_AddStringToObject(o, "leader", p->leader);
@@ -644,5 +647,6 @@
     cJSON_AddBoolToObject(o, "leading", p->leading);
     cJSON_AddNumberToObject(o, "upS", p->up_s);
     cJSON_AddNumberToObject(o, "deputyS", p->deputy_s);
+    if (naborted) cJSON_AddItemToObject(o, "aborted", cJSON_CreateStringArray(aborted, naborted));
     return finish(o);
 }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -171,6 +171,8 @@
     double deputy_s; /* since it last answered a worker as a deputy, or started */
 } tw_wire_ping;
 int tw_wire_ping_parse(tw_wire_ping *p, const char *text, size_t len);
-char *tw_wire_ping_text(const tw_wire_ping *p);
+/* aborted: cancelled jobs that may still run, said by a leader. */
+char *tw_wire_ping_text(const tw_wire_ping *p, const char *const *aborted, int naborted);
+int tw_wire_aborted_parse(char (**ids)[TW_WIRE_ID], int *n, const char *text, size_t len);
 
 #endif
