Room is kept for classes that need more GPUs where nothing more can be rented

Now a service leaves holes for the arrivals expected of classes with more GPUs until their start objective (reserve.c). Ruled out: packing (97.6% of the memory in use).

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -70,6 +70,7 @@
     tw_wire_job sample; /* shape of its latest job (no racks) */
     int has_sample;
     uint32_t sample_racks;
+    int reserve, holes; /* tasks to keep room for, and that there is room for; see reserve.c */
     UT_hash_handle hh;
 } lane;
 
@@ -103,6 +104,7 @@
     int nbad;
     double pending_since;
     int skip;                  /* scratch of a pass */
+    int cramped;               /* nothing can be rented for it */
     int any_machine;           /* without GPUs, but only GPU machines are to be had */
     int resumed;               /* a task's run time is no longer the whole */
     struct job *prev, *next;   /* c->active */
@@ -448,6 +450,11 @@
 int tw_quota_allows(const tw_core *c, const job *j);
 double tw_max_cores_per_gpu(const tw_core *c);
 
+/* reserve.c */
+void tw_reserve_note(tw_core *c);
+int tw_reserve_allows(const tw_core *c, const machine *m, const job *j);
+void tw_reserve_take(tw_core *c, const machine *m, const job *j);
+
 /* queue.c */
 /* Pending jobs, in the order in which they should be served. */
 typedef struct tw_turns tw_turns;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -162,7 +162,7 @@
     HASH_ITER(hh, c->machines, m, t) {
         double run;
         if (m->rack < 0 || !tw_fits(m, &c->flavors[m->rack], &j->s) || !allowed(c, j, m) ||
-            !leaves_gpus(c, m, j))
+            !leaves_gpus(c, m, j) || !tw_reserve_allows(c, m, j))
             continue;
         double T = tw_predict(c, j, m, &run);
         int ok = c->now + T <= due;
@@ -258,7 +258,9 @@
     if (j->s.rank <= TW_RANK_IDLE || !tw_quota_allows(c, j)) return NULL;
     double due = tw_job_due(c, j);
     HASH_ITER(hh, c->machines, m, t) {
-        if (m->rack < 0 || !allowed(c, j, m) || !leaves_gpus(c, m, j)) continue;
+        if (m->rack < 0 || !allowed(c, j, m) || !leaves_gpus(c, m, j) ||
+            !tw_reserve_allows(c, m, j))
+            continue;
         vacate(c, j, m, 0, &cost, &enough);
         unmark(m);
         if (!enough) continue;
@@ -299,6 +301,7 @@
         }
         if (!m) break;
         /* The tasks of a gang find each other by their common attempt. */
+        tw_reserve_take(c, m, j);
         placement *p = tw_place(c, j, index, m, j->s.gang ? attempt : j->next_try);
         double run;
         tw_log_debug(
@@ -328,6 +331,7 @@
         return 0;
     }
     note_zones(c);
+    tw_reserve_note(c);
     place_job(c, j, MAX_PER_PASS);
     return j->nlive + j->ndone == j->pieces;
 }
@@ -336,6 +340,7 @@
     c->sched_dirty = 0;
     c->next_sched = c->now + 0.1;
     note_zones(c);
+    tw_reserve_note(c);
     tw_turns *t = tw_turns_new(c);
     job *j;
     int left = MAX_PER_PASS;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -219,6 +219,7 @@
             if (z.count[i] >= z.cap) full = z.yard[i];
         offer *o =
             best_offer(c, &j->s, j->rackmask, full, j->s.same_place && z.n ? z.yard[0] : NULL, 0);
+        j->cramped = !o || o->refused > 0; /* refused lately: it may be granted again */
         /* Nothing but GPU machines for it: let it use those that are there before renting. */
         if (j->s.gpus <= 0 && !j->any_machine && (!o || c->flavors[o->rack].f.gpus > 0)) {
             j->any_machine = c->sched_dirty = 1;
