--- a/src/core/core.c
+++ b/src/core/core.c
@@ -116,6 +116,12 @@
     c->writes = bucket_of(ws * cf->state_write_rps, ws * cf->state_write_rps * 0.9, now);
     /* The state service's limit is for all nodes together: the leader gets most of it. */
     c->reqs = bucket_of(ws * cf->state_rps * 0.6, ws * cf->state_rps * 0.5, now);
+    /* Without a leader to ask, all nodes at once read jobs for users and write acceptances:
+     * together they leave the greater part to the leader's renewals and writes. */
+    double others = ws * 0.25 / (double)(cf->npeers + 1);
+    c->reads = bucket_of(others * cf->state_rps, fmax(2, others * cf->state_rps), now);
+    c->creates =
+        bucket_of(others * cf->state_write_rps, fmax(2, others * cf->state_write_rps * 4), now);
     c->cloud = bucket_of(ws * cf->cloud_rps, fmax(1, ws * cf->cloud_rps * 2), now);
     c->team_c = tw_zalloc((cf->nteams + 1) * sizeof(double));
     c->team_g = tw_zalloc((cf->nteams + 1) * sizeof(double));
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -325,6 +325,7 @@
     lane *lanes;
     int ntxns, ndirty_new;
     bucket writes, reqs, cloud;
+    bucket reads, creates; /* of a node that does not lead */
     double *team_c, *team_g; /* in use, or may be */
     char load_after[256];
     double load_retry;
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -455,7 +455,7 @@
 }
 
 static call *lookup(tw_core *c, uint64_t conn, const char *id, int op, char *text) {
-    if (!tw_take(c, &c->reqs, 1)) {
+    if (!tw_take(c, c->role == R_LEADER && tw_authority(c) ? &c->reqs : &c->reads, 1)) {
         tw_reply_error(c, conn, 503, 1, "busy");
         free(text);
         return NULL;
@@ -522,7 +522,7 @@
 /* Accepts a job without the leader: its key must not exist. The leader learns of it from a second
  * key, a successor from its load. */
 static void create_direct(tw_core *c, uint64_t conn, tw_wire_job *s) {
-    if (c->now - c->state_ok_at > 2 * c->ttl || !tw_take(c, &c->writes, 2)) {
+    if (c->now - c->state_ok_at > 2 * c->ttl || !tw_take(c, &c->creates, 2)) {
         tw_reply_error(c, conn, 503, 1, "no leader");
         return;
     }
