--- a/tests/runner/runner.c
+++ b/tests/runner/runner.c
@@ -5,6 +5,7 @@
 #include "log/log.h"
 #include "world.h"
 #include <cjson/cJSON.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -80,6 +81,7 @@
 
 /* The zone is cut off from everything, also from what belongs to no zone. */
 static char island[TW_NAME];
+static double rps = 1e9, req_tokens = 1e9, req_at; /* the state service's limit of requests */
 static double island_until, refuse_peers_until, slow_state_until, slow_state_s;
 static int cut_off(const char *zone) { return W.now < island_until && !strcmp(zone, island); }
 
@@ -200,7 +202,12 @@
     if (cut_off(W.node_zone[n]) && (f->to == TW_TO_STATE || f->to == TW_TO_CLOUD)) return;
     if (f->to == TW_TO_STATE) {
         if (alone) return;
-        if (W.now < N[n].no_state_until) {
+        req_tokens = fmin(rps, req_tokens + (W.now - req_at) * rps);
+        req_at = W.now;
+        if (--req_tokens < 0) {
+            req_tokens = 0;
+            respond(n, N[n].gen, f->id, 429, strdup("{}"), LATENCY);
+        } else if (W.now < N[n].no_state_until) {
             respond(n, N[n].gen, f->id, 503, strdup("{}"), LATENCY);
         } else if (late_txn > 0 && !strcmp(f->path, "/txn")) {
             carry(late_txn, ev_state, n, f)->c = 1;
@@ -324,10 +331,10 @@
     snprintf(text + k, sizeof text - (size_t)k,
              "[external]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[settings]\n%s%s%s"
              "[settings.workers]\nreport_s = %g\nlease_s = %g\ncancel_s = %g\n"
-             "[settings.state]\nrps = 60.0\nwrite_rps = %g\nvalue_kb = 8.0\ntxn_ops = 12\n"
+             "[settings.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = 8.0\ntxn_ops = 12\n"
              "[settings.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n"
              "[settings.limits]\ncpu_share = 0.1\nmem_mb = 56.0\nsockets = 600\n",
-             settings, teams, objectives, W.report_s, W.lease_s, W.cancel_s,
+             settings, teams, objectives, W.report_s, W.lease_s, W.cancel_s, rps > 1e6 ? 60 : rps,
              W.write_rps > 1e6 ? 100 : W.write_rps);
     if (tw_conf_parse(&N[n].conf, text, err, sizeof err)) {
         printf("FAIL %s: settings: %s\n", scenario, err);
@@ -830,6 +837,7 @@
         if (!strcmp(w[1], "cancel")) W.cancel_s = v;
         if (!strcmp(w[1], "boot")) W.boot_s = v;
         if (!strcmp(w[1], "write_rps")) W.write_rps = v;
+        if (!strcmp(w[1], "rps")) rps = v;
         if (!strcmp(w[1], "seed")) seed = (unsigned)v;
     } else {
         printf("FAIL %s: unknown line %s\n", scenario, line);
