Machines are rented for submissions that were turned away and will come again

A leader now keeps what it turned away for want of writes and plans for it. Ruled out: launches (1 to 2 s after placing).

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -121,7 +121,7 @@
     double others = ws * 0.25 / (double)(cf->npeers + 1);
     c->reads = bucket_of(others * cf->state_rps, fmax(2, others * cf->state_rps), now);
     c->creates =
-        bucket_of(others * cf->state_write_rps, fmax(2, others * cf->state_write_rps * 4), now);
+        bucket_of(others * cf->state_write_rps, fmax(4, others * cf->state_write_rps * 8), now);
     c->cloud = bucket_of(ws * cf->cloud_rps, fmax(1, ws * cf->cloud_rps * 2), now);
     c->team_c = tw_zalloc((cf->nteams + 1) * sizeof(double));
     c->team_g = tw_zalloc((cf->nteams + 1) * sizeof(double));
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -269,6 +269,14 @@
     UT_hash_handle hh;
 } gone;
 
+/* A submission that was turned away and will come again: machines are rented for it meanwhile. */
+typedef struct wish {
+    char id[TW_WIRE_ID];
+    job j; /* not among the jobs: nothing of it is accepted */
+    double until;
+    UT_hash_handle hh;
+} wish;
+
 enum { R_FOLLOWER, R_LEADER };
 enum { PH_LOADING, PH_ACTIVE };
 
@@ -322,10 +330,11 @@
 
     /* jobs */
     job *jobs, *active, *dirty;
+    wish *wishes;
     lane *lanes;
     int ntxns, ndirty_new;
     bucket writes, reqs, cloud;
-    bucket reads, creates; /* of a node that does not lead */
+    bucket reads, creates;   /* of a node that does not lead */
     double *team_c, *team_g; /* in use, or may be */
     char load_after[256];
     double load_retry;
@@ -404,6 +413,7 @@
 void tw_job_free(tw_core *c, job *j);
 void tw_job_finish(tw_core *c, job *j, int stage);
 int tw_job_durable(const job *j);
+void tw_wish_drop(tw_core *c, wish *w);
 char *tw_job_answer(const job *j);
 char *tw_job_record(const job *j);
 void tw_jobs_flush(tw_core *c);
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -385,6 +385,12 @@
     if (!p->kill) tw_placement_kill(c, p, j->s.snapshot_s > 0 ? j->s.flush_s : 0, 0);
 }
 
+/* A submission that can't be taken now: told at once, with the time to come back. */
+static void turn_away(tw_core *c, uint64_t conn, const char *id, double retry, const char *why) {
+    tw_log_debug("event=turned_away id=%s why=\"%s\"", id, why);
+    tw_reply_error(c, conn, 503, retry, why);
+}
+
 void tw_jobs_tick(tw_core *c) {
     if (c->role != R_LEADER || c->now < c->next_tidy) return;
     c->next_tidy = c->now + 0.25;
@@ -398,7 +404,7 @@
                 at = &w->next;
                 continue;
             }
-            tw_reply_error(c, w->conn, 503, 1, "not durable in time");
+            turn_away(c, w->conn, j->id, 1, "not durable in time");
             *at = w->next;
             free(w);
         }
@@ -490,6 +496,29 @@
     return 1;
 }
 
+#define MAX_WISHES 1000
+
+void tw_wish_drop(tw_core *c, wish *w) {
+    HASH_DEL(c->wishes, w);
+    tw_wire_job_free(&w->j.s);
+    free(w);
+}
+
+static void wish_for(tw_core *c, tw_wire_job *s, double retry) {
+    wish *w;
+    HASH_FIND_STR(c->wishes, s->id, w);
+    if (!w) {
+        if (HASH_COUNT(c->wishes) >= MAX_WISHES) return;
+        w = tw_zalloc(sizeof *w);
+        snprintf(w->id, sizeof w->id, "%s", s->id);
+        snprintf(w->j.id, sizeof w->j.id, "%s", s->id);
+        w->j.submitted = w->j.pending_since = c->now;
+        tw_job_spec(c, &w->j, s);
+        HASH_ADD_STR(c->wishes, id, w);
+    }
+    w->until = c->now + retry + c->cf->lease_s;
+}
+
 static void leader_submit(tw_core *c, uint64_t conn, tw_wire_job *s) {
     job *j = tw_job_find(c, s->id);
     if (j && j->created) {
@@ -499,9 +528,13 @@
     } else {
         double wait = write_backlog_s(c);
         if (wait > ACCEPT_WAIT_S * 0.8) {
-            tw_reply_error(c, conn, 503, fmin(30, ceil(wait)), "too many submissions");
+            turn_away(c, conn, s->id, fmin(30, ceil(wait)), "too many submissions");
+            wish_for(c, s, fmin(30, ceil(wait)));
             return;
         }
+        wish *w;
+        HASH_FIND_STR(c->wishes, s->id, w);
+        if (w) tw_wish_drop(c, w);
         j = tw_job_new(c, s->id);
         tw_job_spec(c, j, s);
         j->st = tw_zalloc((size_t)j->pieces);
@@ -523,7 +556,7 @@
  * key, a successor from its load. */
 static void create_direct(tw_core *c, uint64_t conn, tw_wire_job *s) {
     if (c->now - c->state_ok_at > 2 * c->ttl || !tw_take(c, &c->creates, 2)) {
-        tw_reply_error(c, conn, 503, 1, "no leader");
+        turn_away(c, conn, s->id, 1, "no leader");
         return;
     }
     char key[TW_WIRE_ID + 8];
@@ -684,7 +717,10 @@
         tw_wire_job_free(&s);
         return;
     }
-    tw_reply_error(c, k->conn, 503, 1, "leader does not answer");
+    if (k->op == OP_SUBMIT)
+        turn_away(c, k->conn, k->name, 1, "leader does not answer");
+    else
+        tw_reply_error(c, k->conn, 503, 1, "leader does not answer");
 }
 
 static void create_done(tw_core *c, call *k, int status) {
@@ -694,7 +730,7 @@
     } else if (status == 409) {
         lookup(c, k->conn, k->name, OP_POLL, NULL);
     } else {
-        tw_reply_error(c, k->conn, 503, 1, "state service does not answer");
+        turn_away(c, k->conn, k->name, 1, "state service does not answer");
     }
 }
 
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -340,6 +340,13 @@
     job *j;
     while ((j = tw_turns_next(c, t))) plan_job(c, &bs, j, &d);
     tw_turns_free(t);
+    wish *w, *wt;
+    HASH_ITER(hh, c->wishes, w, wt) {
+        if (c->now < w->until)
+            plan_job(c, &bs, &w->j, &d);
+        else
+            tw_wish_drop(c, w);
+    }
     for (lane *l = c->lanes; l; l = l->hh.next) plan_spare(c, &bs, l, spare_tasks(c, l));
     int more = bs.n > had;
     settle_wants(c);
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -125,6 +125,8 @@
         HASH_DEL(c->released, g);
         free(g);
     }
+    wish *w, *wt;
+    HASH_ITER(hh, c->wishes, w, wt) tw_wish_drop(c, w);
     ask *a, *at;
     DL_FOREACH_SAFE(c->asks, a, at) {
         DL_DELETE(c->asks, a);
