A cut-off zone lives a lease longer; cancellations are told once all who may answer know

The grant was bounded by what a cancellation elsewhere must hold. Now the leader has a cancellation acknowledged by the nodes that may answer the job's machines, before it is told, or answers 503 at once; so a grant may last a lease longer. And after a cut a zone's machines are given time to report before they count as silent (they were released). Ruled out: parking reports longer (a worker waits 4 s).

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -98,6 +98,8 @@
     double write_after;
     waiter *waiters;
     /* errors */
+    int aborting; /* its user cancels it; not yet safe to tell, see tw_abort_safe */
+    uint64_t abort_seq;
     int errors; /* in a row */
     double retry_at;
     struct machine *bad[4]; /* machines it failed on lately */
@@ -193,7 +195,7 @@
     uint64_t id;
     int kind;
     double sent, until;
-    uint64_t conn, gen;
+    uint64_t conn, gen, seq;
     int n, op;
     char name[256];
     char *text;             /* a request kept for a second way */
@@ -253,13 +255,15 @@
     tw_conf_peer cf;
     uint64_t token;    /* what it said it had seen */
     double ok_at;      /* when a ping was last answered (send time) */
+    double back_at;    /* when it answered again after a silence */
     double vouched_at; /* the same, and it can't have led since the time before */
     double next;
     int busy, state_ok;
-    uint64_t dep_stamp; /* of its key as a deputy, 0: none */
-    double dep_until;   /* it may answer workers until then, by its key */
-    double grant_until; /* and by our answer to its ping, as long as it can't reach us */
-    double dep_last;    /* when it last did, as it said in answer to a ping sent at dep_asof */
+    uint64_t dep_stamp;            /* of its key as a deputy, 0: none */
+    double dep_until;              /* it may answer workers until then, by its key */
+    uint64_t abort_ack, asked_seq; /* it knows of the cancellations up to, was told of */
+    double grant_until;            /* and by our answer to its ping, as long as it can't reach us */
+    double dep_last; /* when it last did, as it said in answer to a ping sent at dep_asof */
     double dep_asof;
 } peer;
 
@@ -319,6 +323,7 @@
     double dep_try;        /* no earlier attempt to become one */
     struct parked *parked; /* reports that wait for a leader */
     double parked_next;
+    uint64_t abort_seq;  /* numbers the cancellations of a term */
     gone *dep_aborted;   /* cancelled jobs, whose tasks a deputy stops: read as one by its key */
     gone *grant_aborted; /* and named with the leader's last grant */
     int dep_listing;
@@ -394,6 +399,9 @@
 void tw_step_down(tw_core *c, const char *why);
 double tw_predecessor_end(const tw_core *c);
 double tw_blind_s(const tw_core *c);
+double tw_alone_s(const tw_core *c);
+int tw_abort_safe(tw_core *c, const job *j, int ask);
+void tw_aborted_note(tw_core *c, uint64_t token, const char *body, size_t len);
 void tw_ping_request(tw_core *c, uint64_t conn, const char *body, size_t len);
 peer *tw_peer_of(tw_core *c, const char *name);
 int tw_isolated(const tw_core *c);
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -20,6 +20,11 @@
     return fmax(0, fmin(s, hold_s(c)));
 }
 
+/* How long a node may answer workers, by its own last authority or the leader's last grant, without
+ * hearing more. Longer than tw_blind_s: a cancellation is told only once all who may answer without
+ * us for longer know of it (tw_abort_safe). */
+double tw_alone_s(const tw_core *c) { return fmin(hold_s(c), tw_blind_s(c) + c->cf->lease_s); }
+
 /* Until when surely no other node had led: when all of them last said that they know of no token
  * later than ours. One that started anew since may have led in between. */
 static double sole_until(const tw_core *c) {
@@ -34,14 +39,14 @@
 int tw_holding(const tw_core *c) {
     if (c->role != R_LEADER || c->phase != PH_ACTIVE || c->now < c->auth_until) return 0;
     return c->now < c->auth_until + hold_s(c) &&
-           c->now < fmax(c->auth_until, sole_until(c)) + tw_blind_s(c);
+           c->now < fmax(c->auth_until, sole_until(c)) + tw_alone_s(c);
 }
 
 /* Until when some earlier leader may have answered a worker that has not seen our token. */
 double tw_predecessor_end(const tw_core *c) {
     if (c->all_confirmed_at > 0) return c->all_confirmed_at;
     /* From our acquisition on it can't hear from all nodes that none leads. */
-    return c->acquired_at + tw_blind_s(c) * (1 + 2 * c->cf->tune.drift);
+    return c->acquired_at + tw_alone_s(c) * (1 + 2 * c->cf->tune.drift);
 }
 
 peer *tw_peer_of(tw_core *c, const char *name) {
@@ -141,18 +146,69 @@
     tw_call(c, K_RENEW, TW_TO_STATE, c->cf->state, "POST", path, strdup("{}"), c->ttl * 0.4);
 }
 
-static void ping(tw_core *c, peer *p) {
+#define MAX_ABORTED 500 /* ids in an answer; with more of them no grant is given */
+
+/* Cancelled jobs of which something may still run: whoever answers workers must stop it. */
+static int aborted_live(const tw_core *c, const char **ids) {
+    const job *j;
+    int n = 0;
+    DL_FOREACH(c->active, j) {
+        if ((j->stage != TW_STAGE_ABORTED && !j->aborting) || !j->live) continue;
+        if (n < MAX_ABORTED) ids[n] = j->id;
+        n++;
+    }
+    return n;
+}
+
+/* What this node says of itself to another; aborted: room for the ids a leader sends along. */
+static tw_wire_ping self(const tw_core *c, const char **aborted, int *n) {
     tw_wire_ping m = {.token = c->seen_token,
                       .state_ok = c->now - c->state_ok_at < 2 * c->ttl,
                       .up_s = c->now - c->started_at,
                       .deputy_s = c->now - fmax(c->started_at, c->dep_last),
                       .leading = tw_authority(c)};
     snprintf(m.name, sizeof m.name, "%s", c->cf->host_name);
-    if (tw_authority(c)) snprintf(m.leader, sizeof m.leader, "%s", c->cf->host_name);
-    p->busy = 1;
+    if (m.leading) snprintf(m.leader, sizeof m.leader, "%s", c->cf->host_name);
+    *n = m.leading ? aborted_live(c, aborted) : 0;
+    return m;
+}
+
+static void ping(tw_core *c, peer *p) {
+    const char *ids[MAX_ABORTED];
+    int n;
+    tw_wire_ping m = self(c, ids, &n);
+    p->busy++;
     call *k = tw_call(c, K_PING, TW_TO_PEER, p->cf.addr, "POST", "/peer/ping",
-                      tw_wire_ping_text(&m, NULL, 0), 1);
+                      tw_wire_ping_text(&m, ids, n > MAX_ABORTED ? 0 : n), 1);
     snprintf(k->name, sizeof k->name, "%s", p->cf.name);
+    k->seq = n > MAX_ABORTED ? 0 : c->abort_seq;
+}
+
+/* ---- cancelling ---- */
+
+/* Whether all that may answer the job's machines without us, for longer than a cancellation leaves
+ * time for, know that it is cancelled. 0 asks them; -1: some can't be asked now. */
+int tw_abort_safe(tw_core *c, const job *j, int ask) {
+    const double limit = c->now + tw_blind_s(c);
+    const placement *p;
+    int safe = 1;
+    DL_FOREACH2(j->live, p, jnext) {
+        const machine *m = p->m;
+        if (!p->sent && !p->inherited && !p->direct) continue;
+        if (!m->confirmed && tw_predecessor_end(c) > limit) return -1;
+        for (size_t i = 0; i < c->npeers; i++) {
+            peer *q = &c->peers[i];
+            if (q->grant_until <= limit || q->abort_ack >= j->abort_seq ||
+                (*m->yard && strcmp(m->yard, q->cf.zone)))
+                continue;
+            safe = 0;
+            if (q->ok_at < c->now - 1 - 0.5 * c->ttl) return -1;
+            if (!ask || q->asked_seq >= j->abort_seq) continue;
+            q->asked_seq = j->abort_seq;
+            ping(c, q);
+        }
+    }
+    return safe;
 }
 
 static void heard_peer(tw_core *c, peer *p, const tw_wire_ping *m) {
@@ -166,20 +222,6 @@
     tw_log_info("event=peers_confirmed token=%llu", (unsigned long long)c->token);
 }
 
-#define MAX_ABORTED 500 /* ids in an answer; with more of them no grant is given */
-
-/* Cancelled jobs of which something may still run: whoever answers workers must stop it. */
-static int aborted_live(const tw_core *c, const char **ids) {
-    const job *j;
-    int n = 0;
-    DL_FOREACH(c->active, j) {
-        if (j->stage != TW_STAGE_ABORTED || !j->live) continue;
-        if (n < MAX_ABORTED) ids[n] = j->id;
-        n++;
-    }
-    return n;
-}
-
 void tw_ping_request(tw_core *c, uint64_t conn, const char *body, size_t len) {
     tw_wire_ping m;
     if (tw_wire_ping_parse(&m, body, len)) {
@@ -188,21 +230,16 @@
     }
     peer *p = tw_peer_of(c, m.name);
     if (p) heard_peer(c, p, &m);
-    tw_wire_ping a = {.token = c->seen_token,
-                      .state_ok = c->now - c->state_ok_at < 2 * c->ttl,
-                      .up_s = c->now - c->started_at,
-                      .deputy_s = c->now - fmax(c->started_at, c->dep_last),
-                      .leading = tw_authority(c)};
-    snprintf(a.name, sizeof a.name, "%s", c->cf->host_name);
-    if (tw_authority(c)) snprintf(a.leader, sizeof a.leader, "%s", c->cf->host_name);
+    if (p && m.leading) tw_aborted_note(c, m.token, body, len);
     /* With this answer it may renew leases in its zone for a while, should it lose us. */
     const char *ids[MAX_ABORTED];
-    int n = a.leading ? aborted_live(c, ids) : 0;
+    int n;
+    tw_wire_ping a = self(c, ids, &n);
     if (n > MAX_ABORTED) {
         tw_log_info("event=no_grant aborted=%d", n);
         a.leading = n = 0;
     }
-    if (p && a.leading) p->grant_until = c->now + tw_blind_s(c) * (1 + 2 * c->cf->tune.drift);
+    if (p && a.leading) p->grant_until = c->now + tw_alone_s(c) * (1 + 2 * c->cf->tune.drift);
     tw_reply(c, conn, 200, 0, tw_wire_ping_text(&a, ids, n));
 }
 
@@ -217,6 +254,7 @@
     c->all_confirmed_at = c->npeers ? 0 : c->now;
     for (size_t i = 0; i < c->npeers; i++) {
         c->peers[i].next = c->now;
+        c->peers[i].abort_ack = c->peers[i].asked_seq = 0;
         c->peers[i].grant_until = 0; /* given by us in an earlier term: under an older token */
     }
     tw_saw_token(c, token, c->cf->host_name);
@@ -320,15 +358,20 @@
         peer *p = tw_peer_of(c, k->name);
         tw_wire_ping m;
         if (!p) break;
-        p->busy = 0;
+        if (p->busy) p->busy--;
         if (status == 200 && !tw_wire_ping_parse(&m, body, len)) {
             int restarted = c->now - m.up_s > p->vouched_at;
             if (tw_authority(c) || !restarted) p->vouched_at = k->sent;
+            if (p->ok_at < k->sent - 1 - 0.5 * c->ttl) p->back_at = c->now;
             p->ok_at = k->sent;
             /* Said after the ping was sent; a late copy of a request would not tell when. */
             p->dep_last = c->now - m.deputy_s;
             p->dep_asof = k->sent;
             heard_peer(c, p, &m);
+            if (m.token == c->token && k->gen == c->gen && k->seq > p->abort_ack) {
+                p->abort_ack = k->seq;
+                c->next_tidy = c->now;
+            }
             if (m.leading) tw_deputy_granted(c, k->sent, m.token, body, len);
         }
         break;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -483,7 +483,7 @@
     /* A predecessor's is never launched again: whether it still comes is settled first, and then
      * the task gets a new attempt. */
     return !p->inherited && !p->seen && !p->kill && p->on_job &&
-           p->job->stage == TW_STAGE_PENDING && p->ver <= p->job->durable_ver;
+           p->job->stage == TW_STAGE_PENDING && !p->job->aborting && p->ver <= p->job->durable_ver;
 }
 
 /* Commands for a machine. From a report's answer (tick > 0) they are never executed late; direct
@@ -707,10 +707,12 @@
 static int zone_cut(tw_core *c, const machine *x) {
     machine *m, *t;
     int all = 0, silent = 0;
-    for (size_t i = 0; i < c->npeers; i++) /* nor do we reach its nodes */
-        if (!strcmp(c->peers[i].cf.zone, x->yard) && strcmp(x->yard, c->cf->location) &&
-            !tw_home_of(c, x->yard))
+    for (size_t i = 0; i < c->npeers; i++) { /* nor do we reach its nodes, or only just again */
+        const peer *p = &c->peers[i];
+        if (!strcmp(p->cf.zone, x->yard) && strcmp(x->yard, c->cf->location) &&
+            (!tw_home_of(c, x->yard) || c->now < p->back_at + 3 * c->cf->report_s))
             return 1;
+    }
     HASH_ITER(hh, c->machines, m, t) {
         if ((m->stage != M_UP && !m->pls) || m->failed || strcmp(m->yard, x->yard)) continue;
         all++;
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -377,7 +377,7 @@
 /* A gang runs whole or not at all: when a part of it is gone, the rest is stopped (saving what can
  * be saved) and all is placed again together. */
 static void gang_tick(tw_core *c, job *j) {
-    if (!j->has_spec || !j->s.gang || j->stage != TW_STAGE_PENDING || !j->nlive ||
+    if (!j->has_spec || !j->s.gang || j->aborting || j->stage != TW_STAGE_PENDING || !j->nlive ||
         j->nlive + j->ndone >= j->pieces)
         return;
     placement *p, *t;
@@ -385,6 +385,12 @@
     if (!p->kill) tw_placement_kill(c, p, j->s.snapshot_s > 0 ? j->s.flush_s : 0, 0);
 }
 
+static void abort_tick(tw_core *c, job *j) {
+    if (j->aborting && j->stage == TW_STAGE_PENDING && tw_authority(c) && c->phase == PH_ACTIVE &&
+        tw_abort_safe(c, j, 1) > 0)
+        tw_job_finish(c, j, TW_STAGE_ABORTED);
+}
+
 /* A submission that can't be taken now: told at once, with the time to come back. */
 static void turn_away(tw_core *c, uint64_t conn, const char *id, double retry, const char *why) {
     tw_log_debug("event=turned_away id=%s why=\"%s\"", id, why);
@@ -408,6 +414,7 @@
             *at = w->next;
             free(w);
         }
+        abort_tick(c, j);
         gang_tick(c, j);
         retire(c, j);
     }
@@ -629,8 +636,19 @@
         tw_reply(c, conn, 200, 0, tw_wire_stage_text(j->id, j->durable_stage, -1, -1));
         return;
     }
+    if (j->stage == TW_STAGE_PENDING && !j->aborting) {
+        j->aborting = 1; /* nothing of it is started any more */
+        j->abort_seq = ++c->abort_seq;
+    }
+    int safe = j->stage == TW_STAGE_PENDING ? tw_abort_safe(c, j, 1) : 1;
+    if (safe < 0) {
+        /* It goes on as soon as it can be promised; the user is not kept waiting for that. */
+        tw_log_debug("event=cancel_later id=%s", j->id);
+        tw_reply_error(c, conn, 503, 1, "machines of it can't be reached");
+        return;
+    }
     wait_for(c, j, conn, 1);
-    if (j->stage == TW_STAGE_PENDING) tw_job_finish(c, j, TW_STAGE_ABORTED);
+    if (safe && j->stage == TW_STAGE_PENDING) tw_job_finish(c, j, TW_STAGE_ABORTED);
 }
 
 void tw_abort_job(tw_core *c, uint64_t conn, const char *id, int from_peer) {
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -10,7 +10,7 @@
 };
 
 int tw_job_pending(const tw_core *c, const job *j) {
-    return j->has_spec && j->st && j->stage == TW_STAGE_PENDING && j->team >= 0 &&
+    return j->has_spec && j->st && j->stage == TW_STAGE_PENDING && !j->aborting && j->team >= 0 &&
            j->ndone + j->nlive < j->pieces && c->now >= j->retry_at;
 }
 
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -42,39 +42,47 @@
     }
 }
 
-static void remember(gone **set, const char *name) {
+static void remember(gone **set, const char *name, double at) {
     gone *g;
     HASH_FIND_STR(*set, name, g);
-    if (g) return;
-    g = tw_zalloc(sizeof *g);
-    snprintf(g->name, sizeof g->name, "%s", name);
-    HASH_ADD_STR(*set, name, g);
+    if (!g) {
+        g = tw_zalloc(sizeof *g);
+        snprintf(g->name, sizeof g->name, "%s", name);
+        HASH_ADD_STR(*set, name, g);
+    }
+    g->at = at;
 }
 
-/* The leader's answer to a ping: should we lose it, we may answer our zone's workers for as long as
- * it would itself without the state service. With it come the cancelled jobs that may still run:
- * what is cancelled later has cancel_s from then on. */
-void tw_deputy_granted(tw_core *c, double sent, uint64_t token, const char *body, size_t len) {
+/* Cancelled jobs, as the leader says: their tasks are stopped by whoever answers their machines. An
+ * id is kept for as long as a grant and a lease may last: an answer may be older than a ping that
+ * came before it. */
+void tw_aborted_note(tw_core *c, uint64_t token, const char *body, size_t len) {
     char(*ids)[TW_WIRE_ID];
     int n;
+    gone *g, *t;
     if (token != c->seen_token || c->role != R_FOLLOWER) return;
-    c->grant_token = token;
-    c->grant_until = sent + tw_blind_s(c) * (1 - 2 * c->cf->tune.drift);
-    forget(&c->grant_aborted);
+    HASH_ITER(hh, c->grant_aborted, g, t) {
+        if (c->now < g->at + tw_alone_s(c) + 2 * c->cf->lease_s) continue;
+        HASH_DEL(c->grant_aborted, g);
+        free(g);
+    }
     if (tw_wire_aborted_parse(&ids, &n, body, len)) return;
-    for (int i = 0; i < n; i++) remember(&c->grant_aborted, ids[i]);
+    for (int i = 0; i < n; i++) remember(&c->grant_aborted, ids[i], c->now);
     free(ids);
 }
 
+/* The leader's answer to a ping: should we lose it, we may answer our zone's workers for a while.
+ * With it come the cancelled jobs that may still run. */
+void tw_deputy_granted(tw_core *c, double sent, uint64_t token, const char *body, size_t len) {
+    if (token != c->seen_token || c->role != R_FOLLOWER) return;
+    tw_aborted_note(c, token, body, len);
+    c->grant_token = token;
+    c->grant_until = sent + tw_alone_s(c) * (1 - 2 * c->cf->tune.drift);
+}
+
 static void note_relayed(tw_core *c, const char *tray, double at) {
     gone *g, *t;
-    HASH_FIND_STR(c->relayed, tray, g);
-    if (!g) {
-        g = tw_zalloc(sizeof *g);
-        snprintf(g->name, sizeof g->name, "%s", tray);
-        HASH_ADD_STR(c->relayed, name, g);
-    }
-    g->at = at;
+    remember(&c->relayed, tray, at);
     if (c->now < c->relayed_tidy) return;
     c->relayed_tidy = c->now + c->cf->lease_s;
     HASH_ITER(hh, c->relayed, g, t) {
@@ -126,7 +134,7 @@
     for (int i = 0; i < n; i++) {
         if (strlen(e[i].key) > 4 &&
             tw_wire_record_stage(e[i].data, strlen(e[i].data)) == TW_STAGE_ABORTED)
-            remember(&c->dep_aborted, e[i].key + 4);
+            remember(&c->dep_aborted, e[i].key + 4, c->now);
     }
     *c->dep_list_after = 0;
     if (more && n) {
