--- a/src/core/place.c
+++ b/src/core/place.c
@@ -146,6 +146,11 @@
         v += 30 * zone_free(c, j, m);
     } else {
         v += 1000 * bucket_of_slowness(c, m); /* the slowest that is just enough */
+        /* A slow machine leaves the fast ones to others; a fetch leaves nobody anything: what it
+         * adds to the run counts against the machine, in the same steps. */
+        const flavor *fl = &c->flavors[m->rack];
+        double fetch = (m->p < 0 ? fl->p : m->p) * missing_gb(c, j, m);
+        v -= 1500 * log(1 + fetch / fmax(tw_estimate(j), 1)) / log(1.4);
         if (m->loaner) v += 100;
         if (i) v += 20;
     }
