The leader asks machines whose reports do not reach it, and gives them work directly

Now it asks them directly (orders that order nothing, backing off where nobody answers, at most 6% of the sockets at once), and places there. Ruled out: sending workers to the leader (with the zones really apart that costs them their lease).

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -138,6 +138,7 @@
     double renewed;      /* an older report was answered then */
     double warned_until; /* 0: no notice; else when it is taken */
     int probe_fails;     /* asked in vain, in a row */
+    int unreached;       /* direct orders without an answer, in a row, since the last report */
     int probed;          /* asked once, since it stood in the list */
     int listed, missing; /* seen in a list; lists in a row without it */
     int failed;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -5,6 +5,7 @@
 
 #define MAX_ORDERS 200 /* keeps an answer under the protocol's 64 KiB */
 #define MAX_IMAGES 64
+#define MAX_ASKED 0.06 /* silent machines asked at once, as a share of the sockets */
 
 int tw_rack_index(const tw_core *c, const char *label) {
     for (int i = 0; i < c->nflavors; i++)
@@ -430,6 +431,7 @@
     m->tick = r->tick;
     m->stage = M_UP;
     m->contact = c->now;
+    m->unreached = 0;
     m->lapsed = 0;
     m->loaner = r->loaner;
     snprintf(m->endpoint, sizeof m->endpoint, "%s", r->endpoint);
@@ -626,9 +628,17 @@
     machine *m, *t;
     /* Only with time left to spare: a launch should arrive under our authority. */
     if (c->now + 0.1 * c->ttl > c->auth_until) return;
+    int asked = 0;
+    HASH_ITER(hh, c->machines, m, t) asked += m->direct_busy;
     HASH_ITER(hh, c->machines, m, t) {
-        if ((!m->want_direct && !m->want_probe) || m->direct_busy || c->now < m->direct_after)
-            continue;
+        if (m->direct_busy || c->now < m->direct_after) continue;
+        /* Its reports may reach a node that can't reach us, while we reach the machine. */
+        if (m->stage == M_UP && c->now - m->contact > 1.5 * c->cf->report_s &&
+            asked < (int)(MAX_ASKED * c->cf->sockets)) {
+            m->want_probe = 1;
+            asked++;
+        }
+        if (!m->want_direct && !m->want_probe) continue;
         /* Orders that order nothing make a machine know our token, and tell what is on it. */
         int probe = m->want_probe;
         m->want_direct = m->want_probe = 0;
@@ -643,7 +653,8 @@
             continue;
         }
         orders *o = tw_zalloc(sizeof *o);
-        if (m->confirmed) commands(c, m, o, 0);
+        /* Commands only to one that answered lately: others might carry them out late. */
+        if (m->confirmed && c->now - m->contact < 2.5 * c->cf->report_s) commands(c, m, o, 0);
         if (o->n || probe) {
             call *k = tw_call(c, K_ORDERS, TW_TO_WORKER, m->endpoint, "POST", "/orders",
                               tw_wire_orders_text(c->token, m->shift, o->v, (size_t)o->n), 1.5);
@@ -666,7 +677,8 @@
     if (!m) return;
     m->direct_busy = 0;
     if (status == 0) {
-        m->direct_after = c->now + (m->contact ? 2 : 1) * c->cf->report_s;
+        m->unreached++;
+        m->direct_after = c->now + (m->contact ? fmin(1 + m->unreached, 8) : 1) * c->cf->report_s;
         if (!m->contact && ++m->probe_fails < 4) m->want_probe = 1;
         return; /* may still arrive: the placements keep their mark */
     }
