--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -507,7 +507,7 @@
 void tw_plan(tw_core *c);
 int tw_bin_fits(const bin *b, const tw_wire_job *s);
 int tw_bin_allowed(const bin *b, const tw_wire_job *s, uint32_t racks);
-int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const job *j);
+int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const tw_wire_job *s, int any_machine);
 void tw_bin_take(bin *b, const tw_wire_job *s);
 void tw_bin_give(bin *b, const tw_wire_job *s);
 
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -29,7 +29,7 @@
         if ((s->apart || s->same_place) && s->pieces > 1 && strcmp(b->yard, p->m->yard)) continue;
         const image *im = tw_image(b->m, s->bundle);
         if (!im || im->ready_at > 0) continue;
-        if (!tw_bin_leaves_gpus(c, b, p->job)) continue;
+        if (!tw_bin_leaves_gpus(c, b, &p->job->s, p->job->any_machine)) continue;
         return b;
     }
     return NULL;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -17,11 +17,11 @@
 }
 
 /* As when placing: work without GPUs leaves a GPU machine's GPUs their cores. */
-int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const job *j) {
-    if (j->s.gpus > 0 || j->any_machine || c->flavors[b->rack].f.gpus <= 0) return 1;
+int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const tw_wire_job *s, int any_machine) {
+    if (s->gpus > 0 || any_machine || c->flavors[b->rack].f.gpus <= 0) return 1;
     double per = tw_max_cores_per_gpu(c);
     if (per <= 0) per = c->flavors[b->rack].f.cores / c->flavors[b->rack].f.gpus;
-    return b->c - j->s.cores + 1e-6 >= b->g * per;
+    return b->c - s->cores + 1e-6 >= b->g * per;
 }
 
 void tw_bin_take(bin *b, const tw_wire_job *s) {
@@ -186,7 +186,7 @@
     int n = 0, slot;
     if (!tw_bin_allowed(b, &j->s, j->rackmask)) return 0;
     if (j->s.same_place && z->n && strcmp(z->yard[0], b->yard)) return 0;
-    while (n < want && tw_bin_fits(b, &j->s) && tw_bin_leaves_gpus(c, b, j)) {
+    while (n < want && tw_bin_fits(b, &j->s) && tw_bin_leaves_gpus(c, b, &j->s, j->any_machine)) {
         if ((slot = spread_slot(z, b->yard)) < 0 || z->count[slot] >= z->cap) break;
         tw_bin_take(b, &j->s);
         z->count[slot]++;
@@ -256,7 +256,8 @@
             bin *b = &bs->v[i];
             int kind = !b->m || b->m->stage == M_BOOTING ? 2 : !b->busy;
             if (kind != pass || !tw_bin_allowed(b, s, l->sample_racks)) continue;
-            while (n > 0 && tw_bin_fits(b, s) &&
+            /* Room that placing would not give is no spare room. */
+            while (n > 0 && tw_bin_fits(b, s) && tw_bin_leaves_gpus(c, b, s, 0) &&
                    (s->gpus > 0 || c->flavors[b->rack].f.gpus <= 0 || b->busy)) {
                 tw_bin_take(b, s);
                 if (b->m) b->m->keep = 1;
