How much fetches beside each other slow one another is learned

Cause (placements and starts of all four sites by overlap): fetches beside each other took as long as alone (stolpe 28 s either way), while T counted each other one as doubling it: machines that fetched looked too slow, and p, divided by the sharing, too fast (14 s told for 30 s). Ruled out: machines that differ (the same machine took 24 and 32 s).

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -220,6 +220,7 @@
 typedef struct flavor {
     tw_wire_flavor f;
     double slowness, q, p; /* priors pooled by type */
+    double share;          /* EMA, 0 to 1: how much a fetch is slowed by each other one beside it */
 } flavor;
 
 /* A kind of machine in a zone, as the cloud has treated us. */
@@ -456,7 +457,7 @@
 void tw_placement_kill(tw_core *c, placement *p, double mercy, int preempted);
 void tw_placement_free(tw_core *c, placement *p);
 image *tw_image(machine *m, const char *name);
-int tw_fetching(const tw_core *c, const machine *m, const char *but);
+double tw_fetch_slowed(const tw_core *c, const machine *m, const char *image);
 
 /* place.c */
 void tw_schedule(tw_core *c);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -32,13 +32,18 @@
 /* ---- placements ---- */
 
 /* Images on their way to m, without `but`. */
-int tw_fetching(const tw_core *c, const machine *m, const char *but) {
+static int fetching(const tw_core *c, const machine *m, const char *but) {
     const image *i;
     int n = 0;
     DL_FOREACH(m->images, i) n += i->ready_at > c->now && strcmp(i->name, but);
     return n;
 }
 
+/* How many times as long a fetch takes on m beside those under way. */
+double tw_fetch_slowed(const tw_core *c, const machine *m, const char *image) {
+    return 1 + (m->rack < 0 ? 0 : c->flavors[m->rack].share) * fetching(c, m, image);
+}
+
 static void account(tw_core *c, placement *p, double sign) {
     const tw_wire_job *s = &p->job->s;
     p->m->used_c += sign * s->cores;
@@ -63,7 +68,7 @@
     p->attempt = attempt;
     p->ver = j->ver + 1; /* the caller marks the job changed */
     p->made_at = c->now;
-    p->sharing = tw_fetching(c, m, j->s.bundle);
+    p->sharing = fetching(c, m, j->s.bundle);
     p->on_job = 1;
     DL_APPEND2(j->live, p, jprev, jnext);
     DL_APPEND(m->pls, p);
@@ -157,7 +162,7 @@
         snprintf(i->name, sizeof i->name, "%s", s->bundle);
         i->gb = s->image_gb;
         double p = m->p > 0 ? m->p : m->rack >= 0 ? c->flavors[m->rack].p : 1;
-        i->ready_at = c->now + s->image_gb * p * (1 + tw_fetching(c, m, s->bundle));
+        i->ready_at = c->now + s->image_gb * p * tw_fetch_slowed(c, m, s->bundle);
         DL_PREPEND(m->images, i);
     } else if (m->images != i) { /* most recently used first, as the machine keeps them */
         DL_DELETE(m->images, i);
@@ -242,8 +247,15 @@
         ema(&m->q, f->q, delay, w);
         ema(&f->q, f->q, delay, w * 0.2);
     } else if (gb > f->f.fetch_gb_s * 2 * c->cf->report_s) {
-        /* Of a short fetch a report tells mostly how long the report took. */
-        double x = fmax(0, delay - q) / gb / (1 + p->sharing);
+        /* Of a short fetch a report tells mostly how long the report took. Whether fetches beside
+         * each other share the rate is learned, too: taking it for granted made machines that fetch
+         * look slow, and those that had fetched so look fast. */
+        double x = fmax(0, delay - q) / gb;
+        if (p->sharing) {
+            double s = (x / f->p - 1) / p->sharing;
+            ema(&f->share, f->share, fmin(1, fmax(0, s)), w * 0.4);
+            x /= 1 + f->share * p->sharing;
+        }
         ema(&m->p, f->p, x, w);
         ema(&f->p, f->p, x, w * 0.2);
     }
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -30,7 +30,7 @@
     double slow = m->slowness < 0 ? f->slowness : m->slowness;
     double gb = missing_gb(c, j, m);
     *run = slow * tw_estimate(j);
-    return q + p * gb * (1 + tw_fetching(c, m, j->s.bundle)) + *run;
+    return q + p * gb * tw_fetch_slowed(c, m, j->s.bundle) + *run;
 }
 
 int tw_zone_allows(const tw_core *c, const job *j, const char *yard) {
@@ -311,9 +311,9 @@
         double run;
         tw_log_debug(
             "event=place piece=%s/%d try=%llu tray=%s lane=%s rack=%s waited_s=%.2f start_s=%.2f "
-            "left_s=%.2f",
+            "left_s=%.2f image=%s",
             j->id, index, (unsigned long long)p->attempt, m->name, j->s.lane, m->rack_name,
-            c->now - j->submitted, tw_predict(c, j, m, &run) - run, tw_job_due(c, j) - c->now);
+            c->now - j->submitted, tw_predict(c, j, m, &run) - run, tw_job_due(c, j) - c->now, j->s.bundle);
         placed++;
     }
     if (placed && j->s.gang && j->nlive + j->ndone < j->pieces) { /* all or nothing */
