Fetch times are learned from absent images only; a start just in time counts as late

Now p is learned where the image was absent, q where it was cached, and a service's start meets its objective only with the fetches' mean deviation to spare.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -37,6 +37,7 @@
     uint64_t shift;     /* session it was sent in */
     int misses;         /* launches that did not take */
     int sharing;        /* other images the machine fetched when it was placed */
+    int warmth;         /* then: its image was cached (1), absent (0) or on its way (-1) */
     int seen, stage;    /* from reports: TW_PIECE_* once seen */
     int cause;
     int kill;      /* to be stopped */
@@ -220,6 +221,7 @@
 typedef struct flavor {
     tw_wire_flavor f;
     double slowness, q, p; /* priors pooled by type */
+    double p_dev;          /* EMA of |p of a fetch / p - 1|: a rate differs from fetch to fetch */
     double share;          /* EMA, 0 to 1: how much a fetch is slowed by each other one beside it */
 } flavor;
 
@@ -464,6 +466,7 @@
 void tw_recheck(tw_core *c);
 double tw_job_due(const tw_core *c, const job *j); /* steady time; INFINITY: none */
 double tw_predict(const tw_core *c, const job *j, const machine *m, double *run);
+int tw_meets(const tw_core *c, const job *j, const machine *m, double T, double due);
 double tw_estimate(const job *j); /* run time on a machine of slowness 1 */
 int tw_place_new(tw_core *c, job *j);
 int tw_max_live(const tw_core *c);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -69,6 +69,8 @@
     p->ver = j->ver + 1; /* the caller marks the job changed */
     p->made_at = c->now;
     p->sharing = fetching(c, m, j->s.bundle);
+    const image *i = tw_image(m, j->s.bundle);
+    p->warmth = !i ? 0 : i->ready_at <= 0 ? 1 : -1;
     p->on_job = 1;
     DL_APPEND2(j->live, p, jprev, jnext);
     DL_APPEND(m->pls, p);
@@ -240,13 +242,13 @@
     machine *m = p->m;
     if (m->rack < 0 || p->inherited || !p->sent) return;
     flavor *f = &c->flavors[m->rack];
-    image *i = tw_image(m, p->job->s.bundle);
     double delay = c->now - p->made_at, w = c->cf->tune.ema;
     double q = m->q < 0 ? f->q : m->q, gb = p->job->s.image_gb;
-    if (i && i->ready_at <= 0) {
+    if (p->warmth > 0) {
         ema(&m->q, f->q, delay, w);
         ema(&f->q, f->q, delay, w * 0.2);
-    } else if (gb > f->f.fetch_gb_s * 2 * c->cf->report_s) {
+    } else if (!p->warmth && gb > f->f.fetch_gb_s * 2 * c->cf->report_s) {
+        /* One that found the image on its way waited for a part of the fetch only. */
         /* Of a short fetch a report tells mostly how long the report took. Whether fetches beside
          * each other share the rate is learned, too: taking it for granted made machines that fetch
          * look slow, and those that had fetched so look fast. */
@@ -256,6 +258,7 @@
             ema(&f->share, f->share, fmin(1, fmax(0, s)), w * 0.4);
             x /= 1 + f->share * p->sharing;
         }
+        ema(&f->p_dev, f->p_dev, fmin(1, fabs(x / f->p - 1)), w * 0.2);
         ema(&m->p, f->p, x, w);
         ema(&f->p, f->p, x, w * 0.2);
     }
