--- a/src/core/place.c
+++ b/src/core/place.c
@@ -37,7 +37,7 @@
  * just before its start objective is late half of the time. */
 int tw_meets(const tw_core *c, const job *j, const machine *m, double T, double due) {
     const flavor *f = &c->flavors[m->rack];
-    double margin = j->s.service ? f->p_dev * (m->p < 0 ? f->p : m->p) * missing_gb(c, j, m) : 0;
+    double margin = j->s.service ? 2 * f->p_dev * (m->p < 0 ? f->p : m->p) * missing_gb(c, j, m) : 0;
     return c->now + T + margin <= due;
 }
 
