--- a/src/core/reserve.c
+++ b/src/core/reserve.c
@@ -4,6 +4,8 @@
  * are expected of the classes that need more GPUs than it does, until their start objective. */
 #include "core/core_int.h"
 
+#define WARM 3
+
 /* How many tasks of a shape fit into this room. */
 static int fit(double c, double g, double mem, const tw_wire_job *s) {
     const double e = 1e-6;
@@ -35,6 +37,17 @@
            (!m->loaner || l->sample.loaner);
 }
 
+/* Whether a task can start in time only where its image is cached. */
+static int needs_warm(const tw_core *c, const lane *l) {
+    for (int i = 0; i < c->nflavors; i++) {
+        const flavor *f = &c->flavors[i];
+        double fetch = f->p * l->sample.image_gb;
+        if ((l->sample_racks & (1u << i)) && f->q + fetch * (1 + 2 * f->p_dev) <= l->within_s)
+            return 0;
+    }
+    return 1;
+}
+
 void tw_reserve_note(tw_core *c) {
     machine *m, *t;
     lane *l;
@@ -44,7 +57,10 @@
         if (!l->has_sample || !l->sample.service || l->sample.gpus <= 0 || l->within_s <= 0)
             continue;
         double x = l->rate * l->within_s, group = fmax(1, l->batch_tasks);
-        l->reserve = (int)ceil(x + sqrt(x * group) - 0.3);
+        x += sqrt(x * group);
+        /* A hole is of use to few of the class's images. */
+        if (needs_warm(c, l)) x *= WARM;
+        l->reserve = (int)ceil(x - 0.3);
         any |= l->reserve > 0;
     }
     if (!any) return;
