--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -4,6 +4,8 @@
  * times bins, not tasks times bins. */
 #include "core/core_int.h"
 
+#define NEARLY_FREE 0.02 /* share of the fleet's price */
+
 /* ---- bins ---- */
 
 int tw_bin_fits(const bin *b, const tw_wire_job *s) {
@@ -234,7 +236,7 @@
 }
 
 /* Spare room for a class whose tasks must start sooner than a machine boots. */
-static int spare_tasks(const tw_core *c, const lane *l) {
+static int spare_tasks(const tw_core *c, const lane *l, double fleet_price) {
     if (!l->has_sample || l->within_s <= 0 || !l->sample.service) return 0;
     double lead = INFINITY;
     for (int i = 0; i < c->nflavors; i++)
@@ -246,6 +248,13 @@
     if (c->now - l->last_arrival > 60) rate *= exp(-(c->now - l->last_arrival - 60) / 60);
     double x = rate * lead, group = fmax(1, l->batch_tasks);
     double n = c->cf->tune.headroom * (0.5 * x + sqrt(x * group));
+    /* A late start costs the same whatever the task: where twice the room is nearly free beside
+     * what the fleet costs, twice the room. */
+    double price = INFINITY;
+    for (int i = 0; i < c->nflavors; i++)
+        if (l->sample_racks & (1u << i))
+            price = fmin(price, c->flavors[i].f.hourly / holds(&c->flavors[i].f, &l->sample));
+    if (2 * n * price < NEARLY_FREE * fleet_price) n *= 2;
     return (int)ceil(n - 0.3);
 }
 
@@ -348,7 +357,12 @@
         else
             tw_wish_drop(c, w);
     }
-    for (lane *l = c->lanes; l; l = l->hh.next) plan_spare(c, &bs, l, spare_tasks(c, l));
+    double price = 0;
+    for (int i = 0; i < bs.n; i++) {
+        const tw_wire_flavor *f = &c->flavors[bs.v[i].rack].f;
+        price += bs.v[i].loaner ? f->low_price : f->hourly;
+    }
+    for (lane *l = c->lanes; l; l = l->hh.next) plan_spare(c, &bs, l, spare_tasks(c, l, price));
     int more = bs.n > had;
     settle_wants(c);
     tw_return_idle(c);
