As many booting machines as come late are not counted on

The share that comes late is learned by type; so many of the booting are left out of the plan. Ruled out: fetches, launches (1 to 2 s).

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -138,6 +138,7 @@
     double first_heard;
     double renewed;      /* an older report was answered then */
     double warned_until; /* 0: no notice; else when it is taken */
+    int overdue;         /* booting for longer than is usual */
     int probe_fails;     /* asked in vain, in a row */
     int unreached;       /* direct orders without an answer, in a row, since the last report */
     int probed;          /* asked once, since it stood in the list */
@@ -222,6 +223,8 @@
     tw_wire_flavor f;
     double slowness, q, p; /* priors pooled by type */
     double p_dev;          /* EMA of |p of a fetch / p - 1|: a rate differs from fetch to fetch */
+    double overdue;        /* EMA of the share of machines that come up late or never */
+    double late_sum;       /* scratch of a plan */
     double share;          /* EMA, 0 to 1: how much a fetch is slowed by each other one beside it */
 } flavor;
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -568,6 +568,12 @@
     }
 }
 
+/* It came up, or is overdue: so many of its type do not come in time. */
+static void boot_known(tw_core *c, const machine *m) {
+    double *share = &c->flavors[m->rack].overdue;
+    ema(share, *share, m->overdue, 0.1 * c->cf->tune.ema);
+}
+
 void tw_hello(tw_core *c, uint64_t conn, const char *body, size_t len, int from_peer) {
     tw_wire_report r;
     if (tw_wire_report_parse(&r, body, len)) {
@@ -625,6 +631,7 @@
         m->heard = c->now;
         if (m->first_heard <= 0) {
             m->first_heard = c->now;
+            if (m->rack >= 0 && !m->overdue) boot_known(c, m);
             tw_log_info("event=machine_up tray=%s rack=%s yard=%s loaner=%d after=%.1f", m->name,
                         r.rack, r.yard, r.loaner, c->now - m->born);
         }
@@ -780,6 +787,11 @@
         m->lapsed = 1;
         DL_FOREACH_SAFE(m->pls, p, t) tw_placement_lost(c, p, "lapsed");
     }
+    if (m->stage == M_BOOTING && !sent && !m->overdue && m->rack >= 0 &&
+        c->now - m->born > 1.6 * boot + cf->report_s) {
+        m->overdue = 1;
+        boot_known(c, m);
+    }
     if (m->release) return;
     if (m->failed) {
         ask_release(c, m, "failed");
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -286,12 +286,21 @@
 static void collect(tw_core *c, bins *bs) {
     machine *m, *t;
     for (int i = 0; i < c->noffers; i++) c->offers[i].have = c->offers[i].want = 0;
+    for (int i = 0; i < c->nflavors; i++) c->flavors[i].late_sum = 0;
     HASH_ITER(hh, c->machines, m, t) {
         m->keep = 0;
         if (m->rack < 0 || m->release || m->cordon || m->failed || m->closing) continue;
         const tw_wire_flavor *f = &c->flavors[m->rack].f;
-        if (m->stage == M_BOOTING && c->now - m->born > 1.6 * f->startup_s + c->cf->report_s)
-            continue; /* may never come */
+        if (m->overdue && m->stage == M_BOOTING) continue; /* may never come */
+        if (m->stage == M_BOOTING) {
+            /* Some of those that boot will be late: as many are not counted on. */
+            double *late = &c->flavors[m->rack].late_sum;
+            *late += c->flavors[m->rack].overdue;
+            if (*late >= 1) {
+                *late -= 1;
+                continue;
+            }
+        }
         if (m->stage == M_UP && (m->warned_until > 0 || m->lapsed)) continue;
         *add(bs) = (bin){.m = m,
                          .rack = m->rack,
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -18,6 +18,7 @@
             c->flavors[i].q = 0.05 * c->cf->report_s;
             c->flavors[i].p = 1.1 / f[i].fetch_gb_s;
             c->flavors[i].p_dev = 0.1;
+            c->flavors[i].overdue = 0.06;
             c->flavors[i].share = 0.5;
             c->noffers += 2 * f[i].nyards;
         }
