Machines are emptied where a fetch is short; a moved replica goes where its image lies

Now a fetch within half the start objective will do, four are looked at, moves take a quarter of the write limit, half the type's fetch time teaches nothing, and a fetch outweighs the zone.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -253,6 +253,8 @@
          * each other share the rate is learned, too: taking it for granted made machines that fetch
          * look slow, and those that had fetched so look fast. */
         double x = fmax(0, delay - q) / gb;
+        /* Twice as fast as the type's rate: the image was there, which a new leader can't know. */
+        if (x * f->f.fetch_gb_s < 0.5) return;
         if (p->sharing) {
             double s = (x / f->p - 1) / p->sharing;
             ema(&f->share, f->share, fmin(1, fmax(0, s)), w * 0.4);
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -19,6 +19,16 @@
 
 /* ---- moving replicas together ---- */
 
+#define TRIES 4 /* machines looked at in a pass */
+
+/* Whether its image is there, or comes so fast that a start objective would still be met. */
+static int image_near(const tw_core *c, const placement *p, const machine *m) {
+    const image *im = tw_image((machine *)m, p->job->s.bundle);
+    if (im) return im->ready_at <= 0;
+    double rate = m->p < 0 ? c->flavors[m->rack].p : m->p;
+    return p->job->lane && rate * p->job->s.image_gb <= 0.5 * p->job->lane->within_s;
+}
+
 /* Room for a replica elsewhere, where it would start at once. */
 static bin *new_home(tw_core *c, bins *bs, const placement *p) {
     const tw_wire_job *s = &p->job->s;
@@ -27,8 +37,7 @@
         if (!b->m || b->m == p->m || !b->busy || !tw_machine_usable(c, b->m)) continue;
         if (!tw_bin_allowed(b, s, p->job->rackmask) || !tw_bin_fits(b, s)) continue;
         if ((s->apart || s->same_place) && s->pieces > 1 && strcmp(b->yard, p->m->yard)) continue;
-        const image *im = tw_image(b->m, s->bundle);
-        if (!im || im->ready_at > 0) continue;
+        if (!image_near(c, p, b->m)) continue;
         if (!tw_bin_leaves_gpus(c, b, &p->job->s, p->job->any_machine)) continue;
         return b;
     }
@@ -75,11 +84,13 @@
 void tw_consolidate(tw_core *c, bins *bs) {
     machine *m, *t, *best = NULL;
     job *j;
-    int closing = 0, moves = 2;
+    /* Each move ends in a write or two: a quarter of what may be written. */
+    double between = 0.3 * c->cf->report_s;
+    int closing = 0, moves = (int)fmax(2, ceil(0.25 * c->cf->state_write_rps * between));
     double gain = 0;
     HASH_ITER(hh, c->machines, m, t) closing += m->closing && !m->release;
     if (c->now < c->next_move) return;
-    c->next_move = c->now + 0.3 * c->cf->report_s;
+    c->next_move = c->now + between;
     for (int i = 0; i < bs->n; i++)
         if (!bs->v[i].m) return; /* asked for, not there yet */
     DL_FOREACH(c->active, j)
@@ -108,21 +119,25 @@
         }
     }
     if (closing >= 1 + (int)HASH_COUNT(c->machines) / 20) return;
-    HASH_ITER(hh, c->machines, m, t) {
-        if (!tw_machine_usable(c, m) || m->loaner || !m->pls ||
-            c->now - m->first_heard < fmax(c->flavors[m->rack].f.startup_s, 2 * c->cf->lease_s))
-            continue;
-        double g = close_gain(c, m);
-        if (g > gain && c->now >= m->no_close_until) {
-            gain = g;
-            best = m;
+    for (int k = 0; k < TRIES; k++) {
+        best = NULL;
+        gain = 0;
+        HASH_ITER(hh, c->machines, m, t) {
+            if (!tw_machine_usable(c, m) || m->loaner || !m->pls || c->now < m->no_close_until ||
+                c->now - m->first_heard < fmax(c->flavors[m->rack].f.startup_s, 2 * c->cf->lease_s))
+                continue;
+            double g = close_gain(c, m);
+            if (g > gain) {
+                gain = g;
+                best = m;
+            }
         }
-    }
-    if (!best) return;
-    if (!can_empty(c, bs, best)) {
+        if (!best) return;
+        if (can_empty(c, bs, best)) break;
         best->no_close_until = c->now + 3 * c->cf->report_s;
-        return;
+        best = NULL;
     }
+    if (!best) return;
     best->closing = 1;
     tw_log_info("event=closing tray=%s rack=%s", best->name, best->rack_name);
 }
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -37,7 +37,8 @@
  * just before its start objective is late half of the time. */
 int tw_meets(const tw_core *c, const job *j, const machine *m, double T, double due) {
     const flavor *f = &c->flavors[m->rack];
-    double margin = j->s.service ? 2 * f->p_dev * (m->p < 0 ? f->p : m->p) * missing_gb(c, j, m) : 0;
+    double margin =
+        j->s.service ? 2 * f->p_dev * (m->p < 0 ? f->p : m->p) * missing_gb(c, j, m) : 0;
     return c->now + T + margin <= due;
 }
 
@@ -152,6 +153,10 @@
     if (j->s.service) {
         if (i) v += i->ready_at <= 0 ? 20 : 10;
         v += 30 * zone_free(c, j, m);
+        /* In time or not, a replica is down while its image comes: no zone is worth a long fetch.
+         */
+        double fetch = (m->p < 0 ? c->flavors[m->rack].p : m->p) * missing_gb(c, j, m);
+        if (j->lane && j->lane->within_s > 0) v -= 30 * fmin(1, fetch / j->lane->within_s);
     } else {
         v += 1000 * bucket_of_slowness(c, m); /* the slowest that is just enough */
         /* A slow machine leaves the fast ones to others; a fetch leaves nobody anything: what it
@@ -321,7 +326,8 @@
             "event=place piece=%s/%d try=%llu tray=%s lane=%s rack=%s waited_s=%.2f start_s=%.2f "
             "left_s=%.2f image=%s",
             j->id, index, (unsigned long long)p->attempt, m->name, j->s.lane, m->rack_name,
-            c->now - j->submitted, tw_predict(c, j, m, &run) - run, tw_job_due(c, j) - c->now, j->s.bundle);
+            c->now - j->submitted, tw_predict(c, j, m, &run) - run, tw_job_due(c, j) - c->now,
+            j->s.bundle);
         placed++;
     }
     if (placed && j->s.gang && j->nlive + j->ndone < j->pieces) { /* all or nothing */
