--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -469,7 +469,6 @@
 void tw_recheck(tw_core *c);
 double tw_job_due(const tw_core *c, const job *j); /* steady time; INFINITY: none */
 double tw_predict(const tw_core *c, const job *j, const machine *m, double *run);
-int tw_meets(const tw_core *c, const job *j, const machine *m, double T, double due);
 double tw_estimate(const job *j); /* run time on a machine of slowness 1 */
 int tw_place_new(tw_core *c, job *j);
 int tw_max_live(const tw_core *c);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -248,10 +248,10 @@
         ema(&m->q, f->q, delay, w);
         ema(&f->q, f->q, delay, w * 0.2);
     } else if (!p->warmth && gb > f->f.fetch_gb_s * 2 * c->cf->report_s) {
-        /* One that found the image on its way waited for a part of the fetch only. */
-        /* Of a short fetch a report tells mostly how long the report took. Whether fetches beside
-         * each other share the rate is learned, too: taking it for granted made machines that fetch
-         * look slow, and those that had fetched so look fast. */
+        /* One that found the image on its way waited for a part of the fetch only, and of a short
+         * fetch a report tells mostly how long the report took. Whether fetches beside each other
+         * share the rate is learned, too: taking it for granted made machines that fetch look slow,
+         * and those that had fetched so look fast. */
         double x = fmax(0, delay - q) / gb;
         /* Twice as fast as the type's rate: the image was there, which a new leader can't know. */
         if (x * f->f.fetch_gb_s < 0.5) return;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -35,7 +35,7 @@
 
 /* Whether that is in time. A service has no run time to make up in: a fetch that is expected to end
  * just before its start objective is late half of the time. */
-int tw_meets(const tw_core *c, const job *j, const machine *m, double T, double due) {
+static int in_time_there(const tw_core *c, const job *j, const machine *m, double T, double due) {
     const flavor *f = &c->flavors[m->rack];
     double margin =
         j->s.service ? 2 * f->p_dev * (m->p < 0 ? f->p : m->p) * missing_gb(c, j, m) : 0;
@@ -183,7 +183,7 @@
             !leaves_gpus(c, m, j) || !tw_reserve_allows(c, m, j))
             continue;
         double T = tw_predict(c, j, m, &run);
-        int ok = tw_meets(c, j, m, T, due);
+        int ok = in_time_there(c, j, m, T, due);
         double v = ok ? preference(c, j, m) : -T;
         if (ok > bok || (ok == bok && v > bv)) {
             best = m;
@@ -282,7 +282,7 @@
         vacate(c, j, m, 0, &cost, &enough);
         unmark(m);
         if (!enough) continue;
-        if (!tw_meets(c, j, m, tw_predict(c, j, m, &run), due)) {
+        if (!in_time_there(c, j, m, tw_predict(c, j, m, &run), due)) {
             if (in_time) continue;
             cost += 60;
         }
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -7,7 +7,10 @@
     tw_wire_flavor *f;
     int n;
     if (tw_wire_flavors_parse(&f, &n, body, len) || !n) return;
-    if (n > 31) n = 31;
+    if (n > 31) {
+        tw_log_error("event=too_many_racks used=31 of=%d", n);
+        n = 31;
+    }
     int fresh = !c->nflavors;
     if (fresh) {
         c->flavors = tw_zalloc((size_t)n * sizeof *c->flavors);
