Passes over the fleet cost less: what found no room is not tried again, no scan per input

Now: a shape that found no room is not tried again in the same pass (forgotten where room may come back); guarantees in one sorted walk; machines due for direct orders are listed; room by rank, zones, image names and cores a GPU takes are kept up to date rather than looked up; a recheck looks for havens once a job; a plan begins where a shape last found room. The decisions are the same but for their moment.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -157,6 +157,8 @@
     tw_fx *f;
     while ((f = tw_core_next(c))) tw_core_fx_free(f);
     free(c->flavors);
+    free(c->order);
+    free(c->futile);
     free(c->offers);
     free(c->peers);
     free(c->team_c);
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -82,6 +82,7 @@
     int team; /* index, -1: unknown */
     lane *lane;
     uint32_t rackmask; /* over c->flavors */
+    uint32_t bundle;   /* sum of its image's name */
     int pieces;
     int stage; /* TW_STAGE_PENDING while unfinished */
     int durable_stage;
@@ -106,12 +107,14 @@
     struct machine *bad[4]; /* machines it failed on lately */
     int nbad;
     double pending_since;
-    int skip;                  /* scratch of a pass */
+    int guaranteed;            /* scratch: within its team's guarantee, see queue.c */
     int cramped;               /* nothing can be rented for it */
     int any_machine;           /* without GPUs, but only GPU machines are to be had */
     int resumed;               /* a task's run time is no longer the whole */
     struct job *prev, *next;   /* c->active */
     struct job *wprev, *wnext; /* c->dirty */
+    int in_cancelled;
+    struct job *cprev, *cnext; /* c->cancelled */
     UT_hash_handle hh;
 } job;
 
@@ -119,6 +122,7 @@
 
 typedef struct image {
     char name[TW_WIRE_NAME];
+    uint32_t sum;              /* of the name, compared first */
     double gb, used, ready_at; /* ready_at 0: cached; else expected */
     struct image *prev, *next;
 } image;
@@ -157,8 +161,14 @@
     double slowness, q, p;         /* EMAs; p in seconds a GB */
     double used_c, used_g, used_m; /* by all that may run */
     double kill_c, kill_g, kill_m; /* part of it that was told to stop for others */
+    struct {
+        double c, g, m;
+    } held[TW_RANK_PROD + 1]; /* the rest of it, by rank */
+    int zone;                 /* index in c->yards, -1: not known, or too many */
     int direct_busy, want_direct, want_probe;
-    double direct_after; /* no direct orders before this */
+    double direct_after;           /* no direct orders before this */
+    int in_direct;                 /* in c->direct, to be looked at */
+    struct machine *dprev, *dnext; /* there */
     image *images;
     placement *pls;
     UT_hash_handle hh;
@@ -249,6 +259,8 @@
 typedef struct bins {
     bin *v;
     int n, cap;
+    struct first *first; /* where to begin for a shape: see plan.c */
+    int nfirst, first_cap;
 } bins;
 
 typedef struct ask {
@@ -291,6 +303,13 @@
     UT_hash_handle hh;
 } gone;
 
+/* What makes room of use to a task. One of this shape found none. */
+typedef struct tw_futile {
+    double cores, gpus, mem;
+    uint32_t racks, zones;
+    int loaner, rank, service, any_machine, whole;
+} tw_futile;
+
 /* A submission that was turned away and will come again: machines are rented for it meanwhile. */
 typedef struct wish {
     char id[TW_WIRE_ID];
@@ -355,6 +374,7 @@
 
     /* jobs */
     job *jobs, *active, *dirty;
+    job *cancelled; /* those being cancelled, and cancelled ones that may still run */
     wish *wishes;
     lane *lanes;
     int ntxns, ndirty_new;
@@ -374,6 +394,16 @@
     double next_flavors;
     int flavors_busy;
     machine *machines;
+    machine *direct;      /* those that may be due for direct orders */
+    int ndirect;          /* direct orders on their way */
+    double next_direct;   /* no look at all machines before it */
+    tw_wire_order *order; /* scratch: the orders in hand */
+    char yards[TW_MAX_ZONES][TW_NAME];
+    int nyards;
+    uint64_t steps;    /* machines looked at in passes over the fleet: what such a pass costs */
+    tw_futile *futile; /* shapes that found no room in this pass, see place.c */
+    int nfutile, futile_cap;
+    double gpu_cores, gpu_mem; /* what a GPU's user takes along at most, by the lanes' samples */
     gone *released;
     int list_busy, list_more, lists;
     char list_after[TW_NAME];
@@ -446,6 +476,7 @@
 void tw_job_changed(tw_core *c, job *j, int urgent);
 void tw_job_free(tw_core *c, job *j);
 void tw_job_finish(tw_core *c, job *j, int stage);
+void tw_job_cancelled(tw_core *c, job *j);
 int tw_job_durable(const job *j);
 void tw_wish_drop(tw_core *c, wish *w);
 char *tw_job_answer(const job *j);
@@ -480,8 +511,12 @@
 void tw_placement_lost(tw_core *c, placement *p, const char *why);
 void tw_placement_kill(tw_core *c, placement *p, double mercy, int preempted);
 void tw_placement_free(tw_core *c, placement *p);
-image *tw_image(machine *m, const char *name);
-double tw_fetch_slowed(const tw_core *c, const machine *m, const char *image);
+image *tw_image(const machine *m, const job *j);
+uint32_t tw_sum(const char *name);
+void tw_want_direct(tw_core *c, machine *m);
+void tw_want_probe(tw_core *c, machine *m);
+void tw_machine_at(tw_core *c, machine *m, const char *yard);
+double tw_fetch_slowed(const tw_core *c, const machine *m, const image *but);
 
 /* place.c */
 void tw_schedule(tw_core *c);
@@ -493,7 +528,7 @@
 int tw_max_live(const tw_core *c);
 int tw_zone_allows(const tw_core *c, const job *j, const char *yard);
 int tw_quota_allows(const tw_core *c, const job *j);
-double tw_max_cores_per_gpu(const tw_core *c);
+void tw_per_gpu_note(tw_core *c);
 
 /* reserve.c */
 void tw_reserve_note(tw_core *c);
@@ -509,7 +544,6 @@
 int tw_turns_contended(const tw_turns *t);
 void tw_turns_free(tw_turns *t);
 int tw_job_pending(const tw_core *c, const job *j);
-int tw_job_guaranteed(const tw_core *c, const job *j);
 
 /* relay.c */
 void tw_relay_hello(tw_core *c, uint64_t conn, const tw_wire_report *r, const char *body,
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -152,7 +152,7 @@
 static int aborted_live(const tw_core *c, const char **ids) {
     const job *j;
     int n = 0;
-    DL_FOREACH(c->active, j) {
+    DL_FOREACH2(c->cancelled, j, cnext) {
         if ((j->stage != TW_STAGE_ABORTED && !j->aborting) || !j->live) continue;
         if (n < MAX_ABORTED) ids[n] = j->id;
         n++;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -25,23 +25,34 @@
     m->rack = -1;
     m->born = c->now;
     m->slowness = m->q = m->p = -1; /* the type's prior */
+    m->zone = -1;
     HASH_ADD_STR(c->machines, name, m);
     return m;
 }
 
+/* Zones by number, so that a pass over the fleet compares no names. */
+void tw_machine_at(tw_core *c, machine *m, const char *yard) {
+    if (m->zone >= 0 && !strcmp(m->yard, yard)) return;
+    snprintf(m->yard, sizeof m->yard, "%s", yard);
+    int z = 0;
+    while (z < c->nyards && strcmp(c->yards[z], m->yard)) z++;
+    if (z == c->nyards && z < TW_MAX_ZONES) snprintf(c->yards[c->nyards++], TW_NAME, "%s", m->yard);
+    m->zone = *m->yard && z < TW_MAX_ZONES ? z : -1;
+}
+
 /* ---- placements ---- */
 
 /* Images on their way to m, without `but`. */
-static int fetching(const tw_core *c, const machine *m, const char *but) {
+static int fetching(const tw_core *c, const machine *m, const image *but) {
     const image *i;
     int n = 0;
-    DL_FOREACH(m->images, i) n += i->ready_at > c->now && strcmp(i->name, but);
+    DL_FOREACH(m->images, i) n += i->ready_at > c->now && i != but;
     return n;
 }
 
 /* How many times as long a fetch takes on m beside those under way. */
-double tw_fetch_slowed(const tw_core *c, const machine *m, const char *image) {
-    return 1 + (m->rack < 0 ? 0 : c->flavors[m->rack].share) * fetching(c, m, image);
+double tw_fetch_slowed(const tw_core *c, const machine *m, const image *but) {
+    return 1 + (m->rack < 0 ? 0 : c->flavors[m->rack].share) * fetching(c, m, but);
 }
 
 static void account(tw_core *c, placement *p, double sign) {
@@ -53,6 +64,10 @@
         p->m->kill_c += sign * s->cores;
         p->m->kill_g += sign * s->gpus;
         p->m->kill_m += sign * s->memory_gb;
+    } else if (p->job->has_spec) {
+        p->m->held[s->rank].c += sign * s->cores;
+        p->m->held[s->rank].g += sign * s->gpus;
+        p->m->held[s->rank].m += sign * s->memory_gb;
     }
     if (p->job->team >= 0) {
         c->team_c[p->job->team] += sign * s->cores;
@@ -68,8 +83,8 @@
     p->attempt = attempt;
     p->ver = j->ver + 1; /* the caller marks the job changed */
     p->made_at = c->now;
-    p->sharing = fetching(c, m, j->s.bundle);
-    const image *i = tw_image(m, j->s.bundle);
+    const image *i = tw_image(m, j);
+    p->sharing = fetching(c, m, i);
     p->warmth = !i ? 0 : i->ready_at <= 0 ? 1 : -1;
     p->on_job = 1;
     DL_APPEND2(j->live, p, jprev, jnext);
@@ -129,7 +144,7 @@
         p->preempted = 1;
         account(c, p, 1);
     }
-    p->m->want_direct = 1;
+    tw_want_direct(c, p->m);
 }
 
 /* ---- machines ---- */
@@ -137,6 +152,9 @@
 void tw_machine_drop(tw_core *c, machine *m, const char *why) {
     placement *p, *t;
     image *i, *it;
+    if (m->in_direct) DL_DELETE2(c->direct, m, dprev, dnext);
+    c->ndirect -= m->direct_busy;
+    m->in_direct = m->direct_busy = 0;
     if (why) tw_log_info("event=machine_gone tray=%s why=%s", m->name, why);
     DL_FOREACH_SAFE(m->pls, p, t) tw_placement_lost(c, p, why ? why : "term");
     DL_FOREACH_SAFE(m->images, i, it) {
@@ -151,20 +169,28 @@
     free(m);
 }
 
-image *tw_image(machine *m, const char *name) {
+uint32_t tw_sum(const char *name) {
+    uint32_t h = 2166136261u; /* FNV-1a */
+    for (; *name; name++) h = (h ^ (unsigned char)*name) * 16777619u;
+    return h;
+}
+
+image *tw_image(const machine *m, const job *j) {
     image *i;
-    DL_FOREACH(m->images, i) if (!strcmp(i->name, name)) return i;
+    DL_FOREACH(m->images, i) if (i->sum == j->bundle && !strcmp(i->name, j->s.bundle)) return i;
     return NULL;
 }
 
-static void note_image(tw_core *c, machine *m, const tw_wire_job *s, int ready) {
-    image *i = tw_image(m, s->bundle), *x, *t;
+static void note_image(tw_core *c, machine *m, const job *j, int ready) {
+    const tw_wire_job *s = &j->s;
+    image *i = tw_image(m, j), *x, *t;
     if (!i) {
         i = tw_zalloc(sizeof *i);
         snprintf(i->name, sizeof i->name, "%s", s->bundle);
+        i->sum = j->bundle;
         i->gb = s->image_gb;
         double p = m->p > 0 ? m->p : m->rack >= 0 ? c->flavors[m->rack].p : 1;
-        i->ready_at = c->now + s->image_gb * p * tw_fetch_slowed(c, m, s->bundle);
+        i->ready_at = c->now + s->image_gb * p * tw_fetch_slowed(c, m, NULL);
         DL_PREPEND(m->images, i);
     } else if (m->images != i) { /* most recently used first, as the machine keeps them */
         DL_DELETE(m->images, i);
@@ -357,21 +383,27 @@
         tw_log_debug("event=running piece=%s/%d lane=%s rack=%s start_s=%.2f waited_s=%.2f",
                      p->job->id, p->index, p->job->s.lane, m->rack_name, c->now - p->made_at,
                      c->now - p->job->submitted);
-        note_image(c, m, &p->job->s, 1);
-    } else if (w->stage == TW_PIECE_PULLING && !tw_image(m, p->job->s.bundle)) {
-        note_image(c, m, &p->job->s, 0);
+        note_image(c, m, p->job, 1);
+    } else if (w->stage == TW_PIECE_PULLING && !tw_image(m, p->job)) {
+        note_image(c, m, p->job, 0);
     }
     if (p->run_at > 0 && c->now - p->run_at > 2 * c->cf->lease_s) p->job->errors = 0;
 }
 
 typedef struct {
-    tw_wire_order v[MAX_ORDERS];
+    tw_wire_order *v; /* the core's, room for MAX_ORDERS: an answer is put together at a time */
     int n;
 } orders;
 
+static orders orders_new(tw_core *c) {
+    if (!c->order) c->order = tw_zalloc(MAX_ORDERS * sizeof *c->order);
+    return (orders){c->order, 0};
+}
+
 static void add(orders *o, int verb, const char *id, int index, uint64_t attempt, double mercy) {
     if (o->n >= MAX_ORDERS) return;
     tw_wire_order *x = &o->v[o->n++];
+    memset(x, 0, sizeof *x);
     x->verb = verb;
     x->index = index;
     x->attempt = attempt;
@@ -452,7 +484,7 @@
     m->lapsed = 0;
     m->loaner = r->loaner;
     snprintf(m->endpoint, sizeof m->endpoint, "%s", r->endpoint);
-    snprintf(m->yard, sizeof m->yard, "%s", r->yard);
+    tw_machine_at(c, m, r->yard);
     snprintf(m->rack_name, sizeof m->rack_name, "%s", r->rack);
     if (m->rack < 0) m->rack = tw_rack_index(c, r->rack);
     if (!m->confirmed && r->baton >= c->token) {
@@ -617,8 +649,8 @@
         m = tw_machine_new(c, r.tray);
         tw_log_info("event=machine_new tray=%s rack=%s yard=%s", r.tray, r.rack, r.yard);
     }
-    orders *o = tw_zalloc(sizeof *o);
-    if (!take_report(c, m, &r, o)) {
+    orders o = orders_new(c);
+    if (!take_report(c, m, &r, &o)) {
         /* Overtaken by the answer to direct orders, or a late copy. The worker of the former must
          * not be turned away; the latter must not make a dead machine look alive. */
         if (r.shift == m->shift) {
@@ -635,73 +667,103 @@
             tw_log_info("event=machine_up tray=%s rack=%s yard=%s loaner=%d after=%.1f", m->name,
                         r.rack, r.yard, r.loaner, c->now - m->born);
         }
-        commands(c, m, o, r.tick);
-        m->want_probe = !m->confirmed;
-        m->want_direct = 0;
-        tw_reply(c, conn, 200, 0, tw_wire_orders_text(c->token, 0, o->v, (size_t)o->n));
+        commands(c, m, &o, r.tick);
+        m->want_probe = m->want_direct = 0;
+        if (!m->confirmed) tw_want_probe(c, m);
+        tw_reply(c, conn, 200, 0, tw_wire_orders_text(c->token, 0, o.v, (size_t)o.n));
     }
-    free(o);
     tw_wire_report_free(&r);
 }
 
 /* ---- direct orders ---- */
 
+static void look_at(tw_core *c, machine *m) {
+    if (m->in_direct) return;
+    m->in_direct = 1;
+    DL_APPEND2(c->direct, m, dprev, dnext);
+}
+
+void tw_want_direct(tw_core *c, machine *m) {
+    m->want_direct = 1;
+    look_at(c, m);
+}
+
+void tw_want_probe(tw_core *c, machine *m) {
+    m->want_probe = 1;
+    look_at(c, m);
+}
+
+static void direct(tw_core *c, machine *m) {
+    if (m->direct_busy || c->now < m->direct_after || (!m->want_direct && !m->want_probe)) return;
+    /* Orders that order nothing make a machine know our token, and tell what is on it. */
+    int probe = m->want_probe;
+    m->want_direct = m->want_probe = 0;
+    if (m->release || !*m->endpoint) return;
+    if (!probe &&
+        (m->stage != M_UP || !m->confirmed || c->now - m->contact > 2.5 * c->cf->report_s))
+        return;
+    if (!m->shift) { /* its session is not known yet */
+        call *k = tw_call(c, K_ORDERS, TW_TO_WORKER, m->endpoint, "GET", "/inspect", NULL, 1.5);
+        snprintf(k->name, sizeof k->name, "%s", m->name);
+        m->direct_busy = 1;
+        c->ndirect++;
+        return;
+    }
+    orders o = orders_new(c);
+    /* Commands only to one that answered lately: others might carry them out late. */
+    if (m->confirmed && c->now - m->contact < 2.5 * c->cf->report_s) commands(c, m, &o, 0);
+    if (!o.n && !probe) return;
+    call *k = tw_call(c, K_ORDERS, TW_TO_WORKER, m->endpoint, "POST", "/orders",
+                      tw_wire_orders_text(c->token, m->shift, o.v, (size_t)o.n), 1.5);
+    snprintf(k->name, sizeof k->name, "%s", m->name);
+    k->names = tw_zalloc((size_t)o.n * TW_NAME);
+    k->vers = tw_zalloc((size_t)o.n * sizeof *k->vers);
+    for (int i = 0; i < o.n; i++) {
+        if (o.v[i].verb != TW_VERB_LAUNCH) continue;
+        snprintf(k->names[k->n], TW_NAME, "%s/%d", o.v[i].job, o.v[i].index);
+        k->vers[k->n++] = o.v[i].attempt;
+    }
+    m->direct_busy = 1;
+    c->ndirect++;
+}
+
+/* Runs after every input, so it looks only at machines that something was wanted of; at all of them
+ * once a tick. */
 void tw_fleet_direct(tw_core *c) {
     machine *m, *t;
     /* Only with time left to spare: a launch should arrive under our authority. */
     if (c->now + 0.1 * c->ttl > c->auth_until) return;
-    int asked = 0;
-    HASH_ITER(hh, c->machines, m, t) asked += m->direct_busy;
-    HASH_ITER(hh, c->machines, m, t) {
-        if (m->direct_busy || c->now < m->direct_after) continue;
-        /* Its reports may reach a node that can't reach us, while we reach the machine. */
-        if (m->stage == M_UP && c->now - m->contact > 1.5 * c->cf->report_s &&
-            asked < (int)(MAX_ASKED * c->cf->sockets)) {
-            m->want_probe = 1;
-            asked++;
-        }
-        if (!m->want_direct && !m->want_probe) continue;
-        /* Orders that order nothing make a machine know our token, and tell what is on it. */
-        int probe = m->want_probe;
-        m->want_direct = m->want_probe = 0;
-        if (m->release || !*m->endpoint) continue;
-        if (!probe &&
-            (m->stage != M_UP || !m->confirmed || c->now - m->contact > 2.5 * c->cf->report_s))
-            continue;
-        if (!m->shift) { /* its session is not known yet */
-            call *k = tw_call(c, K_ORDERS, TW_TO_WORKER, m->endpoint, "GET", "/inspect", NULL, 1.5);
-            snprintf(k->name, sizeof k->name, "%s", m->name);
-            m->direct_busy = 1;
-            continue;
-        }
-        orders *o = tw_zalloc(sizeof *o);
-        /* Commands only to one that answered lately: others might carry them out late. */
-        if (m->confirmed && c->now - m->contact < 2.5 * c->cf->report_s) commands(c, m, o, 0);
-        if (o->n || probe) {
-            call *k = tw_call(c, K_ORDERS, TW_TO_WORKER, m->endpoint, "POST", "/orders",
-                              tw_wire_orders_text(c->token, m->shift, o->v, (size_t)o->n), 1.5);
-            snprintf(k->name, sizeof k->name, "%s", m->name);
-            k->names = tw_zalloc((size_t)o->n * TW_NAME);
-            k->vers = tw_zalloc((size_t)o->n * sizeof *k->vers);
-            for (int i = 0; i < o->n; i++) {
-                if (o->v[i].verb != TW_VERB_LAUNCH) continue;
-                snprintf(k->names[k->n], TW_NAME, "%s/%d", o->v[i].job, o->v[i].index);
-                k->vers[k->n++] = o->v[i].attempt;
+    if (c->now >= c->next_direct) {
+        c->next_direct = c->now + tw_core_tick_s(c);
+        int asked = c->ndirect;
+        HASH_ITER(hh, c->machines, m, t) {
+            if (m->direct_busy || c->now < m->direct_after) continue;
+            /* Its reports may reach a node that can't reach us, while we reach the machine. */
+            if (m->stage == M_UP && c->now - m->contact > 1.5 * c->cf->report_s &&
+                asked < (int)(MAX_ASKED * c->cf->sockets)) {
+                m->want_probe = 1;
+                asked++;
             }
-            m->direct_busy = 1;
+            if (m->want_direct || m->want_probe) look_at(c, m);
         }
-        free(o);
+    }
+    while ((m = c->direct)) {
+        DL_DELETE2(c->direct, m, dprev, dnext);
+        m->in_direct = 0;
+        direct(c, m);
     }
 }
 
 void tw_fleet_response(tw_core *c, call *k, int status, const char *body, size_t len) {
     machine *m = tw_machine(c, k->name);
     if (!m) return;
+    c->ndirect -= m->direct_busy;
     m->direct_busy = 0;
+    if (m->want_direct || m->want_probe) look_at(c, m);
     if (status == 0) {
         m->unreached++;
         m->direct_after = c->now + (m->contact ? fmin(1 + m->unreached, 8) : 1) * c->cf->report_s;
-        if (!m->contact && ++m->probe_fails < 4) m->want_probe = 1;
+        if (!m->contact && ++m->probe_fails < 4) tw_want_probe(c, m);
         return; /* may still arrive: the placements keep their mark */
     }
     placement *p;
@@ -721,7 +783,7 @@
         tw_saw_token(c, r.baton, NULL);
     } else if (!strcmp(r.tray, m->name)) {
         take_report(c, m, &r, NULL);
-        if (!m->confirmed && m->probed++ < 4) m->want_probe = 1;
+        if (!m->confirmed && m->probed++ < 4) tw_want_probe(c, m);
     }
     tw_wire_report_free(&r);
 }
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -60,12 +60,14 @@
     j->team = team_index(c, j->s.crew);
     j->lane = tw_lane(c, j->s.lane);
     j->rackmask = rack_mask(c, &j->s);
+    j->bundle = tw_sum(j->s.bundle);
 }
 
 int tw_job_durable(const job *j) { return j->created; }
 
 void tw_job_free(tw_core *c, job *j) {
     HASH_DEL(c->jobs, j);
+    if (j->in_cancelled) DL_DELETE2(c->cancelled, j, cprev, cnext);
     for (waiter *w = j->waiters, *n; w; w = n) {
         n = w->next;
         free(w);
@@ -158,8 +160,22 @@
     }
 }
 
+/* Kept apart: they are told with every ping. */
+void tw_job_cancelled(tw_core *c, job *j) {
+    if (j->in_cancelled) return;
+    j->in_cancelled = 1;
+    DL_APPEND2(c->cancelled, j, cprev, cnext);
+}
+
+static void uncancelled(tw_core *c, job *j) {
+    if (!j->in_cancelled) return;
+    j->in_cancelled = 0;
+    DL_DELETE2(c->cancelled, j, cprev, cnext);
+}
+
 void tw_job_finish(tw_core *c, job *j, int stage) {
     j->stage = stage;
+    if (stage == TW_STAGE_ABORTED) tw_job_cancelled(c, j);
     tw_log_debug("event=over id=%s stage=%d", j->id, stage);
     tw_job_changed(c, j, 1);
 }
@@ -218,6 +234,7 @@
         j->ver != j->durable_ver)
         return;
     DL_DELETE(c->active, j);
+    uncancelled(c, j);
     free(j->st);
     j->st = NULL;
     j->lane = NULL;
@@ -240,7 +257,7 @@
     }
     placement *p;
     DL_FOREACH2(j->live, p, jnext)
-    if (p->ver <= j->durable_ver && !p->sent && !p->kill) p->m->want_direct = 1;
+    if (p->ver <= j->durable_ver && !p->sent && !p->kill) tw_want_direct(c, p->m);
     tell(c, j);
     requeue(c, j);
     retire(c, j);
@@ -465,6 +482,7 @@
     l->sample.racks = NULL;
     l->sample_racks = j->rackmask;
     l->has_sample = 1;
+    tw_per_gpu_note(c);
 }
 
 static call *lookup(tw_core *c, uint64_t conn, const char *id, int op, char *text) {
@@ -638,6 +656,7 @@
     }
     if (j->stage == TW_STAGE_PENDING && !j->aborting) {
         j->aborting = 1; /* nothing of it is started any more */
+        tw_job_cancelled(c, j);
         j->abort_seq = ++c->abort_seq;
     }
     int safe = j->stage == TW_STAGE_PENDING ? tw_abort_safe(c, j, 1) : 1;
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -23,7 +23,7 @@
 
 /* Whether its image is there, or comes so fast that a start objective would still be met. */
 static int image_near(const tw_core *c, const placement *p, const machine *m) {
-    const image *im = tw_image((machine *)m, p->job->s.bundle);
+    const image *im = tw_image(m, p->job);
     if (im) return im->ready_at <= 0;
     double rate = m->p < 0 ? c->flavors[m->rack].p : m->p;
     return p->job->lane && rate * p->job->s.image_gb <= 0.5 * p->job->lane->within_s;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -18,8 +18,7 @@
     return j->s.expect_s * (j->lane ? j->lane->ratio : 1);
 }
 
-static double missing_gb(const tw_core *c, const job *j, const machine *m) {
-    const image *i = tw_image((machine *)m, j->s.bundle);
+static double missing_gb(const tw_core *c, const job *j, const machine *m, const image *i) {
     if (!i) return j->s.image_gb;
     return i->ready_at <= 0 ? 0 : fmax(0, i->ready_at - c->now) * c->flavors[m->rack].f.fetch_gb_s;
 }
@@ -28,9 +27,10 @@
     const flavor *f = &c->flavors[m->rack];
     double q = m->q < 0 ? f->q : m->q, p = m->p < 0 ? f->p : m->p;
     double slow = m->slowness < 0 ? f->slowness : m->slowness;
-    double gb = missing_gb(c, j, m);
+    const image *i = tw_image(m, j);
+    double gb = missing_gb(c, j, m, i);
     *run = slow * tw_estimate(j);
-    return q + p * gb * tw_fetch_slowed(c, m, j->s.bundle) + *run;
+    return q + p * gb * tw_fetch_slowed(c, m, i) + *run;
 }
 
 /* Whether that is in time. A service has no run time to make up in: a fetch that is expected to end
@@ -38,7 +38,8 @@
 static int in_time_there(const tw_core *c, const job *j, const machine *m, double T, double due) {
     const flavor *f = &c->flavors[m->rack];
     double margin =
-        j->s.service ? 2 * f->p_dev * (m->p < 0 ? f->p : m->p) * missing_gb(c, j, m) : 0;
+        j->s.service ? 2 * f->p_dev * (m->p < 0 ? f->p : m->p) * missing_gb(c, j, m, tw_image(m, j))
+                     : 0;
     return c->now + T + margin <= due;
 }
 
@@ -65,29 +66,22 @@
 }
 
 /* Cores that a GPU's user takes along with it, at the most; the same for memory. */
-static void per_gpu(const tw_core *c, double *cores, double *mem) {
+void tw_per_gpu_note(tw_core *c) {
     const lane *l;
-    *cores = *mem = 0;
+    c->gpu_cores = c->gpu_mem = 0;
     for (l = c->lanes; l; l = l->hh.next) {
         if (!l->has_sample || l->sample.gpus <= 0) continue;
-        *cores = fmax(*cores, l->sample.cores / l->sample.gpus);
-        *mem = fmax(*mem, l->sample.memory_gb / l->sample.gpus);
+        c->gpu_cores = fmax(c->gpu_cores, l->sample.cores / l->sample.gpus);
+        c->gpu_mem = fmax(c->gpu_mem, l->sample.memory_gb / l->sample.gpus);
     }
 }
 
-double tw_max_cores_per_gpu(const tw_core *c) {
-    double cores, mem;
-    per_gpu(c, &cores, &mem);
-    return cores;
-}
-
 /* Work without GPUs takes of a GPU machine only what its GPUs' users leave. */
 static int leaves_gpus(const tw_core *c, const machine *m, const job *j) {
     const tw_wire_job *s = &j->s;
     const tw_wire_flavor *f = &c->flavors[m->rack].f;
     if (s->gpus > 0 || f->gpus <= 0 || j->any_machine) return 1;
-    double cores, mem, free_g = f->gpus - m->used_g;
-    per_gpu(c, &cores, &mem);
+    double cores = c->gpu_cores, mem = c->gpu_mem, free_g = f->gpus - m->used_g;
     if (cores <= 0) {
         cores = f->cores / f->gpus;
         mem = f->memory_gb / f->gpus;
@@ -96,11 +90,18 @@
            f->memory_gb - m->used_m - s->memory_gb + 1e-6 >= free_g * mem;
 }
 
-static int allowed(const tw_core *c, const job *j, const machine *m) {
+/* Zones that the job's next task may go to, as bits over c->yards: the same for all machines. */
+static uint32_t zones_of(const tw_core *c, const job *j) {
+    uint32_t zones = 0;
+    for (int z = 0; z < c->nyards; z++)
+        if (tw_zone_allows(c, j, c->yards[z])) zones |= 1u << z;
+    return zones;
+}
+
+static int allowed(const tw_core *c, const job *j, const machine *m, uint32_t zones) {
+    if (!(j->rackmask & (1u << m->rack)) || (m->loaner && !j->s.loaner)) return 0;
+    if (m->zone >= 0 ? !(zones & (1u << m->zone)) : !tw_zone_allows(c, j, m->yard)) return 0;
     if (!tw_machine_usable(c, m)) return 0;
-    if (!(j->rackmask & (1u << m->rack))) return 0;
-    if (m->loaner && !j->s.loaner) return 0;
-    if (!tw_zone_allows(c, j, m->yard)) return 0;
     for (int i = 0; i < j->nbad; i++)
         if (j->bad[i] == m) return 0;
     return 1;
@@ -145,7 +146,7 @@
 static double preference(const tw_core *c, const job *j, const machine *m) {
     const tw_wire_flavor *f = &c->flavors[m->rack].f;
     double fit, v = 0;
-    const image *i = tw_image((machine *)m, j->s.bundle);
+    const image *i = tw_image(m, j);
     if (j->s.gpus > 0)
         fit = (m->used_g + j->s.gpus) / f->gpus;
     else
@@ -155,14 +156,14 @@
         v += 30 * zone_free(c, j, m);
         /* In time or not, a replica is down while its image comes: no zone is worth a long fetch.
          */
-        double fetch = (m->p < 0 ? c->flavors[m->rack].p : m->p) * missing_gb(c, j, m);
+        double fetch = (m->p < 0 ? c->flavors[m->rack].p : m->p) * missing_gb(c, j, m, i);
         if (j->lane && j->lane->within_s > 0) v -= 30 * fmin(1, fetch / j->lane->within_s);
     } else {
         v += 1000 * bucket_of_slowness(c, m); /* the slowest that is just enough */
         /* A slow machine leaves the fast ones to others; a fetch leaves nobody anything: what it
          * adds to the run counts against the machine, in the same steps. */
         const flavor *fl = &c->flavors[m->rack];
-        double fetch = (m->p < 0 ? fl->p : m->p) * missing_gb(c, j, m);
+        double fetch = (m->p < 0 ? fl->p : m->p) * missing_gb(c, j, m, i);
         v -= 1500 * log(1 + fetch / fmax(tw_estimate(j), 1)) / log(1.4);
         if (m->loaner) v += 100;
         if (i) v += 20;
@@ -170,18 +171,70 @@
     return v + 10 * fit;
 }
 
-/* meets: whether the one taken is expected to meet the deadline. */
-static machine *choose(tw_core *c, job *j, int *meets) {
+/* ---- what a pass need not try again ---- */
+
+/* Within a pass room only gets less, but for what is said below. So a shape that found none, by
+ * itself or by stopping others, is not tried on the whole fleet again for the next of many jobs
+ * alike: while hundreds wait, this is most of a pass. */
+static tw_futile shape_of(const job *j, uint32_t zones) {
+    return (tw_futile){.cores = j->s.cores,
+                       .gpus = j->s.gpus,
+                       .mem = j->s.memory_gb,
+                       .racks = j->rackmask,
+                       .zones = zones,
+                       .loaner = j->s.loaner,
+                       .rank = j->s.rank,
+                       .service = j->s.service,
+                       .any_machine = j->any_machine,
+                       .whole = j->s.gang};
+}
+
+static int is_futile(const tw_core *c, const tw_futile *x) {
+    for (int i = 0; i < c->nfutile; i++) {
+        const tw_futile *f = &c->futile[i];
+        if (f->cores == x->cores && f->gpus == x->gpus && f->mem == x->mem &&
+            f->racks == x->racks && f->zones == x->zones && f->loaner == x->loaner &&
+            f->rank == x->rank && f->service == x->service && f->any_machine == x->any_machine &&
+            f->whole == x->whole)
+            return 1;
+    }
+    return 0;
+}
+
+static void note_futile(tw_core *c, const tw_futile *x) {
+    if (c->nfutile == c->futile_cap) {
+        c->futile_cap = c->futile_cap ? 2 * c->futile_cap : 16;
+        c->futile = realloc(c->futile, (size_t)c->futile_cap * sizeof *c->futile);
+        if (!c->futile) abort();
+    }
+    c->futile[c->nfutile++] = *x;
+}
+
+/* A task with GPUs was placed: what may be taken beside them need not be less now. */
+static void forget_futile_without_gpus(tw_core *c) {
+    int n = 0;
+    for (int i = 0; i < c->nfutile; i++)
+        if (c->futile[i].gpus > 0) c->futile[n++] = c->futile[i];
+    c->nfutile = n;
+}
+
+/* meets: whether the one taken is expected to meet the deadline; kept: some room was not given
+ * since it is kept for others. */
+static machine *choose(tw_core *c, job *j, uint32_t zones, int *meets, int *kept) {
     machine *m, *t, *best = NULL;
     double due = tw_job_due(c, j), bv = -INFINITY;
     int bok = 0;
     *meets = 0;
-    if (!tw_quota_allows(c, j)) return NULL;
     HASH_ITER(hh, c->machines, m, t) {
         double run;
-        if (m->rack < 0 || !tw_fits(m, &c->flavors[m->rack], &j->s) || !allowed(c, j, m) ||
-            !leaves_gpus(c, m, j) || !tw_reserve_allows(c, m, j))
+        c->steps++;
+        if (m->rack < 0 || !tw_fits(m, &c->flavors[m->rack], &j->s) || !allowed(c, j, m, zones) ||
+            !leaves_gpus(c, m, j))
             continue;
+        if (!tw_reserve_allows(c, m, j)) {
+            *kept = 1;
+            continue;
+        }
         double T = tw_predict(c, j, m, &run);
         int ok = in_time_there(c, j, m, T, due);
         double v = ok ? preference(c, j, m) : -T;
@@ -222,6 +275,20 @@
     return ran + 1 + p->job->s.rank * 10;
 }
 
+/* Whether it may be enough at all, from sums alone. */
+static int may_vacate(const tw_core *c, const machine *m, const job *j) {
+    const tw_wire_flavor *f = &c->flavors[m->rack].f;
+    const double e = 1e-3; /* sums drift */
+    double fc = f->cores - m->used_c + m->kill_c, fg = f->gpus - m->used_g + m->kill_g,
+           fm = f->memory_gb - m->used_m + m->kill_m;
+    for (int r = 0; r < j->s.rank; r++) {
+        fc += m->held[r].c;
+        fg += m->held[r].g;
+        fm += m->held[r].m;
+    }
+    return fc + e >= j->s.cores && fg + e >= j->s.gpus && fm + e >= j->s.memory_gb;
+}
+
 static void vacate(tw_core *c, job *j, machine *m, int apply, double *cost, int *enough) {
     const tw_wire_flavor *f = &c->flavors[m->rack].f;
     double fc = f->cores - m->used_c + m->kill_c, fg = f->gpus - m->used_g + m->kill_g,
@@ -269,16 +336,21 @@
 
 /* A machine where stopping work of lower rank makes room, at the least loss. in_time: only one
  * where the deadline is met. */
-static machine *preempt(tw_core *c, job *j, int in_time) {
+static machine *preempt(tw_core *c, job *j, uint32_t zones, int in_time, int *kept) {
     machine *m, *t, *best = NULL;
     double bc = INFINITY, cost, run;
     int enough;
-    if (j->s.rank <= TW_RANK_IDLE || !tw_quota_allows(c, j)) return NULL;
+    if (j->s.rank <= TW_RANK_IDLE) return NULL;
     double due = tw_job_due(c, j);
     HASH_ITER(hh, c->machines, m, t) {
-        if (m->rack < 0 || !allowed(c, j, m) || !leaves_gpus(c, m, j) ||
-            !tw_reserve_allows(c, m, j))
+        c->steps++;
+        if (m->rack < 0 || !may_vacate(c, m, j) || !allowed(c, j, m, zones) ||
+            !leaves_gpus(c, m, j))
+            continue;
+        if (!tw_reserve_allows(c, m, j)) {
+            *kept = 1;
             continue;
+        }
         vacate(c, j, m, 0, &cost, &enough);
         unmark(m);
         if (!enough) continue;
@@ -294,6 +366,7 @@
     if (best) {
         vacate(c, j, best, 1, &cost, &enough);
         unmark(best);
+        c->nfutile = 0; /* more may have been stopped than it needs */
     }
     return best;
 }
@@ -309,15 +382,24 @@
         limit = cap;
     }
     while (placed < limit && j->nlive < cap && (index = next_free(j)) >= 0) {
-        int meets;
-        machine *m = choose(c, j, &meets);
-        if (!m && !j->s.gang) m = preempt(c, j, 0);
+        int meets, kept = 0;
+        if (!tw_quota_allows(c, j)) break;
+        uint32_t zones = zones_of(c, j);
+        tw_futile shape = shape_of(j, zones);
+        if (is_futile(c, &shape)) break;
+        machine *m = choose(c, j, zones, &meets, &kept);
+        if (!m && !j->s.gang) m = preempt(c, j, zones, 0, &kept);
         if (m && !meets && j->s.service && j->s.rank == TW_RANK_PROD) {
             /* Its start objective would be missed there: rather at a batch task's cost. */
-            machine *x = preempt(c, j, 1);
+            machine *x = preempt(c, j, zones, 1, &kept);
             if (x) m = x;
         }
-        if (!m) break;
+        if (!m) {
+            /* Not because of what is its own alone, or of holes, which come and go. */
+            if (!kept && !j->nbad) note_futile(c, &shape);
+            break;
+        }
+        if (j->s.gpus > 0) forget_futile_without_gpus(c);
         /* The tasks of a gang find each other by their common attempt. */
         tw_reserve_take(c, m, j);
         placement *p = tw_place(c, j, index, m, j->s.gang ? attempt : j->next_try);
@@ -333,6 +415,7 @@
     if (placed && j->s.gang && j->nlive + j->ndone < j->pieces) { /* all or nothing */
         placement *p, *t;
         DL_FOREACH_SAFE2(j->live, p, t, jnext) tw_placement_free(c, p);
+        c->nfutile = 0;
         return 0;
     }
     if (placed) {
@@ -351,6 +434,7 @@
     }
     note_zones(c);
     tw_reserve_note(c);
+    c->nfutile = 0;
     place_job(c, j, MAX_PER_PASS);
     return j->nlive + j->ndone == j->pieces;
 }
@@ -360,6 +444,7 @@
     c->next_sched = c->now + 0.1;
     note_zones(c);
     tw_reserve_note(c);
+    c->nfutile = 0;
     tw_turns *t = tw_turns_new(c);
     job *j;
     int left = MAX_PER_PASS;
@@ -379,24 +464,52 @@
     return m->slowness < 0 ? c->flavors[m->rack].slowness : m->slowness;
 }
 
-/* A task that will miss its deadline is started again elsewhere, if a full rerun there makes it. */
-static int rerun(tw_core *c, placement *p) {
-    job *j = p->job;
+/* When a task will end if it misses its deadline, else 0. */
+static double late_end(const tw_core *c, const placement *p, double *slow) {
+    const job *j = p->job;
     double est = tw_estimate(j), due = tw_job_due(c, j), ran = c->now - p->run_at;
     if (!isfinite(due) || est <= 0) return 0;
-    double slow = fmax(slowness_of(c, p->m), ran / est);
-    double end = fmax(p->run_at + est * slow, c->now + 0.1 * est);
-    if (end <= due) return 0;
+    *slow = fmax(slowness_of(c, p->m), ran / est);
+    double end = fmax(p->run_at + est * *slow, c->now + 0.1 * est);
+    return end <= due ? 0 : end;
+}
+
+/* Where a full rerun of one of j's tasks would make the deadline, machines by their T. */
+typedef struct {
+    machine *m;
+    double T;
+} haven;
+
+static int havens(tw_core *c, const job *j, haven **out) {
     machine *m, *t;
+    int n = 0, cap = 0;
+    double run, due = tw_job_due(c, j);
+    uint32_t zones = zones_of(c, j);
+    *out = NULL;
     HASH_ITER(hh, c->machines, m, t) {
-        double run;
-        if (m == p->m || m->rack < 0 || !tw_fits(m, &c->flavors[m->rack], &j->s) ||
-            !allowed(c, j, m))
+        c->steps++;
+        if (m->rack < 0 || !tw_fits(m, &c->flavors[m->rack], &j->s) || !allowed(c, j, m, zones))
             continue;
         double T = tw_predict(c, j, m, &run);
-        if (c->now + T > due || c->now + T >= end || slowness_of(c, m) * 1.3 > slow) continue;
+        if (c->now + T > due) continue;
+        if (n == cap) {
+            cap = cap ? 2 * cap : 16;
+            *out = realloc(*out, (size_t)cap * sizeof **out);
+            if (!*out) abort();
+        }
+        (*out)[n++] = (haven){m, T};
+    }
+    return n;
+}
+
+/* A task that will miss its deadline is started again elsewhere, if a full rerun there makes it. */
+static int rerun(tw_core *c, placement *p, double end, double slow, const haven *h, int n) {
+    job *j = p->job;
+    for (int i = 0; i < n; i++) {
+        const machine *m = h[i].m;
+        if (m == p->m || c->now + h[i].T >= end || slowness_of(c, m) * 1.3 > slow) continue;
         tw_log_info("event=rerun piece=%s/%d from=%s to=%s late_s=%.1f", j->id, p->index,
-                    p->m->name, m->name, end - due);
+                    p->m->name, m->name, end - tw_job_due(c, j));
         tw_placement_kill(c, p, j->s.snapshot_s > 0 ? j->s.flush_s : 0, 0);
         return 1;
     }
@@ -411,11 +524,20 @@
             j->s.due_s < 0)
             continue;
         placement *p, *t;
+        haven *h = NULL;
+        int n = -1; /* looked for once a job, and only if some task of it is late */
         DL_FOREACH_SAFE2(j->live, p, t, jnext) {
-            if (p->kill || p->run_at <= 0 || p->stage != TW_PIECE_RUNNING || p->m->rack < 0)
+            double slow, end;
+            if (left <= 0) break;
+            if (p->kill || p->run_at <= 0 || p->stage != TW_PIECE_RUNNING || p->m->rack < 0 ||
+                (end = late_end(c, p, &slow)) <= 0)
                 continue;
-            if (left > 0) left -= rerun(c, p);
+            if (n < 0) n = havens(c, j, &h);
+            if (!n) break;
+            left -= rerun(c, p, end, slow, h, n);
         }
+        free(h);
+        if (left <= 0) break;
     }
     c->sched_dirty = 1; /* waits may have ended, too */
 }
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -21,7 +21,7 @@
 /* As when placing: work without GPUs leaves a GPU machine's GPUs their cores. */
 int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const tw_wire_job *s, int any_machine) {
     if (s->gpus > 0 || any_machine || c->flavors[b->rack].f.gpus <= 0) return 1;
-    double per = tw_max_cores_per_gpu(c);
+    double per = c->gpu_cores;
     if (per <= 0) per = c->flavors[b->rack].f.cores / c->flavors[b->rack].f.gpus;
     return b->c - s->cores + 1e-6 >= b->g * per;
 }
@@ -197,6 +197,44 @@
     return n;
 }
 
+/* Room in bins only gets less while jobs are packed. So those that are too full for a shape, or of
+ * a kind that it may not use, are passed over by all the jobs alike that come after. */
+typedef struct first {
+    double cores, gpus, mem;
+    uint32_t racks;
+    int loaner, i;
+    const char *yard;
+} first;
+
+static int first_of(bins *bs, const job *j) {
+    const tw_wire_job *s = &j->s;
+    int k = 0;
+    for (; k < bs->nfirst; k++) {
+        const first *f = &bs->first[k];
+        if (f->cores == s->cores && f->gpus == s->gpus && f->mem == s->memory_gb &&
+            f->racks == j->rackmask && f->loaner == s->loaner && !strcmp(f->yard, s->yard))
+            break;
+    }
+    if (k == bs->nfirst) {
+        if (bs->nfirst == bs->first_cap) {
+            bs->first_cap = bs->first_cap ? 2 * bs->first_cap : 16;
+            bs->first = realloc(bs->first, (size_t)bs->first_cap * sizeof *bs->first);
+            if (!bs->first) abort();
+        }
+        bs->first[bs->nfirst++] = (first){.cores = s->cores,
+                                          .gpus = s->gpus,
+                                          .mem = s->memory_gb,
+                                          .racks = j->rackmask,
+                                          .loaner = s->loaner,
+                                          .yard = s->yard};
+    }
+    first *f = &bs->first[k];
+    while (f->i < bs->n && (bs->v[f->i].tried || !tw_bin_allowed(&bs->v[f->i], s, j->rackmask) ||
+                            !tw_bin_fits(&bs->v[f->i], s)))
+        f->i++;
+    return f->i;
+}
+
 static void plan_job(tw_core *c, bins *bs, job *j, drain *d) {
     int want = j->pieces - j->ndone - j->nlive, need = 0;
     const tw_conf_team *t = &c->cf->teams[j->team];
@@ -213,8 +251,10 @@
         int slot = spread_slot(&z, p->m->yard);
         if (slot >= 0) z.count[slot]++;
     }
-    for (int i = 0; i < bs->n && need > 0; i++)
+    for (int i = need > 0 ? first_of(bs, j) : 0; i < bs->n && need > 0; i++) {
+        c->steps++;
         if (!bs->v[i].tried) need -= fill(c, &bs->v[i], j, &z, need);
+    }
     while (need > 0) {
         const char *full = NULL;
         for (int i = 0; i < z.n; i++)
@@ -377,5 +417,6 @@
     tw_return_idle(c);
     if (!more) tw_consolidate(c, &bs); /* else more room is needed, not less */
     free(d.ev);
+    free(bs.first);
     free(bs.v);
 }
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -14,22 +14,49 @@
            j->ndone + j->nlive < j->pieces && c->now >= j->retry_at;
 }
 
-/* Whether the job fits into its team's guarantee together with the team's earlier ones. */
-int tw_job_guaranteed(const tw_core *c, const job *x) {
-    if (x->team < 0 || !x->has_spec) return 0;
-    const tw_conf_team *t = &c->cf->teams[x->team];
-    if (t->gpus <= 0 && t->cpus <= 0) return 0;
-    if (x->s.gpus > 0 && t->gpus <= 0) return 0;
-    if (x->s.gpus <= 0 && t->cpus <= 0) return 0;
-    double cpus = 0, gpus = 0;
-    const job *j;
+/* Whether a job fits into its team's guarantee together with the team's earlier ones: for all at
+ * once, in the order of their submission. */
+typedef struct {
+    job *j;
+    int team;
+} asked;
+
+static int by_submission(const void *a, const void *b) {
+    const asked *x = a, *y = b;
+    if (x->team != y->team) return x->team < y->team ? -1 : 1;
+    if (x->j->submitted != y->j->submitted) return x->j->submitted < y->j->submitted ? -1 : 1;
+    return 0;
+}
+
+static void note_guaranteed(tw_core *c) {
+    job *j;
+    int n = 0, cap = 0;
+    DL_FOREACH(c->active, j) cap++;
+    asked *v = tw_zalloc((size_t)cap * sizeof *v);
     DL_FOREACH(c->active, j) {
-        if (j->team != x->team || j->stage != TW_STAGE_PENDING || !j->has_spec) continue;
-        if (j != x && j->submitted > x->submitted) continue;
-        cpus += j->s.cores * (j->pieces - j->ndone);
-        gpus += j->s.gpus * (j->pieces - j->ndone);
+        j->guaranteed = 0;
+        if (j->team < 0 || !j->has_spec || j->stage != TW_STAGE_PENDING) continue;
+        const tw_conf_team *t = &c->cf->teams[j->team];
+        if (t->gpus > 0 || t->cpus > 0) v[n++] = (asked){j, j->team};
+    }
+    qsort(v, (size_t)n, sizeof *v, by_submission);
+    double cpus = 0, gpus = 0;
+    for (int i = 0, k; i < n; i = k) {
+        const tw_conf_team *t = &c->cf->teams[v[i].team];
+        if (!i || v[i].team != v[i - 1].team) cpus = gpus = 0;
+        /* Those of the same moment count for each other. */
+        for (k = i; k < n && v[k].team == v[i].team && v[k].j->submitted == v[i].j->submitted;
+             k++) {
+            const job *x = v[k].j;
+            cpus += x->s.cores * (x->pieces - x->ndone);
+            gpus += x->s.gpus * (x->pieces - x->ndone);
+        }
+        int fits =
+            (t->gpus <= 0 || gpus <= t->gpus + 1e-6) && (t->cpus <= 0 || cpus <= t->cpus + 1e-6);
+        for (int l = i; l < k; l++)
+            v[l].j->guaranteed = fits && (v[l].j->s.gpus > 0 ? t->gpus > 0 : t->cpus > 0);
     }
-    return (t->gpus <= 0 || gpus <= t->gpus + 1e-6) && (t->cpus <= 0 || cpus <= t->cpus + 1e-6);
+    free(v);
 }
 
 typedef struct {
@@ -52,9 +79,10 @@
     DL_FOREACH(c->active, j) cap += tw_job_pending(c, j);
     item *v = tw_zalloc((size_t)cap * sizeof *v);
     int nt = (int)c->cf->nteams;
+    if (cap) note_guaranteed(c);
     DL_FOREACH(c->active, j) {
         if (!tw_job_pending(c, j)) continue;
-        int level = (TW_RANK_PROD - j->s.rank) * 2 + !tw_job_guaranteed(c, j);
+        int level = (TW_RANK_PROD - j->s.rank) * 2 + !j->guaranteed;
         v[t->n++] = (item){j, level * nt + j->team, tw_job_due(c, j)};
     }
     qsort(v, (size_t)t->n, sizeof *v, by_group);
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -94,6 +94,7 @@
             p->ver = 0;
             if (r.stage == TW_STAGE_ABORTED) p->kill = 1;
         }
+        if (r.stage == TW_STAGE_ABORTED) tw_job_cancelled(c, j);
     }
     tw_wire_record_free(&r);
     if (j->st) DL_APPEND(c->active, j);
@@ -119,7 +120,8 @@
         tw_machine_drop(c, m, NULL);
     }
     HASH_ITER(hh, c->jobs, j, jt) tw_job_free(c, j);
-    c->active = c->dirty = NULL;
+    c->active = c->dirty = c->cancelled = NULL;
+    c->nyards = 0;
     gone *g, *gt;
     HASH_ITER(hh, c->released, g, gt) {
         HASH_DEL(c->released, g);
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -68,13 +68,16 @@
     m->listed = 1;
     m->missing = 0;
     m->loaner = t->loaner;
-    if (!*m->yard) snprintf(m->yard, sizeof m->yard, "%s", t->yard);
+    if (!*m->yard) tw_machine_at(c, m, t->yard);
     snprintf(m->rack_name, sizeof m->rack_name, "%s", t->rack);
     if (m->rack < 0) m->rack = tw_rack_index(c, t->rack);
     if (!*m->endpoint && *t->endpoint) snprintf(m->endpoint, sizeof m->endpoint, "%s", t->endpoint);
     if (t->stage == 2) m->failed = 1;
     /* After a change of leader we need not wait until the worker has found us. */
-    if (t->stage == 1 && !m->contact && !m->probed) m->probed = m->want_probe = 1;
+    if (t->stage == 1 && !m->contact && !m->probed) {
+        m->probed = 1;
+        tw_want_probe(c, m);
+    }
 }
 
 static void list_done(tw_core *c, int status, const char *body, size_t len) {
@@ -214,7 +217,7 @@
             m->rack = a->rack;
             m->loaner = a->loaner;
             m->born = k->sent;
-            snprintf(m->yard, sizeof m->yard, "%s", tw_offer_yard(c, o));
+            tw_machine_at(c, m, tw_offer_yard(c, o));
             snprintf(m->rack_name, sizeof m->rack_name, "%s", c->flavors[a->rack].f.label);
         }
         free(names);
--- a/src/core/reserve.c
+++ b/src/core/reserve.c
@@ -19,16 +19,13 @@
 /* What a service of the highest rank may have on m: free, or held by work of lower rank. */
 static void room(const tw_core *c, const machine *m, double *cores, double *gpus, double *mem) {
     const tw_wire_flavor *f = &c->flavors[m->rack].f;
-    const placement *p;
     *cores = f->cores - m->used_c + m->kill_c;
     *gpus = f->gpus - m->used_g + m->kill_g;
     *mem = f->memory_gb - m->used_m + m->kill_m;
-    DL_FOREACH(m->pls, p) {
-        if (!p->on_job || p->preempted || !p->job->has_spec || p->job->s.rank >= TW_RANK_PROD)
-            continue;
-        *cores += p->job->s.cores;
-        *gpus += p->job->s.gpus;
-        *mem += p->job->s.memory_gb;
+    for (int r = 0; r < TW_RANK_PROD; r++) {
+        *cores += m->held[r].c;
+        *gpus += m->held[r].g;
+        *mem += m->held[r].m;
     }
 }
 
