A full node keeps workers and peers: users' idle connections make room; fixed sizes by need

Worked out: all of 1,572 workers fit into 0.6 of 2,777 sockets (1,666), 922 into 1,207 of 2,012, but not beside the users' connections, of which a node has held 600 and more. A node at its limit refused whoever came, a worker or not. Now the longest idle connection that is not a worker's or a peer's goes; where there is none, the next is refused at once. Workers' silent connections end after three leases (dead machines leave them open). Client pools of machines that are gone are let go. Wishes by memory (1,000 were fewer than an opening half as large again), cancelled ids in a ping and kills of a deputy by what 64 KiB hold.

--- a/src/app/main.c
+++ b/src/app/main.c
@@ -98,6 +98,11 @@
     ev_break(loop, EVBREAK_ALL);
 }
 
+/* Without an answer workers lose their leases, and peers the leader. */
+static int keeps(int port, const char *path) {
+    return port == TW_PORT_PEER || !strcmp(path, "/hello");
+}
+
 static error_t parse_opt(int key, char *arg, struct argp_state *st) {
     args *a = st->input;
     switch (key) {
@@ -165,6 +170,9 @@
     const tw_net_limits lim = {.max_server = (int)(a.conf.sockets * 0.6),
                                .max_client = (int)(a.conf.sockets * 0.3),
                                .idle_s = 12 * a.conf.lease_s,
+                               .keeps = keeps,
+                               .yield_s = 0.25 * a.conf.report_s,
+                               .kept_idle_s = 3 * a.conf.lease_s,
                                .max_response = 2 << 20};
     const tw_net_handler h = {on_request, on_response};
     a.net = tw_net_new(a.loop, &lim, &h, &a);
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -146,7 +146,8 @@
     tw_call(c, K_RENEW, TW_TO_STATE, c->cf->state, "POST", path, strdup("{}"), c->ttl * 0.4);
 }
 
-#define MAX_ABORTED 500 /* ids in an answer; with more of them no grant is given */
+/* Ids in a ping: a request's body must hold them. With more of them no grant is given. */
+#define MAX_ABORTED ((64 * 1024 - 1024) / (TW_WIRE_ID + 3))
 
 /* Cancelled jobs of which something may still run: whoever answers workers must stop it. */
 static int aborted_live(const tw_core *c, const char **ids) {
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -3,7 +3,7 @@
  * otherwise. */
 #include "core/core_int.h"
 
-#define MAX_ORDERS 200 /* keeps an answer under the protocol's 64 KiB */
+#define MAX_ORDERS 500 /* keeps an answer under the protocol's 64 KiB; the rest in the next one */
 #define MAX_IMAGES 64
 #define MAX_ASKED 0.06 /* silent machines asked at once, as a share of the sockets */
 
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -521,7 +521,10 @@
     return 1;
 }
 
-#define MAX_WISHES 1000
+/* As many as a twentieth of the memory holds. */
+static unsigned max_wishes(const tw_core *c) {
+    return (unsigned)(0.05 * c->cf->mem_mb * 1024 * 1024 / (sizeof(wish) + 100));
+}
 
 void tw_wish_drop(tw_core *c, wish *w) {
     HASH_DEL(c->wishes, w);
@@ -533,7 +536,10 @@
     wish *w;
     HASH_FIND_STR(c->wishes, s->id, w);
     if (!w) {
-        if (HASH_COUNT(c->wishes) >= MAX_WISHES) return;
+        if (HASH_COUNT(c->wishes) >= max_wishes(c)) {
+            tw_log_debug("event=wish_dropped id=%s of=%u", s->id, HASH_COUNT(c->wishes));
+            return;
+        }
         w = tw_zalloc(sizeof *w);
         snprintf(w->id, sizeof w->id, "%s", s->id);
         snprintf(w->j.id, sizeof w->j.id, "%s", s->id);
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -8,7 +8,8 @@
 
 #define RELAY_S 1.0 /* a worker waits 4 s: leaves time to become a deputy */
 #define PARK_S 2.2
-#define DEP_PAGE 500 /* records a request; the service may send fewer */
+#define MAX_KILLS 500 /* in an answer, which stays under 64 KiB; the rest in the next one */
+#define DEP_PAGE 500  /* records a request; the service may send fewer */
 
 /* How long a deputy's entitlement lasts from the sending of its write. */
 double tw_deputy_s(const tw_core *c) { return 0.5 * c->cf->lease_s; }
@@ -157,9 +158,9 @@
     if (c->now > c->dep_last + c->cf->lease_s)
         tw_log_info("event=deputising token=%llu", (unsigned long long)c->seen_token);
     c->dep_last = c->now;
-    tw_wire_order o[64] = {0};
+    tw_wire_order *o = tw_zalloc((size_t)r->npieces * sizeof *o);
     int n = 0;
-    for (int i = 0; r && i < r->npieces && n < 64; i++) {
+    for (int i = 0; i < r->npieces && n < MAX_KILLS; i++) {
         const tw_wire_piece *w = &r->pieces[i];
         gone *g, *named;
         HASH_FIND_STR(c->dep_aborted, w->job, g);
@@ -169,6 +170,7 @@
         snprintf(o[n++].job, sizeof o[0].job, "%s", w->job);
     }
     tw_reply(c, conn, 200, 0, tw_wire_orders_text(c->seen_token, 0, o, (size_t)n));
+    free(o);
 }
 
 static void list_jobs(tw_core *c) {
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -54,6 +54,9 @@
     size_t head;
     char method[8];
     int waiting, bad, keep, closing;
+    int yields;   /* in net->yielding */
+    double since; /* there since */
+    struct sconn *yprev, *ynext;
     UT_hash_handle hh;
 } sconn;
 
@@ -104,9 +107,11 @@
     tw_net_handler h;
     void *ctx;
     sconn *conns;
+    sconn *yielding; /* idle ones that may be closed for others, the longest idle first */
     int nserver, nclient;
     uint64_t next_id;
     host *hosts;
+    unsigned many_hosts; /* more than this are looked through for those not in use any more */
     listener *listeners;
 };
 
@@ -135,8 +140,29 @@
 
 /* ---- server ---- */
 
+/* A connection waits for its next request. Only those of callers that must be answered before all
+ * others are kept then whatever comes. */
+static void sconn_idles(sconn *c) {
+    tw_net *n = c->net;
+    if (n->lim.keeps && n->lim.keeps(c->port, c->path.len ? c->path.p : "")) {
+        c->idle.repeat = n->lim.kept_idle_s;
+        ev_timer_again(n->loop, &c->idle);
+        return;
+    }
+    if (c->yields) return;
+    c->yields = 1;
+    c->since = ev_now(n->loop);
+    DL_APPEND2(n->yielding, c, yprev, ynext);
+}
+static void sconn_busy(sconn *c) {
+    if (!c->yields) return;
+    c->yields = 0;
+    DL_DELETE2(c->net->yielding, c, yprev, ynext);
+}
+
 static void sconn_close(sconn *c) {
     tw_net *n = c->net;
+    sconn_busy(c);
     ev_io_stop(n->loop, &c->rd);
     ev_io_stop(n->loop, &c->wr);
     ev_timer_stop(n->loop, &c->idle);
@@ -166,7 +192,10 @@
     }
     ev_io_stop(c->net->loop, &c->wr);
     buf_reset(&c->out);
-    if (c->closing) sconn_close(c);
+    if (c->closing)
+        sconn_close(c);
+    else if (!c->waiting)
+        sconn_idles(c);
 }
 
 static const char *reason(int s) {
@@ -290,6 +319,7 @@
         }
         if (c->in.off >= c->in.len) buf_reset(&c->in);
         if (c->waiting) {
+            sconn_busy(c);
             if (c->bad) {
                 sconn_bad(c);
                 return;
@@ -312,6 +342,7 @@
             return;
         }
         if (k > 0) {
+            sconn_busy(c);
             if (c->in.len + (size_t)k > TW_NET_MAX_BODY + MAX_HEAD) {
                 sconn_close(c); /* more pipelined than a request may hold */
                 return;
@@ -340,6 +371,9 @@
     for (int i = 0; i < 16; i++) {
         int fd = accept4(l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) return;
+        if (n->nserver >= n->lim.max_server && n->yielding &&
+            ev_now(EV_A) - n->yielding->since >= n->lim.yield_s)
+            sconn_close(n->yielding);
         if (n->nserver >= n->lim.max_server) {
             close(fd); /* at once: the other side tries another node */
             continue;
@@ -362,6 +396,7 @@
         ev_timer_again(EV_A, &c->idle);
         HASH_ADD(hh, n->conns, id, sizeof c->id, c);
         n->nserver++;
+        sconn_idles(c);
     }
 }
 
@@ -606,11 +641,28 @@
     host_pump(h);
 }
 
+/* Machines come and go, each under an address of its own: those not called for long are let go. */
+static void forget_hosts(tw_net *n) {
+    host *h, *t;
+    if (HASH_COUNT(n->hosts) <= n->many_hosts) return;
+    HASH_ITER(hh, n->hosts, h, t) {
+        cconn *c, *next;
+        if (h->queue || ev_now(n->loop) - h->used < n->lim.idle_s) continue;
+        DL_FOREACH_SAFE(h->conns, c, next) if (!c->cur) cconn_drop(c);
+        if (h->conns) continue;
+        ev_timer_stop(n->loop, &h->qtimer);
+        HASH_DEL(n->hosts, h);
+        free(h);
+    }
+    n->many_hosts = 2 * HASH_COUNT(n->hosts) + 16;
+}
+
 void tw_net_call(tw_net *n, uint64_t id, const char *addr, int per_host, const char *method,
                  const char *path, const char *body, double timeout_s) {
     host *h;
     HASH_FIND_STR(n->hosts, addr, h);
     if (!h) {
+        forget_hosts(n);
         struct sockaddr_in sa;
         if (strlen(addr) >= sizeof h->addr || parse_addr(addr, &sa)) {
             n->h.response(n->ctx, id, 0, "", 0);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -18,9 +18,15 @@
 } tw_net_handler;
 
 typedef struct {
-    int max_server;      /* open connections of others that we accept */
-    int max_client;      /* connections we open, over all addresses */
-    double idle_s;       /* a silent server connection is closed after this */
+    int max_server; /* open connections of others that we accept */
+    int max_client; /* connections we open, over all addresses */
+    double idle_s;  /* a silent server connection is closed after this */
+    /* Whether the caller of a path must be answered before all others ("": has not asked yet). When
+     * max_server are open, a new connection takes the place of another caller's that has been idle
+     * for yield_s, the longest first; where there is none it is refused. NULL: nobody. */
+    int (*keeps)(int port, const char *path);
+    double yield_s;
+    double kept_idle_s;  /* idle_s for those that are kept */
     size_t max_response; /* largest response body taken */
 } tw_net_limits;
 
--- a/tests/runner/e2e.c
+++ b/tests/runner/e2e.c
@@ -267,7 +267,8 @@
     clock_gettime(CLOCK_MONOTONIC, &t);
     t0 = (double)t.tv_sec + (double)t.tv_nsec / 1e9;
     loop = ev_default_loop(0);
-    const tw_net_limits lim = {200, 200, 60, 1 << 20};
+    const tw_net_limits lim = {
+        .max_server = 200, .max_client = 200, .idle_s = 60, .max_response = 1 << 20};
     const tw_net_handler h = {on_request, on_response};
     net = tw_net_new(loop, &lim, &h, NULL);
     world_init(&W);
