Reports of a session that has surely lapsed are dropped

What they had sent before came late, after their leases had surely lapsed: newer than known by (shift, tick), so it was believed, tasks were taken to run again there, and the new session a moment later made machines look deaf, which were returned.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -464,6 +464,8 @@
         tw_placement_lost(c, p, "session");
     }
     /* It reported, we answered, and still its lease lapsed: it does not hear us. */
+    /* Not one that was silent for a lease before that: it hung, and a report of before came late.
+     */
     if (m->confirmed && c->now - m->heard < 0.5 * c->cf->lease_s && !m->lapsed &&
         deaf_believable(c)) {
         m->deaf += 3;
@@ -475,6 +477,9 @@
 /* Takes a report in; 0 if it is older than what we know. */
 static int take_report(tw_core *c, machine *m, const tw_wire_report *r, orders *o) {
     if (r->shift < m->shift || (r->shift == m->shift && r->tick <= m->tick)) return 0;
+    /* Its lease has surely lapsed: of that session only late reports can come, held by a cut or
+     * sent by a machine that goes on after it hung. Whatever they name runs no more. */
+    if (m->lapsed && r->shift == m->shift) return 0;
     if (m->shift && r->shift > m->shift) new_session(c, m, r);
     m->shift = r->shift;
     m->tick = r->tick;
@@ -653,7 +658,7 @@
     if (!take_report(c, m, &r, &o)) {
         /* Overtaken by the answer to direct orders, or a late copy. The worker of the former must
          * not be turned away; the latter must not make a dead machine look alive. */
-        if (r.shift == m->shift) {
+        if (r.shift == m->shift && !m->lapsed) {
             m->renewed = c->now;
             tw_reply(c, conn, 200, 0, tw_wire_orders_text(c->token, 0, NULL, 0));
         } else {
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -67,6 +67,7 @@
     g->to = to;
     g->at = c->now;
     g->back = 0;
+    tw_log_debug("event=sent_off tray=%s to=%s", tray, to->cf.name);
     tw_reply(c, conn, 421, 0, tw_wire_foreman_text(to->cf.name));
     return 1;
 }
@@ -289,6 +290,7 @@
 static void park(tw_core *c, uint64_t conn, const char *tray, char *body, double until) {
     parked *p = c->now < until ? tw_zalloc(sizeof *p) : NULL;
     if (!p || c->nparked >= c->cf->sockets / 2) {
+        tw_log_debug("event=unheard tray=%s", tray);
         tw_reply_error(c, conn, 503, 1, "no leader answers");
         free(body);
         free(p);
--- a/tests/runner/runner.c
+++ b/tests/runner/runner.c
@@ -50,6 +50,7 @@
 static event *queue;
 static uint64_t seq, next_conn, next_flight;
 static int lose_txns, late_orders_w = -1, dup_w = -1, failures;
+static double hold_s[W_MAX]; /* a worker's next report comes that much later */
 static double late_txn, late_orders_s, dup_s;
 static char cut_a[32], cut_b[32];
 static int cut_hold;
@@ -442,6 +443,11 @@
     x->next_report = W.now + W.report_s;
     double dt = travel(x->yard, W.node_zone[x->node]);
     if (W.now < N[x->node].no_workers_until) dt = -1;
+    if (hold_s[i] > 0) {
+        report_to(i, x->node, hold_s[i], body, -1);
+        hold_s[i] = 0;
+        dt = -1;
+    }
     if (dt >= 0) report_to(i, x->node, dt, body, x->in_flight);
     if (dup_w == i) {
         report_to(i, -1, dup_s, body, -1);
@@ -768,6 +774,8 @@
     } else if (!strcmp(w[0], "dupreport")) {
         dup_w = i1;
         dup_s = a2;
+    } else if (!strcmp(w[0], "holdreport")) {
+        hold_s[i1] = a2;
     } else if (!strcmp(w[0], "refuse")) {
         W.refuse = i1;
     } else if (!strcmp(w[0], "neverup")) {
