--- a/src/core/core.c
+++ b/src/core/core.c
@@ -282,6 +282,8 @@
     settle(c);
 }
 
+uint64_t tw_core_steps(const tw_core *c) { return c->steps; }
+
 double tw_core_tick_s(const tw_core *c) {
     double s = c->cf->report_s / 20;
     return s < 0.05 ? 0.05 : s > 0.1 ? 0.1 : s;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -38,6 +38,8 @@
 /* The next effect, or NULL; free it with tw_core_fx_free. */
 tw_fx *tw_core_next(tw_core *c);
 void tw_core_fx_free(tw_fx *f);
+/* Machines and bins looked at in passes over the fleet so far: what their cost grows with. */
+uint64_t tw_core_steps(const tw_core *c);
 /* Seconds between ticks that the core needs. */
 double tw_core_tick_s(const tw_core *c);
 
--- a/tests/runner/runner.c
+++ b/tests/runner/runner.c
@@ -41,13 +41,11 @@
     double x;
     uint64_t u;
     char *s1, *s2, *s3;
-    struct event *next;
 } event;
 
 static world W;
 static node N[MAX_NODES];
 static conn *conns;
-static event *queue;
 static uint64_t seq, next_conn, next_flight;
 static int lose_txns, late_orders_w = -1, dup_w = -1, failures;
 static double hold_s[W_MAX]; /* a worker's next report comes that much later */
@@ -64,18 +62,46 @@
     failures++;
 }
 
+/* A heap by time, then by order of coming. */
+static event **heap;
+static size_t nheap, heap_cap;
+static int before(const event *a, const event *b) {
+    return a->t < b->t || (a->t == b->t && a->seq < b->seq);
+}
 static event *after(double dt, void (*fn)(event *)) {
     event *e = calloc(1, sizeof *e);
     if (!e) abort();
     e->t = W.now + (dt > 0 ? dt : 0);
     e->seq = ++seq;
     e->fn = fn;
-    event **at = &queue;
-    while (*at && (*at)->t <= e->t) at = &(*at)->next;
-    e->next = *at;
-    *at = e;
+    if (nheap == heap_cap) {
+        heap_cap = heap_cap ? 2 * heap_cap : 256;
+        heap = realloc(heap, heap_cap * sizeof *heap);
+        if (!heap) abort();
+    }
+    size_t i = nheap++;
+    for (; i && before(e, heap[(i - 1) / 2]); i = (i - 1) / 2) heap[i] = heap[(i - 1) / 2];
+    heap[i] = e;
+    return e;
+}
+static event *next_event(void) {
+    if (!nheap) return NULL;
+    event *e = heap[0], *last = heap[--nheap];
+    size_t i = 0;
+    for (size_t k; (k = 2 * i + 1) < nheap; i = k) {
+        if (k + 1 < nheap && before(heap[k + 1], heap[k])) k++;
+        if (!before(heap[k], last)) break;
+        heap[i] = heap[k];
+    }
+    heap[i] = last;
     return e;
 }
+static void event_free(event *e) {
+    free(e->s1);
+    free(e->s2);
+    free(e->s3);
+    free(e);
+}
 
 static double wall(void) { return 1e9 + W.now; }
 static double steady(int n) { return 1000 + W.now * (1 + 0.0002 * n); } /* clocks drift apart */
@@ -570,9 +596,9 @@
 }
 
 static int job_index(const char *id) {
-    for (int i = 0; i < W.njobs; i++)
-        if (!strcmp(W.jobs[i].s.id, id)) return i;
-    w_job *j = &W.jobs[W.njobs];
+    w_job *j = world_job(&W, id);
+    if (j) return (int)(j - W.jobs);
+    j = &W.jobs[W.njobs];
     snprintf(j->s.id, sizeof j->s.id, "%s", id);
     j->s.nracks = -1;
     return W.njobs++;
@@ -691,6 +717,10 @@
         snprintf(got, sizeof got, "%d", (int)W.w[i].shift);
     } else if (!strcmp(w[0], "leader")) {
         ok = leader() >= 0;
+    } else if (!strcmp(w[0], "steps")) { /* of the node that leads, since it started */
+        double steps = leader() < 0 ? 0 : (double)tw_core_steps(N[leader()].core);
+        ok = steps > 0 && steps <= atof(w[1]);
+        snprintf(got, sizeof got, "%.0f", steps);
     }
     if (!ok) {
         strcat(what, "got ");
@@ -706,6 +736,16 @@
         int i = job_index(w[1]);
         if (!W.jobs[i].submitted) new_job(i, w, n);
         user_send(i, 's');
+    } else if (!strcmp(w[0], "submits") || !strcmp(w[0], "aborts")) { /* ids in a row */
+        int from = atoi(w[1] + 4), many = atoi(w[2]);
+        for (int k = 0; k < many; k++) {
+            char id[32];
+            snprintf(id, sizeof id, "run-%06d", from + k);
+            int i = job_index(id);
+            if (*w[0] == 's' && !W.jobs[i].submitted) new_job(i, w, n);
+            if (*w[0] == 'a') W.jobs[i].cancel_asked_at = W.now;
+            user_send(i, *w[0]);
+        }
     } else if (!strcmp(w[0], "abort")) {
         int i = job_index(w[1]);
         W.jobs[i].cancel_asked_at = W.now;
@@ -832,6 +872,10 @@
         int r = 0;
         while (r < W.nflavors && strcmp(W.flavors[r].label, w[1])) r++;
         if (r < W.nflavors) world_rent(&W, r, w[2], n > 3 && !strcmp(w[3], "spot"), 0);
+    } else if (!strcmp(w[0], "machines")) {
+        int r = 0;
+        while (r < W.nflavors && strcmp(W.flavors[r].label, w[2])) r++;
+        for (int i = 0; i < atoi(w[1]) && r < W.nflavors; i++) world_rent(&W, r, w[3], 0, 0);
     } else if (!strcmp(w[0], "objective")) {
         size_t k = strlen(objectives);
         snprintf(objectives + k, sizeof objectives - k,
@@ -893,26 +937,20 @@
     double end = play(argv[1]);
     for (int i = 0; i < W.nnodes; i++) after(0, ev_start)->a = i;
     after(0, ev_world);
-    while (queue && queue->t <= end && !*W.broken) {
-        event *e = queue;
-        queue = e->next;
-        W.now = e->t;
-        e->fn(e);
-        free(e->s1);
-        free(e->s2);
-        free(e->s3);
-        free(e);
+    event *e;
+    while (!*W.broken && (e = next_event())) {
+        int over = e->t > end;
+        if (!over) {
+            W.now = e->t;
+            e->fn(e);
+        }
+        event_free(e);
+        if (over) break;
     }
 
     if (*W.broken) say("rule broken:", W.broken);
-    while (queue) {
-        event *e = queue;
-        queue = e->next;
-        free(e->s1);
-        free(e->s2);
-        free(e->s3);
-        free(e);
-    }
+    while ((e = next_event())) event_free(e);
+    free(heap);
     for (int i = 0; i < W.nnodes; i++) node_kill(i);
     conn *c, *t;
     HASH_ITER(hh, conns, c, t) {
--- a/tests/runner/world.c
+++ b/tests/runner/world.c
@@ -654,9 +654,21 @@
 
 /* ---- users and rules ---- */
 
+static unsigned slot_of(const char *id) {
+    unsigned h = 2166136261u;
+    for (; *id; id++) h = (h ^ (unsigned char)*id) * 16777619u;
+    return h;
+}
+
 w_job *world_job(world *w, const char *id) {
-    for (int i = 0; i < w->njobs; i++)
-        if (!strcmp(w->jobs[i].s.id, id)) return &w->jobs[i];
+    const unsigned n = sizeof w->by_id / sizeof *w->by_id;
+    for (; w->nby_id < w->njobs; w->nby_id++) { /* those that are new */
+        unsigned h = slot_of(w->jobs[w->nby_id].s.id) % n;
+        while (w->by_id[h]) h = (h + 1) % n;
+        w->by_id[h] = w->nby_id + 1;
+    }
+    for (unsigned h = slot_of(id) % n; w->by_id[h]; h = (h + 1) % n)
+        if (!strcmp(w->jobs[w->by_id[h] - 1].s.id, id)) return &w->jobs[w->by_id[h] - 1];
     return NULL;
 }
 
--- a/tests/runner/world.h
+++ b/tests/runner/world.h
@@ -6,7 +6,7 @@
 #include "wire/wire.h"
 #include <stdint.h>
 
-#define W_MAX 64
+#define W_MAX 2000
 
 typedef struct w_key {
     char *k, *v;
@@ -88,8 +88,9 @@
     int nasks, never_up;
     double boot_s;
     /* users */
-    w_job jobs[256];
+    w_job jobs[2000];
     int njobs;
+    int by_id[4096], nby_id; /* index + 1 of the first nby_id jobs, by a sum of their ids */
     char broken[512]; /* the first rule that was broken */
 } world;
 
