--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -551,6 +551,7 @@
 void tw_relay_response(tw_core *c, call *k, int status, const char *body, size_t len);
 void tw_deputy_response(tw_core *c, call *k, int status);
 peer *tw_home_of(tw_core *c, const char *yard);
+int tw_zone_reached(const tw_core *c, const char *yard);
 int tw_send_home(tw_core *c, uint64_t conn, const tw_wire_report *r);
 double tw_deputy_s(const tw_core *c);
 double tw_deputies_until(const tw_core *c, const char *yard);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -34,10 +34,13 @@
 void tw_machine_at(tw_core *c, machine *m, const char *yard) {
     if (m->zone >= 0 && !strcmp(m->yard, yard)) return;
     snprintf(m->yard, sizeof m->yard, "%s", yard);
+    m->zone = -1;
+    if (!*yard) return;
     int z = 0;
     while (z < c->nyards && strcmp(c->yards[z], m->yard)) z++;
-    if (z == c->nyards && z < TW_MAX_ZONES) snprintf(c->yards[c->nyards++], TW_NAME, "%s", m->yard);
-    m->zone = *m->yard && z < TW_MAX_ZONES ? z : -1;
+    if (z == TW_MAX_ZONES) return;
+    if (z == c->nyards) snprintf(c->yards[c->nyards++], TW_NAME, "%s", m->yard);
+    m->zone = z;
 }
 
 /* ---- placements ---- */
@@ -464,8 +467,6 @@
         tw_placement_lost(c, p, "session");
     }
     /* It reported, we answered, and still its lease lapsed: it does not hear us. */
-    /* Not one that was silent for a lease before that: it hung, and a report of before came late.
-     */
     if (m->confirmed && c->now - m->heard < 0.5 * c->cf->lease_s && !m->lapsed &&
         deaf_believable(c)) {
         m->deaf += 3;
@@ -809,7 +810,7 @@
     for (size_t i = 0; i < c->npeers; i++) { /* nor do we reach its nodes, or only just again */
         const peer *p = &c->peers[i];
         if (!strcmp(p->cf.zone, x->yard) && strcmp(x->yard, c->cf->location) &&
-            (!tw_home_of(c, x->yard) || c->now < p->back_at + 3 * c->cf->report_s))
+            (!tw_zone_reached(c, x->yard) || c->now < p->back_at + 3 * c->cf->report_s))
             return 1;
     }
     for (int z = 0; z < c->nquiet; z++)
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -22,12 +22,21 @@
 
 #define SHUN_AFTER 3 /* workers that came back from a node within a lease */
 
+static int live_in(const tw_core *c, const peer *p, const char *yard) {
+    return !strcmp(p->cf.zone, yard) && p->ok_at > c->now - 1 - 0.5 * c->ttl;
+}
+
+/* Whether some node of that zone answers us. */
+int tw_zone_reached(const tw_core *c, const char *yard) {
+    for (size_t i = 0; i < c->npeers; i++)
+        if (live_in(c, &c->peers[i], yard)) return 1;
+    return 0;
+}
+
 /* A live node of that zone, for workers to report to; NULL: none known. */
 peer *tw_home_of(tw_core *c, const char *yard) {
     for (size_t i = 0; i < c->npeers; i++)
-        if (!strcmp(c->peers[i].cf.zone, yard) && c->now >= c->peers[i].shun_until &&
-            c->peers[i].ok_at > c->now - 1 - 0.5 * c->ttl)
-            return &c->peers[i];
+        if (live_in(c, &c->peers[i], yard) && c->now >= c->peers[i].shun_until) return &c->peers[i];
     return NULL;
 }
 
