Any number of peers; a write's conditions stay within four times txn_ops

Silent caps found by reading: only 16 peers' keys were among a write's conditions (a deputy beyond them would not have been seen), and a write of txn_ops changes could hold more conditions than the service allows where nodes are many and txn_ops is small. Both follow from the settings now.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -13,7 +13,6 @@
 #include <utlist.h>
 
 #define TW_LEADER_KEY "leader"
-#define TW_MAX_PEERS 16
 #define TW_MAX_ZONES 16
 #define TW_RENT_NUMBER 50 /* machines a request to the cloud, by the protocol */
 #define TW_MAX_TXNS 3     /* transactions in flight, over disjoint jobs */
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -264,10 +264,13 @@
 }
 
 void tw_jobs_flush(tw_core *c) {
-    const int max_ops = c->cf->state_txn_ops;
+    /* Four times as many conditions as changes are allowed, one of them on our key and one on each
+     * deputy's. */
+    const int max_conds = 4 * c->cf->state_txn_ops - 1 - (int)c->npeers;
+    const int max_ops = (int)fmax(1, fmin(c->cf->state_txn_ops, max_conds));
     while (c->dep_known && c->dirty && c->ntxns < TW_MAX_TXNS && tw_peek(c, &c->writes) >= 1 &&
            tw_peek(c, &c->reqs) >= 1) {
-        tw_wire_cond conds[64 + TW_MAX_PEERS];
+        tw_wire_cond conds[64 + 1 + c->npeers];
         tw_wire_write ws[64];
         job *js[64], *j, *t;
         char *keys[64];
@@ -295,7 +298,7 @@
         if (!n) return;
         tw_take(c, &c->writes, n);
         tw_take(c, &c->reqs, 1);
-        char dep_keys[TW_MAX_PEERS][TW_NAME + 8];
+        char dep_keys[c->npeers + 1][TW_NAME + 8];
         conds[n] = (tw_wire_cond){TW_LEADER_KEY, c->token};
         int nconds = n + 1 + tw_deputy_conds(c, conds + n + 1, dep_keys);
         call *k = tw_call(c, K_TXN, TW_TO_STATE, c->cf->state, "POST", "/txn",
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -399,7 +399,7 @@
 
 int tw_deputy_conds(const tw_core *c, tw_wire_cond *conds, char (*keys)[TW_NAME + 8]) {
     int n = 0;
-    for (size_t i = 0; i < c->npeers && n < TW_MAX_PEERS; i++) {
+    for (size_t i = 0; i < c->npeers; i++) {
         key_of(keys[n], TW_NAME + 8, c->peers[i].cf.name);
         conds[n] = (tw_wire_cond){keys[n], c->peers[i].dep_stamp};
         n++;
