--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -818,10 +818,14 @@
     return 0;
 }
 
-/* Zones most of whose machines are silent. One that is late by half a report counts: when the first
- * is silent for long enough to be given up, those that are cut off with it were heard up to a
- * report later. After it they need a while to find a node that answers. */
+/* Zones most of whose machines are silent. When the first is silent for long enough to be given up,
+ * those that are cut off with it were heard up to a report later: so much less counts as silent.
+ * But one that looks for another node is late by half a report. After a cut they need a while to
+ * find a node that answers. */
 static void note_quiet(tw_core *c) {
+    const double report = c->cf->report_s;
+    const double late =
+        fmin(2.5 * report, fmax(1.5 * report, c->cf->tune.silent_ratio * c->cf->lease_s - report));
     machine *m, *t;
     for (int z = 0; z < c->nquiet; z++) c->quiet[z].all = c->quiet[z].silent = 0;
     HASH_ITER(hh, c->machines, m, t) {
@@ -834,8 +838,7 @@
             snprintf(c->quiet[c->nquiet++].yard, TW_NAME, "%s", m->yard);
         }
         c->quiet[z].all++;
-        c->quiet[z].silent +=
-            c->now - fmax(m->heard, c->acquired_at + 0.3 * c->cf->lease_s) > 1.5 * c->cf->report_s;
+        c->quiet[z].silent += c->now - fmax(m->heard, c->acquired_at + 0.3 * c->cf->lease_s) > late;
     }
     for (int z = 0; z < c->nquiet; z++)
         if (c->quiet[z].all > 2 && c->quiet[z].silent * 2 > c->quiet[z].all)
