--- a/tests/runner/world.h
+++ b/tests/runner/world.h
@@ -91,7 +91,7 @@
     w_job jobs[2000];
     int njobs;
     int by_id[4096], nby_id; /* index + 1 of the first nby_id jobs, by a sum of their ids */
-    char broken[512]; /* the first rule that was broken */
+    char broken[512];        /* the first rule that was broken */
 } world;
 
 void world_init(world *w);
