A group bound to one zone tries the other zones when one holds only a part of it

Ruled out: the rental plan, which did rent in the zone that could hold it.

Change: a zone that held only a part is left out, and the group is tried in the others before the pass gives up. Placing a task, the tasks of a job and a group are a function each. Limits: a group that must stand in one zone of two with room for a part each still waits, as it must.

--- a/src/core/place.c
+++ b/src/core/place.c
@@ -373,56 +373,82 @@
 
 /* ---- passes ---- */
 
-/* Places what it can of a job; the number of tasks placed. */
-static int place_job(tw_core *c, job *j, int limit) {
-    int placed = 0, index, cap = tw_max_live(c);
-    uint64_t attempt = j->next_try;
-    if (j->s.gang) {
-        if (j->nlive) return 0; /* until the rest of the last attempt is gone */
-        limit = cap;
+/* Places one task on the best machine of the zones given, as bits over c->yards. 0: no room, or not
+ * for its team. */
+static int place_task(tw_core *c, job *j, int index, uint64_t attempt, uint32_t among) {
+    int meets;
+    int kept = 0;
+    if (!tw_quota_allows(c, j)) return 0;
+    uint32_t zones = zones_of(c, j) & among;
+    tw_futile shape = shape_of(j, zones);
+    if (is_futile(c, &shape)) return 0;
+    machine *m = choose(c, j, zones, &meets, &kept);
+    if (!m && !j->s.gang) m = preempt(c, j, zones, 0, &kept);
+    if (m && !meets && j->s.service && j->s.rank == TW_RANK_PROD) {
+        /* Its start objective would be missed there: rather at a batch task's cost. */
+        machine *x = preempt(c, j, zones, 1, &kept);
+        if (x) m = x;
+    }
+    if (!m) {
+        /* Not because of what is its own alone, or of holes, which come and go. */
+        if (!kept && !j->nbad) note_futile(c, &shape);
+        return 0;
     }
+    if (j->s.gpus > 0) forget_futile_without_gpus(c);
+    tw_reserve_take(c, m, j);
+    const placement *p = tw_place(c, j, index, m, attempt);
+    double run;
+    tw_log_debug("event=place piece=%s/%d try=%llu tray=%s lane=%s rack=%s waited_s=%.2f "
+                 "start_s=%.2f left_s=%.2f image=%s",
+                 j->id, index, (unsigned long long)p->attempt, m->name, j->s.lane, m->rack_name,
+                 c->now - j->submitted, tw_predict(c, j, m, &run) - run, tw_job_due(c, j) - c->now,
+                 j->s.bundle);
+    return 1;
+}
+
+/* Places up to limit tasks, each under an attempt of its own, or all under the one given. */
+static int place_tasks(tw_core *c, job *j, int limit, uint64_t common_attempt, uint32_t among) {
+    int cap = tw_max_live(c);
+    int placed = 0;
+    int index;
     while (placed < limit && j->nlive < cap && (index = next_free(j)) >= 0) {
-        int meets, kept = 0;
-        if (!tw_quota_allows(c, j)) break;
-        uint32_t zones = zones_of(c, j);
-        tw_futile shape = shape_of(j, zones);
-        if (is_futile(c, &shape)) break;
-        machine *m = choose(c, j, zones, &meets, &kept);
-        if (!m && !j->s.gang) m = preempt(c, j, zones, 0, &kept);
-        if (m && !meets && j->s.service && j->s.rank == TW_RANK_PROD) {
-            /* Its start objective would be missed there: rather at a batch task's cost. */
-            machine *x = preempt(c, j, zones, 1, &kept);
-            if (x) m = x;
-        }
-        if (!m) {
-            /* Not because of what is its own alone, or of holes, which come and go. */
-            if (!kept && !j->nbad) note_futile(c, &shape);
-            break;
-        }
-        if (j->s.gpus > 0) forget_futile_without_gpus(c);
-        /* The tasks of a gang find each other by their common attempt. */
-        tw_reserve_take(c, m, j);
-        placement *p = tw_place(c, j, index, m, j->s.gang ? attempt : j->next_try);
-        double run;
-        tw_log_debug(
-            "event=place piece=%s/%d try=%llu tray=%s lane=%s rack=%s waited_s=%.2f start_s=%.2f "
-            "left_s=%.2f image=%s",
-            j->id, index, (unsigned long long)p->attempt, m->name, j->s.lane, m->rack_name,
-            c->now - j->submitted, tw_predict(c, j, m, &run) - run, tw_job_due(c, j) - c->now,
-            j->s.bundle);
+        uint64_t attempt = common_attempt ? common_attempt : j->next_try;
+        if (!place_task(c, j, index, attempt, among)) break;
         placed++;
     }
-    if (placed && j->s.gang && j->nlive + j->ndone < j->pieces) { /* all or nothing */
-        placement *p, *t;
-        DL_FOREACH_SAFE2(j->live, p, t, jnext) tw_placement_free(c, p);
-        c->nfutile = 0;
-        return 0;
-    }
-    if (placed) {
-        tw_job_changed(c, j, j->s.rank >= TW_RANK_PROD);
-        placement *p;
-        DL_FOREACH2(j->live, p, jnext) if (p->ver > j->ver) p->ver = j->ver;
+    return placed;
+}
+
+static void take_back(tw_core *c, job *j) {
+    placement *p;
+    placement *t;
+    DL_FOREACH_SAFE2(j->live, p, t, jnext) tw_placement_free(c, p);
+    c->nfutile = 0;
+}
+
+/* Places a gang whole or not at all; its tasks find each other by their common attempt. One that
+ * must stand in one zone goes where its first task fits best. Where that zone has room for a part
+ * of it only, the other zones are tried: else it would be placed there and taken back for ever. */
+static int place_gang(tw_core *c, job *j) {
+    uint32_t among = UINT32_MAX;
+    if (j->nlive) return 0; /* until the rest of the last attempt is gone */
+    for (;;) {
+        int placed = place_tasks(c, j, tw_max_live(c), j->next_try, among);
+        if (!placed || j->nlive + j->ndone == j->pieces) return placed;
+        int zone = j->live->m->zone;
+        take_back(c, j);
+        if (!j->s.same_place || zone < 0) return 0;
+        among &= ~(1u << zone);
     }
+}
+
+/* Places what it can of a job; the number of tasks placed. */
+static int place_job(tw_core *c, job *j, int limit) {
+    int placed = j->s.gang ? place_gang(c, j) : place_tasks(c, j, limit, 0, UINT32_MAX);
+    if (!placed) return 0;
+    tw_job_changed(c, j, j->s.rank >= TW_RANK_PROD);
+    placement *p;
+    DL_FOREACH2(j->live, p, jnext) if (p->ver > j->ver) p->ver = j->ver;
     return placed;
 }
 
