Machines, reports and commands are nine files with one job each, where fleet.c had all

Change: image, machine, lapse, placement, learn, task, report, orders and fleet (timed work), with a header of their own, core/fleet.h; core_int.h declares only what the rest of the core uses. Named constants, whole names, a comment on each module.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -526,27 +526,33 @@
 char *tw_ranges_text(const uint8_t *st, int n, int want);
 int tw_ranges_apply(uint8_t *st, int n, const char *text, int to);
 
-/* fleet.c */
+/* machine.c, lapse.c */
 machine *tw_machine(tw_core *c, const char *name);
 machine *tw_machine_new(tw_core *c, const char *name);
 void tw_machine_drop(tw_core *c, machine *m, const char *why);
-void tw_hello(tw_core *c, uint64_t conn, const char *body, size_t len, int from_peer);
-void tw_fleet_tick(tw_core *c);
-void tw_fleet_response(tw_core *c, call *k, int status, const char *body, size_t len);
-void tw_fleet_direct(tw_core *c);
+void tw_machine_at(tw_core *c, machine *m, const char *yard);
+int tw_rack_index(const tw_core *c, const char *label);
 int tw_machine_silent(const tw_core *c, const machine *m);
 int tw_machine_usable(const tw_core *c, const machine *m);
-int tw_rack_index(const tw_core *c, const char *label);
+
+/* image.c */
+uint32_t tw_sum(const char *name);
+image *tw_image(const machine *m, const job *j);
+double tw_fetch_slowed(const tw_core *c, const machine *m, const image *but);
+
+/* placement.c */
 placement *tw_place(tw_core *c, job *j, int index, machine *m, uint64_t attempt);
 void tw_placement_lost(tw_core *c, placement *p, const char *why);
 void tw_placement_kill(tw_core *c, placement *p, double mercy, int preempted);
 void tw_placement_free(tw_core *c, placement *p);
-image *tw_image(const machine *m, const job *j);
-uint32_t tw_sum(const char *name);
+
+/* report.c, orders.c, fleet.c */
+void tw_hello(tw_core *c, uint64_t conn, const char *body, size_t len, int from_peer);
 void tw_want_direct(tw_core *c, machine *m);
 void tw_want_probe(tw_core *c, machine *m);
-void tw_machine_at(tw_core *c, machine *m, const char *yard);
-double tw_fetch_slowed(const tw_core *c, const machine *m, const image *but);
+void tw_fleet_direct(tw_core *c);
+void tw_fleet_response(tw_core *c, call *k, int status, const char *body, size_t len);
+void tw_fleet_tick(tw_core *c);
 
 /* sick.c */
 void tw_sick_blame(tw_core *c, const placement *p, int elsewhere);
--- /dev/null
+++ b/src/core/fleet.h
@@ -0,0 +1,75 @@
+/* What the files about machines and their reports share. Not for the rest of the core.
+ *
+ * image.c      images on a machine
+ * machine.c    machines by name, type and zone
+ * lapse.c      silence, leases that have ended, zones that are cut off
+ * placement.c  what may run where, and the amounts that this takes
+ * learn.c      moving averages, from starts, runs and boots
+ * task.c       what a report says of one task
+ * report.c     taking a report in and answering it
+ * orders.c     commands, in answers and direct
+ * fleet.c      timed work over all machines */
+#ifndef TW_CORE_FLEET_H
+#define TW_CORE_FLEET_H
+#include "core/core_int.h"
+
+/* A machine that reported within so many intervals hears us; another may act late on a command. */
+#define TW_IN_TOUCH_REPORTS 2.5
+/* Launches in a row that did not take, from which on a machine counts as unresponsive. */
+#define TW_DEAF_AT 3
+
+/* Answers to workers, by the protocol. */
+enum {
+    TW_HTTP_OK = 200,
+    TW_HTTP_BAD_REQUEST = 400,
+    TW_HTTP_CONFLICT = 409, /* of direct orders; holds a report all the same */
+    TW_HTTP_MISDIRECTED = 421,
+    TW_HTTP_UNAVAILABLE = 503
+};
+
+/* Commands under way to one machine. */
+typedef struct {
+    tw_wire_order *list; /* the core's scratch: one answer is put together at a time */
+    int count;
+} tw_orders;
+
+/* image.c */
+int tw_images_fetching(const tw_core *core, const machine *machine, const image *but);
+/* The job's image is used there, or fetched; ready: it is cached by now. */
+void tw_image_note(tw_core *core, machine *machine, const job *job, int ready);
+
+/* lapse.c */
+/* When a worker has surely ended its session, if we answer it no more (steady time). */
+double tw_lapse_at(const tw_core *core, const machine *machine);
+int tw_zone_cut(tw_core *core, const machine *machine);
+void tw_quiet_note(tw_core *core);
+
+/* placement.c */
+/* The task no longer runs there; to: what it is now, T_FREE or T_DONE. */
+void tw_placement_leave(tw_core *core, placement *placed, int to);
+
+/* learn.c */
+void tw_learn_start(tw_core *core, placement *placed);
+void tw_learn_run(tw_core *core, const placement *placed);
+void tw_learn_boot(tw_core *core, const machine *machine);
+
+/* task.c */
+void tw_task_reported(tw_core *core, placement *placed, const tw_wire_piece *told);
+/* A task that we have no placement for. orders: NULL in an answer to direct orders. */
+void tw_task_stranger(tw_core *core, machine *machine, const tw_wire_piece *told,
+                      tw_orders *orders);
+
+/* report.c */
+/* Takes a report in; 0: it is older than what we know. orders: NULL for an answer to direct orders,
+ * which may have overtaken the answer to a report. */
+int tw_report_take(tw_core *core, machine *machine, const tw_wire_report *report,
+                   tw_orders *orders);
+
+/* orders.c */
+tw_orders tw_orders_new(tw_core *core);
+/* A command on the task, without effect when the answer is full: it is due again next time. */
+void tw_orders_add(tw_orders *orders, tw_wire_order order, const char *job);
+/* What a machine is to be told. tick: the report that is answered, or 0 for direct orders. */
+void tw_orders_due(tw_core *core, machine *machine, tw_orders *orders, uint64_t tick);
+
+#endif
--- /dev/null
+++ b/src/core/image.c
@@ -0,0 +1,70 @@
+/* Images on machines: which are cached or on their way, and how much fetches slow each other. */
+#include "core/fleet.h"
+
+#define MAX_IMAGES 64 /* remembered of a machine */
+
+uint32_t tw_sum(const char *name) {
+    const uint32_t offset_basis = 2166136261u;
+    const uint32_t prime = 16777619u;
+    uint32_t sum = offset_basis; /* FNV-1a */
+    for (; *name; name++) sum = (sum ^ (unsigned char)*name) * prime;
+    return sum;
+}
+
+image *tw_image(const machine *machine, const job *job) {
+    image *each;
+    DL_FOREACH(machine->images, each)
+    if (each->sum == job->bundle && !strcmp(each->name, job->s.bundle)) return each;
+    return NULL;
+}
+
+/* Images on their way to the machine, without `but`. */
+int tw_images_fetching(const tw_core *core, const machine *machine, const image *but) {
+    const image *each;
+    int count = 0;
+    DL_FOREACH(machine->images, each) count += each->ready_at > core->now && each != but;
+    return count;
+}
+
+/* How many times as long a fetch takes there beside those under way. */
+double tw_fetch_slowed(const tw_core *core, const machine *machine, const image *but) {
+    const double share = machine->rack < 0 ? 0 : core->flavors[machine->rack].share;
+    return 1 + share * tw_images_fetching(core, machine, but);
+}
+
+/* Those that no longer fit beside the newest are dropped there, the least recently used first. */
+static void drop_old(const tw_core *core, machine *machine, const image *newest) {
+    const double room_gb = machine->rack < 0 ? INFINITY : core->flavors[machine->rack].f.cache_gb;
+    image *each, *next;
+    double total_gb = 0;
+    int count = 0;
+    DL_FOREACH_SAFE(machine->images, each, next) {
+        total_gb += each->gb;
+        count++;
+        if (each != newest && (total_gb > room_gb || count > MAX_IMAGES)) {
+            DL_DELETE(machine->images, each);
+            free(each);
+        }
+    }
+}
+
+void tw_image_note(tw_core *core, machine *machine, const job *job, int ready) {
+    image *found = tw_image(machine, job);
+    if (!found) {
+        found = tw_zalloc(sizeof *found);
+        snprintf(found->name, sizeof found->name, "%s", job->s.bundle);
+        found->sum = job->bundle;
+        found->gb = job->s.image_gb;
+        double s_per_gb = machine->rack >= 0 ? core->flavors[machine->rack].p : 1;
+        if (machine->p > 0) s_per_gb = machine->p;
+        found->ready_at =
+            core->now + job->s.image_gb * s_per_gb * tw_fetch_slowed(core, machine, NULL);
+        DL_PREPEND(machine->images, found);
+    } else if (machine->images != found) { /* most recently used first, as the machine keeps them */
+        DL_DELETE(machine->images, found);
+        DL_PREPEND(machine->images, found);
+    }
+    found->used = core->now;
+    if (ready) found->ready_at = 0;
+    drop_old(core, machine, found);
+}
--- /dev/null
+++ b/src/core/placement.c
@@ -0,0 +1,98 @@
+/* Placements: what may run on a machine, and the amounts that this takes of it and of its team's
+ * limit. A task that may run somewhere counts as running there until a newer report, its machine's
+ * return or a lapsed lease says otherwise. */
+#include "core/fleet.h"
+
+/* Adds (sign 1) or takes off (-1) what the task holds. */
+static void account(tw_core *core, placement *placed, double sign) {
+    const tw_wire_job *s = &placed->job->s;
+    machine *machine = placed->m;
+    machine->used_c += sign * s->cores;
+    machine->used_g += sign * s->gpus;
+    machine->used_m += sign * s->memory_gb;
+    if (placed->preempted) {
+        machine->kill_c += sign * s->cores;
+        machine->kill_g += sign * s->gpus;
+        machine->kill_m += sign * s->memory_gb;
+    } else if (placed->job->has_spec) {
+        machine->held[s->rank].c += sign * s->cores;
+        machine->held[s->rank].g += sign * s->gpus;
+        machine->held[s->rank].m += sign * s->memory_gb;
+    }
+    if (placed->job->team >= 0) {
+        core->team_c[placed->job->team] += sign * s->cores;
+        core->team_g[placed->job->team] += sign * s->gpus;
+    }
+}
+
+/* The caller marks the job changed. */
+placement *tw_place(tw_core *core, job *job, int index, machine *machine, uint64_t attempt) {
+    placement *placed = tw_zalloc(sizeof *placed);
+    placed->job = job;
+    placed->m = machine;
+    placed->index = index;
+    placed->attempt = attempt;
+    placed->ver = job->ver + 1;
+    placed->made_at = core->now;
+    const image *image = tw_image(machine, job);
+    placed->sharing = tw_images_fetching(core, machine, image);
+    if (image) placed->warmth = image->ready_at <= 0 ? 1 : -1;
+    placed->on_job = 1;
+    DL_APPEND2(job->live, placed, jprev, jnext);
+    DL_APPEND(machine->pls, placed);
+    job->st[index] = T_LIVE;
+    job->nlive++;
+    if (attempt >= job->next_try) job->next_try = attempt + 1;
+    account(core, placed, 1);
+    machine->idle_since = 0;
+    return placed;
+}
+
+void tw_placement_leave(tw_core *core, placement *placed, int to) {
+    if (!placed->on_job) return;
+    job *job = placed->job;
+    account(core, placed, -1);
+    placed->on_job = 0;
+    DL_DELETE2(job->live, placed, jprev, jnext);
+    job->nlive--;
+    if (job->st) job->st[placed->index] = (uint8_t)to;
+    if (to == T_DONE) job->ndone++;
+    if (to == T_FREE) {
+        if (placed->index < job->cursor) job->cursor = placed->index;
+        job->pending_since = core->now;
+    }
+    core->sched_dirty = 1;
+}
+
+void tw_placement_free(tw_core *core, placement *placed) {
+    tw_placement_leave(core, placed, T_FREE);
+    DL_DELETE(placed->m->pls, placed);
+    free(placed);
+}
+
+void tw_placement_lost(tw_core *core, placement *placed, const char *why) {
+    job *job = placed->job;
+    const int was_on_job = placed->on_job;
+    if (was_on_job)
+        tw_log_debug("event=lost piece=%s/%d try=%llu tray=%s why=%s", job->id, placed->index,
+                     (unsigned long long)placed->attempt, placed->m->name, why);
+    tw_placement_free(core, placed);
+    if (was_on_job) tw_job_changed(core, job, 0);
+}
+
+void tw_placement_kill(tw_core *core, placement *placed, double grace_s, int preempted) {
+    if (!placed->on_job) return;
+    if (!placed->sent && !placed->direct) {
+        tw_placement_lost(core, placed, "not_sent");
+        return;
+    }
+    if (!placed->kill) placed->kill_at = core->now;
+    placed->kill = 1;
+    placed->mercy_s = grace_s;
+    if (preempted && !placed->preempted) {
+        account(core, placed, -1);
+        placed->preempted = 1;
+        account(core, placed, 1);
+    }
+    tw_want_direct(core, placed->m);
+}
--- /dev/null
+++ b/src/core/task.c
@@ -0,0 +1,154 @@
+/* What a report says of one task: it is fetched, runs, has ended, or is one that we don't know. */
+#include "core/fleet.h"
+
+/* A job that failed on so many other machines is at fault itself. */
+#define ELSEWHERE_BLAMES_JOB 2
+/* Pause before the task is tried again: elsewhere at once, nearly; else growing up to the longest.
+ */
+#define RETRY_ELSEWHERE_S 0.2
+#define RETRY_FIRST_S 0.5
+#define RETRY_DOUBLINGS 8
+#define RETRY_LONGEST_LEASES 3
+/* Refused for want of room: the report that shows why is near. */
+#define RETRY_REFUSED_REPORTS 0.3
+
+static void note_error(tw_core *core, placement *placed, int cause) {
+    job *job = placed->job;
+    const machine *machine = placed->m;
+    job->errors++;
+    /* Failing on several machines in a row, it is the job; then no machine is blamed for it. */
+    int elsewhere = 0;
+    for (int i = 0; i < job->nbad; i++) elsewhere += job->bad[i] && job->bad[i] != machine;
+    const int most = (int)(sizeof job->bad / sizeof job->bad[0]);
+    const int slot = job->nbad < most ? job->nbad++ : job->errors % most;
+    job->bad[slot] = placed->m;
+    const double longest = core->cf->lease_s * RETRY_LONGEST_LEASES;
+    const int doublings = job->errors > RETRY_DOUBLINGS ? RETRY_DOUBLINGS : job->errors;
+    const double pause = elsewhere < ELSEWHERE_BLAMES_JOB
+                             ? RETRY_ELSEWHERE_S
+                             : fmin(longest, RETRY_FIRST_S * (double)(1 << doublings));
+    /* It may be the only machine that fits, and a fault may pass. */
+    job->bad_until = core->now + longest;
+    job->retry_at = core->now + pause;
+    if (cause == TW_CAUSE_ERROR && elsewhere < ELSEWHERE_BLAMES_JOB)
+        tw_sick_blame(core, placed, elsewhere);
+}
+
+static void exited(tw_core *core, placement *placed, const tw_wire_piece *told) {
+    job *job = placed->job;
+    placed->stage = TW_PIECE_EXITED;
+    placed->cause = told->cause;
+    if (!placed->on_job) return;
+    const int over = job->stage != TW_STAGE_PENDING;
+    switch (told->cause) {
+    case TW_CAUSE_DONE:
+        tw_learn_run(core, placed);
+        job->errors = 0;
+        if (placed->run_at > placed->m->failed_at) tw_sick_well(core, placed->m);
+        tw_placement_leave(core, placed, T_DONE);
+        break;
+    case TW_CAUSE_STOPPED:
+        if (told->saved) job->resumed = 1;
+        tw_placement_leave(core, placed, T_FREE);
+        break;
+    case TW_CAUSE_ERROR:
+    case TW_CAUSE_NO_SUCH:
+        if (!over) note_error(core, placed, told->cause);
+        tw_placement_leave(core, placed, T_FREE);
+        break;
+    default:
+        job->retry_at = core->now + RETRY_REFUSED_REPORTS * core->cf->report_s;
+        tw_placement_leave(core, placed, T_FREE);
+        break;
+    }
+    tw_log_debug("event=exited piece=%s/%d tray=%s cause=%d", job->id, placed->index,
+                 placed->m->name, told->cause);
+    if (!over && job->ndone == job->pieces)
+        tw_job_finish(core, job, TW_STAGE_DONE);
+    else
+        tw_job_changed(core, job, 0);
+}
+
+static void started(tw_core *core, placement *placed) {
+    const job *job = placed->job;
+    tw_learn_start(core, placed);
+    placed->run_at = core->now;
+    tw_log_debug("event=running piece=%s/%d lane=%s rack=%s start_s=%.2f waited_s=%.2f", job->id,
+                 placed->index, job->s.lane, placed->m->rack_name, core->now - placed->made_at,
+                 core->now - job->submitted);
+    tw_image_note(core, placed->m, job, 1);
+}
+
+void tw_task_reported(tw_core *core, placement *placed, const tw_wire_piece *told) {
+    machine *machine = placed->m;
+    job *job = placed->job;
+    if (!placed->seen) {
+        machine->deaf = 0;
+        placed->misses = 0;
+    }
+    placed->seen = placed->sent = 1;
+    if (placed->stage == TW_PIECE_EXITED) return;
+    if (told->stage == TW_PIECE_EXITED) {
+        exited(core, placed, told);
+        return;
+    }
+    placed->stage = told->stage;
+    if (!job->has_spec) return;
+    if (told->stage == TW_PIECE_RUNNING && placed->run_at <= 0)
+        started(core, placed);
+    else if (told->stage == TW_PIECE_PULLING && !tw_image(machine, job))
+        tw_image_note(core, machine, job, 0);
+    if (placed->run_at <= 0) return;
+    const double ran_s = core->now - placed->run_at;
+    if (ran_s > 2 * core->cf->lease_s) job->errors = 0;
+    tw_sick_running(core, placed);
+    if (ran_s > core->cf->lease_s) job->begun = 1;
+}
+
+/* It ended before we knew of it; its job, unless NULL, still wants it. */
+static void stranger_exited(tw_core *core, const machine *machine, const tw_wire_piece *told,
+                            job *job, tw_orders *orders) {
+    const int done = told->cause == TW_CAUSE_DONE;
+    if (job && done && job->st[told->index] == T_FREE) {
+        job->st[told->index] = T_DONE;
+        job->ndone++;
+        if (job->ndone == job->pieces)
+            tw_job_finish(core, job, TW_STAGE_DONE);
+        else
+            tw_job_changed(core, job, 0);
+    }
+    /* Only a machine that refuses older tokens can't be made to start it again. */
+    if (orders && machine->confirmed && (!job || !done || job->ver == job->durable_ver))
+        tw_orders_add(
+            orders,
+            (tw_wire_order){.verb = TW_VERB_FORGET, .index = told->index, .attempt = told->attempt},
+            told->job);
+}
+
+void tw_task_stranger(tw_core *core, machine *machine, const tw_wire_piece *told,
+                      tw_orders *orders) {
+    job *job = tw_job_find(core, told->job);
+    if (job && (!job->st || job->stage != TW_STAGE_PENDING || told->index >= job->pieces))
+        job = NULL;
+    if (told->stage == TW_PIECE_EXITED) {
+        stranger_exited(core, machine, told, job, orders);
+        return;
+    }
+    if (job && job->st[told->index] == T_FREE && tw_zone_allows(core, job, machine->yard) &&
+        tw_quota_allows(core, job)) {
+        placement *placed = tw_place(core, job, told->index, machine, told->attempt);
+        placed->inherited = 1;
+        placed->mark = core->mark;
+        tw_task_reported(core, placed, told);
+        tw_job_changed(core, job, 0);
+        tw_log_info("event=adopted piece=%s/%d tray=%s", told->job, told->index, machine->name);
+        return;
+    }
+    tw_log_info("event=stray piece=%s/%d try=%llu tray=%s", told->job, told->index,
+                (unsigned long long)told->attempt, machine->name);
+    if (orders)
+        tw_orders_add(
+            orders,
+            (tw_wire_order){.verb = TW_VERB_KILL, .index = told->index, .attempt = told->attempt},
+            told->job);
+}
