A deputy does not parse a report again that it could not hand on

Cause: a report that could not be handed to the leader was parsed a second time at the node, for its zone and its tasks, while the zone is cut off and each report fails so.

Change: it is recognised by its text like a report that comes again (wire/reports.c).

--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -323,7 +323,7 @@
 static void hand_on(tw_core *c, uint64_t conn, const char *tray, char *body /* owned */,
                     double until) {
     peer *l = *c->leader ? tw_peer_of(c, c->leader) : NULL;
-    tw_wire_report r;
+    const tw_wire_report *r;
     if (!l) {
         park(c, conn, tray, body, until);
     } else if (c->now >= c->relay_bad_until) {
@@ -333,20 +333,20 @@
         k->text = body;
         k->until = until;
         snprintf(k->name, sizeof k->name, "%s", tray);
-    } else if (tw_wire_report_parse(&r, body, strlen(body))) {
+        /* Read when it came, so it is known by its text, unless it waited long. */
+    } else if (!(r = tw_wire_reports_read(c->reports, body, strlen(body)))) {
         tw_reply_error(c, conn, 400, 0, "malformed report");
         free(body);
     } else {
-        if (entitled(c, tray, r.yard)) {
+        if (entitled(c, tray, r->yard)) {
             /* The grant ends; a key, where the state service can be reached, goes on. */
             if (c->now > c->dep_until - 0.5 * tw_deputy_s(c)) become_deputy(c);
-            answer_deputy(c, conn, &r);
+            answer_deputy(c, conn, r);
             free(body);
         } else {
-            if (!strcmp(r.yard, c->cf->location)) become_deputy(c);
+            if (!strcmp(r->yard, c->cf->location)) become_deputy(c);
             park(c, conn, tray, body, until);
         }
-        tw_wire_report_free(&r);
     }
 }
 
