--- /dev/null
+++ b/src/core/accepted_elsewhere.c
@@ -0,0 +1,83 @@
+/* Jobs that another node accepted while it could not ask the leader. That node writes a second key
+ * with the record, which the leader watches; a successor finds the record itself when it loads. */
+#include "core/jobs.h"
+
+/* Until a read of such a job that told nothing is repeated. */
+#define LEARN_S 1.0
+/* A watch is held for this many leases; its answer may take this much longer. */
+#define WATCH_LEASES 2
+#define WATCH_SLACK_S 2
+/* Until a list or watch that failed is repeated, as a share of the leader's lease. */
+#define RETRY_RATIO 0.25
+#define PATH_SIZE 128
+
+/* Reads a job that another node accepted; once it is known, its key has done its service. An answer
+ * may be lost or refused: it stays among the untaken until the key was asked to be removed. */
+static void take_over(tw_core *core, gone *untaken) {
+    char key[TW_NAME + sizeof NEWS];
+    if (!tw_job_find(core, untaken->name)) {
+        if (core->now < untaken->at) return;
+        untaken->at = core->now + LEARN_S;
+        tw_job_lookup(core, 0, untaken->name, OP_POLL);
+        return;
+    }
+    if (!tw_take(core, &core->writes, 1)) return;
+    snprintf(key, sizeof key, NEWS "%s", untaken->name);
+    tw_wire_cond condition = {TW_LEADER_KEY, core->token};
+    tw_wire_write removal = {key, NULL, 0};
+    tw_call(core, K_NEWS_DEL, TW_TO_STATE, core->cf->state, "POST", "/txn",
+            tw_wire_txn_text(&condition, 1, &removal, 1), 1);
+    HASH_DEL(core->untaken, untaken);
+    free(untaken);
+}
+
+static void learn(tw_core *core, const char *key) {
+    const char *id = key + sizeof NEWS - 1;
+    if (strncmp(key, NEWS, sizeof NEWS - 1) != 0 || !tw_wire_id_ok(id, strlen(id))) return;
+    gone *untaken;
+    HASH_FIND_STR(core->untaken, id, untaken);
+    if (!untaken) {
+        untaken = tw_zalloc(sizeof *untaken);
+        snprintf(untaken->name, sizeof untaken->name, "%s", id);
+        HASH_ADD_STR(core->untaken, name, untaken);
+    }
+    take_over(core, untaken);
+}
+
+void tw_news_response(tw_core *core, call *call, int status, const char *body, size_t length) {
+    tw_wire_entry *entries;
+    int count;
+    int more;
+    uint64_t revision;
+    if (call->kind == K_NEWS_DEL) return;
+    core->news_busy = 0;
+    int list = call->kind == K_NEWS_LIST;
+    if (status != TW_HTTP_OK || tw_wire_ledger_parse(&revision, body, length) ||
+        (list ? tw_wire_entries_parse(&entries, &count, &more, body, length)
+              : tw_wire_log_parse(&entries, &count, body, length))) {
+        if (status == TW_HTTP_GONE) core->news_since = 0;
+        core->news_next = core->now + RETRY_RATIO * core->ttl;
+        return;
+    }
+    core->news_since = revision;
+    for (int i = 0; i < count; i++) learn(core, entries[i].key);
+    tw_wire_entries_free(entries, count);
+}
+
+void tw_news_tick(tw_core *core) {
+    gone *untaken;
+    gone *next;
+    HASH_ITER(hh, core->untaken, untaken, next) take_over(core, untaken);
+    if (core->news_busy || core->now < core->news_next || !tw_take(core, &core->reqs, 1)) return;
+    core->news_busy = 1;
+    if (!core->news_since) {
+        tw_call(core, K_NEWS_LIST, TW_TO_STATE, core->cf->state, "GET",
+                "/kv?starts=" NEWS "&most=100", NULL, 2);
+        return;
+    }
+    char path[PATH_SIZE];
+    double hold_s = WATCH_LEASES * core->cf->lease_s;
+    snprintf(path, sizeof path, "/follow?starts=" NEWS "&since=%llu&holdMs=%d",
+             (unsigned long long)core->news_since, (int)(hold_s * 1000));
+    tw_call(core, K_NEWS, TW_TO_STATE, core->cf->state, "GET", path, NULL, hold_s + WATCH_SLACK_S);
+}
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -413,7 +413,7 @@
     char load_after[256];
     double load_retry;
     int load_busy;
-    int news_busy; /* jobs that other nodes accepted, see jobs.c */
+    int news_busy; /* jobs that other nodes accepted, see accepted_elsewhere.c */
     gone *untaken; /* those that we heard of and that aren't among ours yet, and their next read */
     uint64_t news_since;
     double news_next;
@@ -499,7 +499,7 @@
 void tw_term_clear(tw_core *c);
 job *tw_adopt(tw_core *c, const char *id, const char *data, uint64_t stamp);
 
-/* jobs.c */
+/* job.c, job_class.c, job_store.c, turned_away.c, user_requests.c, accepted_elsewhere.c */
 job *tw_job_find(tw_core *c, const char *id);
 job *tw_job_new(tw_core *c, const char *id);
 void tw_job_spec(tw_core *c, job *j, tw_wire_job *s /* taken */);
@@ -522,7 +522,9 @@
 void tw_users_response(tw_core *c, call *k, int status, const char *body, size_t len);
 lane *tw_lane(tw_core *c, const char *name);
 int tw_job_hopeless(tw_core *c, const tw_wire_job *s); /* 422 */
-/* ranges: "0-5,7" of tasks in a state */
+/* The machine types that a job allows, a bit each, over c->flavors. */
+uint32_t tw_rack_mask(const tw_core *c, const tw_wire_job *s);
+/* task_ranges.c: "0-5,7", the tasks in a state */
 char *tw_ranges_text(const uint8_t *st, int n, int want);
 int tw_ranges_apply(uint8_t *st, int n, const char *text, int to);
 
--- /dev/null
+++ b/src/core/job.c
@@ -0,0 +1,243 @@
+/* Life cycle of jobs: how they are made from a submission or a record, what is told of them, how
+ * they end. Nothing here writes records (job_store.c) or takes requests (user_requests.c). */
+#include "core/jobs.h"
+
+/* Time between two passes over the unfinished jobs. */
+#define TICK_S 0.25
+/* Amounts that differ by less count as equal. */
+#define ROUNDING 1e-6
+
+job *tw_job_find(tw_core *core, const char *id) {
+    job *job;
+    HASH_FIND_STR(core->jobs, id, job);
+    return job;
+}
+
+job *tw_job_new(tw_core *core, const char *id) {
+    job *job = tw_zalloc(sizeof *job);
+    snprintf(job->id, sizeof job->id, "%s", id);
+    job->team = -1;
+    job->next_try = 1;
+    job->s.nracks = -1;
+    HASH_ADD_STR(core->jobs, id, job);
+    return job;
+}
+
+static int team_index(const tw_core *core, const char *name) {
+    for (size_t i = 0; i < core->cf->nteams; i++)
+        if (!strcmp(core->cf->teams[i].name, name)) return (int)i;
+    return -1;
+}
+
+uint32_t tw_rack_mask(const tw_core *core, const tw_wire_job *spec) {
+    uint32_t mask = 0;
+    for (int i = 0; i < core->nflavors; i++) {
+        int allowed = spec->nracks < 0;
+        for (int k = 0; k < spec->nracks; k++)
+            allowed |= !strcmp(spec->racks[k], core->flavors[i].f.label);
+        if (allowed) mask |= 1u << i;
+    }
+    return mask;
+}
+
+void tw_job_spec(tw_core *core, job *job, tw_wire_job *spec) {
+    job->s = *spec;
+    memset(spec, 0, sizeof *spec);
+    spec->nracks = -1;
+    job->has_spec = 1;
+    job->pieces = job->s.pieces;
+    job->team = team_index(core, job->s.crew);
+    job->lane = tw_lane(core, job->s.lane);
+    job->rackmask = tw_rack_mask(core, &job->s);
+    job->bundle = tw_sum(job->s.bundle);
+}
+
+int tw_job_durable(const job *job) { return job->created; }
+
+void tw_job_free(tw_core *core, job *job) {
+    HASH_DEL(core->jobs, job);
+    if (job->in_cancelled) DL_DELETE2(core->cancelled, job, cprev, cnext);
+    for (waiter *waiter = job->waiters, *next; waiter; waiter = next) {
+        next = waiter->next;
+        free(waiter);
+    }
+    tw_wire_job_free(&job->s);
+    free(job->st);
+    free(job);
+}
+
+void tw_job_changed(tw_core *core, job *job, int urgent) {
+    job->ver++;
+    if (urgent) job->urgent = 1;
+    if (!job->queued && !job->inflight) {
+        DL_APPEND2(core->dirty, job, wprev, wnext);
+        job->queued = 1;
+    }
+}
+
+/* Kept apart: they are told with every ping. */
+void tw_job_cancelled(tw_core *core, job *job) {
+    if (job->in_cancelled) return;
+    job->in_cancelled = 1;
+    DL_APPEND2(core->cancelled, job, cprev, cnext);
+}
+
+static void uncancelled(tw_core *core, job *job) {
+    if (!job->in_cancelled) return;
+    job->in_cancelled = 0;
+    DL_DELETE2(core->cancelled, job, cprev, cnext);
+}
+
+/* ---- what users are told ---- */
+
+void tw_job_wait(tw_core *core, job *job, uint64_t conn, int cancels) {
+    waiter *waiter = tw_zalloc(sizeof *waiter);
+    waiter->conn = conn;
+    waiter->abort_ = cancels;
+    waiter->until = core->now + ACCEPT_WAIT_S;
+    waiter->next = job->waiters;
+    job->waiters = waiter;
+}
+
+static int running(const job *job) {
+    int count = 0;
+    placement *task;
+    DL_FOREACH2(job->live, task, jnext)
+    if (task->seen && (task->stage == TW_PIECE_RUNNING || task->stage == TW_PIECE_FLUSHING))
+        count++;
+    return count;
+}
+
+char *tw_job_answer(const job *job) {
+    if (job->durable_stage == TW_STAGE_ABORTED || job->durable_stage == TW_STAGE_DONE)
+        return tw_wire_stage_text(job->id, job->durable_stage, job->ndone, 0);
+    int count = running(job);
+    int stage = count ? TW_STAGE_RUNNING : TW_STAGE_PENDING;
+    return tw_wire_stage_text(job->id, stage, job->ndone, count);
+}
+
+/* Whether the state service may hold that the job is over while we don't know it: the write is on
+ * its way, or nothing is known of its fate. Another node may have read it and told a user, so that
+ * only a read that begins after a question can answer it. */
+static int end_in_doubt(const job *job) {
+    return job->over_sent && job->durable_stage == TW_STAGE_PENDING;
+}
+
+int tw_job_answerable(const job *job) { return job->created && !end_in_doubt(job); }
+
+void tw_job_tell(tw_core *core, job *job, int status) {
+    for (waiter **at = &job->waiters; *at;) {
+        waiter *waiter = *at;
+        int over = job->durable_stage != TW_STAGE_PENDING;
+        if (waiter->abort_ ? over : job->created) {
+            tw_reply(core, waiter->conn, waiter->abort_ ? TW_HTTP_OK : status, 0,
+                     tw_wire_stage_text(job->id, job->durable_stage, -1, -1));
+            *at = waiter->next;
+            free(waiter);
+        } else {
+            at = &waiter->next;
+        }
+    }
+}
+
+/* ---- end ---- */
+
+void tw_job_finish(tw_core *core, job *job, int stage) {
+    job->stage = stage;
+    if (stage == TW_STAGE_ABORTED) {
+        tw_job_cancelled(core, job);
+        /* Not first when it is known to be durable: once the write is sent, another node may read
+         * the record and tell the user, and we may never learn of it. Whatever the tasks still do
+         * is of no use to anybody. */
+        placement *p, *t;
+        DL_FOREACH_SAFE2(job->live, p, t, jnext) tw_placement_kill(core, p, 0, 0);
+    }
+    tw_log_debug("event=over id=%s stage=%d", job->id, stage);
+    tw_job_changed(core, job, 1);
+}
+
+void tw_job_retire(tw_core *core, job *job) {
+    if (job->durable_stage == TW_STAGE_PENDING || job->live || job->inflight || !job->st ||
+        job->ver != job->durable_ver)
+        return;
+    DL_DELETE(core->active, job);
+    uncancelled(core, job);
+    free(job->st);
+    job->st = NULL;
+    job->lane = NULL;
+    job->has_spec = 0;
+    tw_wire_job_free(&job->s);
+}
+
+/* ---- time ---- */
+
+/* A gang runs whole or not at all: when a part of it is gone, the rest is stopped (saving what can
+ * be saved) and all is placed again together. */
+static void gang_tick(tw_core *core, job *job) {
+    if (!job->has_spec || !job->s.gang || job->aborting || job->stage != TW_STAGE_PENDING ||
+        !job->nlive || job->nlive + job->ndone >= job->pieces)
+        return;
+    placement *task;
+    placement *next;
+    DL_FOREACH_SAFE2(job->live, task, next, jnext)
+    if (!task->kill) tw_placement_kill(core, task, job->s.snapshot_s > 0 ? job->s.flush_s : 0, 0);
+}
+
+static void abort_tick(tw_core *core, job *job) {
+    if (job->aborting && job->stage == TW_STAGE_PENDING && tw_authority(core) &&
+        core->phase == PH_ACTIVE && tw_abort_safe(core, job, 1) > 0)
+        tw_job_finish(core, job, TW_STAGE_ABORTED);
+}
+
+/* Users who waited for as long as they do, or whom we may tell nothing any more. */
+static void waiters_tick(tw_core *core, job *job) {
+    for (waiter **at = &job->waiters; *at;) {
+        waiter *waiter = *at;
+        if (core->now < waiter->until && tw_authority(core)) {
+            at = &waiter->next;
+            continue;
+        }
+        tw_turn_away(core, waiter->conn, job->id, 1, "not durable in time");
+        *at = waiter->next;
+        free(waiter);
+    }
+}
+
+void tw_jobs_tick(tw_core *core) {
+    if (core->role != R_LEADER || core->now < core->next_tidy) return;
+    core->next_tidy = core->now + TICK_S;
+    tw_job_store_tick(core);
+    job *job, *next;
+    DL_FOREACH_SAFE(core->active, job, next) {
+        waiters_tick(core, job);
+        abort_tick(core, job);
+        gang_tick(core, job);
+        tw_job_retire(core, job);
+    }
+}
+
+/* ---- jobs that can never run ---- */
+
+/* Whether a machine of the type would hold a task where the job may run. */
+static int type_suits(const tw_wire_flavor *type, const tw_wire_job *spec) {
+    if (type->cores + ROUNDING < spec->cores || type->gpus + ROUNDING < spec->gpus ||
+        type->memory_gb + ROUNDING < spec->memory_gb)
+        return 0;
+    if (!*spec->yard) return 1;
+    for (int i = 0; i < type->nyards; i++)
+        if (!strcmp(type->yards[i], spec->yard)) return 1;
+    return 0;
+}
+
+int tw_job_hopeless(tw_core *core, const tw_wire_job *spec) {
+    int index = team_index(core, spec->crew);
+    if (index < 0) return 1;
+    const tw_conf_team *team = &core->cf->teams[index];
+    double at_once = spec->service || spec->gang ? spec->pieces : 1; /* what must run at once */
+    if (team->cpus_max > 0 && spec->cores * at_once > team->cpus_max + ROUNDING) return 1;
+    if (team->gpus_max > 0 && spec->gpus * at_once > team->gpus_max + ROUNDING) return 1;
+    uint32_t mask = tw_rack_mask(core, spec);
+    for (int i = 0; i < core->nflavors; i++)
+        if ((mask & (1u << i)) && type_suits(&core->flavors[i].f, spec)) return 0;
+    return 1;
+}
--- /dev/null
+++ b/src/core/job_store.c
@@ -0,0 +1,338 @@
+/* Records of jobs in the state service: their text, group commit, and reads that settle a record's
+ * revision. Whatever a user is told is durable first. Each write is conditioned on the leader's key
+ * and on the job's own revision, so that neither a deposed leader nor a late copy of an older write
+ * can undo a newer one. */
+#include "core/jobs.h"
+
+/* Most records in a transaction, whatever the state service allows. */
+#define MAX_RECORDS 60
+/* A transaction's text stays under the 64 KiB that the state service takes: room for its frame, and
+ * for what stands around a record, its key (twice) and revision. */
+#define MAX_TXN_BYTES ((size_t)60 * 1024)
+#define FRAME_BYTES 256
+#define RECORD_FRAME_BYTES 200
+/* Conditions that the state service allows for each change. */
+#define CONDITIONS_PER_CHANGE 4
+/* A transaction is given up after this share of the leader's lease. */
+#define TXN_TIMEOUT_RATIO 0.4
+#define LEAST_TXN_TIMEOUT_S 0.5
+/* Until a write whose fate is unknown, or a read that failed, is repeated. */
+#define WRITE_RETRY_S 0.15
+#define READ_RETRY_S 0.2
+#define DEPUTY_KEY "dep/"
+
+/* Records on their way into one transaction. */
+typedef struct {
+    int count;
+    size_t bytes; /* of the transaction's text, at most */
+    job *jobs[MAX_RECORDS];
+    char keys[MAX_RECORDS][JOB_KEY_SIZE];
+    char *texts[MAX_RECORDS];
+} batch;
+
+/* ---- text ---- */
+
+/* The tasks that may run; the caller frees them. */
+static tw_wire_live *live_tasks(const job *job, int *count) {
+    const placement *task;
+    *count = 0;
+    DL_FOREACH2(job->live, task, jnext)++ *count;
+    tw_wire_live *tasks = tw_zalloc((size_t)*count * sizeof *tasks);
+    tw_wire_live *at = tasks;
+    DL_FOREACH2(job->live, task, jnext) {
+        at->index = task->index;
+        at->attempt = task->attempt;
+        snprintf(at->tray, sizeof at->tray, "%s", task->m->name);
+        at++;
+    }
+    return tasks;
+}
+
+char *tw_job_record(const job *job) {
+    tw_wire_record record = {.stage = job->stage,
+                             .pieces = job->pieces,
+                             .ndone = job->ndone,
+                             .submitted = job->submitted_wall,
+                             .next_try = job->next_try};
+    record.live = live_tasks(job, &record.nlive);
+    /* While something may run, a successor needs the job's amounts for the team's limit. */
+    if (job->has_spec && (job->stage == TW_STAGE_PENDING || record.nlive)) {
+        record.has_job = 1;
+        record.job = job->s;
+    }
+    if (job->stage == TW_STAGE_PENDING)
+        record.done_ranges = tw_ranges_text(job->st, job->pieces, T_DONE);
+    char *text = tw_wire_record_text(&record);
+    free(record.live);
+    free(record.done_ranges);
+    return text;
+}
+
+/* ---- group commit ---- */
+
+static void enqueue(tw_core *core, job *job) {
+    DL_APPEND2(core->dirty, job, wprev, wnext);
+    job->queued = 1;
+}
+
+static void dequeue(tw_core *core, job *job) {
+    DL_DELETE2(core->dirty, job, wprev, wnext);
+    job->queued = 0;
+}
+
+static void requeue(tw_core *core, job *job) {
+    if (job->queued || job->inflight) return;
+    if (job->ver == job->durable_ver && job->created) return;
+    enqueue(core, job);
+}
+
+/* Adds the job's record; 0: there is no room for it. */
+static int batch_add(batch *batch, job *job) {
+    char *text = tw_job_record(job);
+    size_t bytes = strlen(text) + RECORD_FRAME_BYTES;
+    if (batch->bytes + bytes > MAX_TXN_BYTES && batch->count) {
+        free(text);
+        return 0;
+    }
+    batch->bytes += bytes;
+    batch->texts[batch->count] = text;
+    snprintf(batch->keys[batch->count], JOB_KEY_SIZE, JOB_KEY "%s", job->id);
+    batch->jobs[batch->count++] = job;
+    return 1;
+}
+
+/* Takes queued records into the batch: those that somebody waits for, or the others. */
+static void batch_fill(tw_core *core, batch *batch, int urgent, int most) {
+    job *job, *next;
+    DL_FOREACH_SAFE2(core->dirty, job, next, wnext) {
+        if (batch->count >= most || batch->count + 1 > tw_peek(core, &core->writes)) return;
+        if (core->now < job->write_after || job->need_read || urgent != !!job->urgent) continue;
+        if (!batch_add(batch, job)) return;
+        dequeue(core, job);
+    }
+}
+
+/* Notes with the call what each record said, for its answer. */
+static void note_writes(call *call, const batch *batch) {
+    call->n = batch->count;
+    call->records = tw_zalloc((size_t)batch->count * sizeof *call->records);
+    for (int i = 0; i < batch->count; i++) {
+        job *job = batch->jobs[i];
+        job_write *write = &call->records[i];
+        *write = (job_write){.ver = job->ver, .stamp = job->stamp, .stage = job->stage};
+        snprintf(write->id, sizeof write->id, "%s", job->id);
+        job->over_sent |= job->stage != TW_STAGE_PENDING;
+        job->inflight = 1;
+        job->writing_ver = job->ver;
+        job->urgent = 0;
+    }
+}
+
+static void batch_send(tw_core *core, const batch *batch) {
+    const int count = batch->count;
+    tw_wire_cond conds[MAX_RECORDS + 1 + core->npeers];
+    tw_wire_write writes[MAX_RECORDS];
+    for (int i = 0; i < count; i++) {
+        conds[i] = (tw_wire_cond){batch->keys[i], batch->jobs[i]->stamp};
+        writes[i] = (tw_wire_write){batch->keys[i], batch->texts[i], 0};
+    }
+    char deputy_keys[core->npeers + 1][TW_NAME + 8];
+    conds[count] = (tw_wire_cond){TW_LEADER_KEY, core->token};
+    int nconds = count + 1 + tw_deputy_conds(core, conds + count + 1, deputy_keys);
+    call *call = tw_call(core, K_TXN, TW_TO_STATE, core->cf->state, "POST", "/txn",
+                         tw_wire_txn_text(conds, (size_t)nconds, writes, (size_t)count),
+                         fmax(LEAST_TXN_TIMEOUT_S, core->ttl * TXN_TIMEOUT_RATIO));
+    note_writes(call, batch);
+    for (int i = 0; i < count; i++) free(batch->texts[i]);
+    core->ntxns++;
+}
+
+void tw_jobs_flush(tw_core *core) {
+    /* One of the conditions is on our key and one on each deputy's. */
+    const int max_conds = CONDITIONS_PER_CHANGE * core->cf->state_txn_ops - 1 - (int)core->npeers;
+    const int allowed = (int)fmax(1, fmin(core->cf->state_txn_ops, max_conds));
+    const int most = allowed < MAX_RECORDS ? allowed : MAX_RECORDS;
+    while (core->dep_known && core->dirty && core->ntxns < TW_MAX_TXNS &&
+           tw_peek(core, &core->writes) >= 1 && tw_peek(core, &core->reqs) >= 1) {
+        batch batch = {.bytes = FRAME_BYTES};
+        batch_fill(core, &batch, 1, most);
+        batch_fill(core, &batch, 0, most);
+        if (!batch.count) return;
+        tw_take(core, &core->writes, batch.count);
+        tw_take(core, &core->reqs, 1);
+        batch_send(core, &batch);
+    }
+}
+
+/* ---- what is known to be written ---- */
+
+/* The record under this stamp, the latest one, holds this stage. */
+static void record_known(job *job, int stage, uint64_t stamp) {
+    job->created = 1;
+    job->need_read = 0;
+    job->stamp = stamp;
+    /* A job that is over never becomes anything else. What counts is the record that was written,
+     * not whether the job has changed since: a task may have ended meanwhile. */
+    if (stage != TW_STAGE_PENDING) job->stage = job->durable_stage = stage;
+}
+
+static void durable(tw_core *core, job *job, const job_write *w, uint64_t stamp) {
+    record_known(job, w->stage, stamp);
+    tw_job_tell(core, job, TW_HTTP_CREATED);
+    if (w->ver > job->durable_ver) job->durable_ver = w->ver;
+    placement *p;
+    DL_FOREACH2(job->live, p, jnext)
+    if (p->ver <= job->durable_ver && !p->sent && !p->kill) tw_want_direct(core, p->m);
+    requeue(core, job);
+    tw_job_retire(core, job);
+}
+
+static char *spec_text(const tw_wire_job *spec) {
+    tw_wire_record record = {.has_job = 1, .job = *spec, .pieces = spec->pieces};
+    return tw_wire_record_text(&record);
+}
+
+/* The first record of a job that we were writing ourselves. If another node accepted the job before
+ * us, with other fields, those hold; of ours nothing was durable, so that nothing was launched. */
+static void first_record(tw_core *core, job *job, const char *data) {
+    tw_wire_record record;
+    if (tw_wire_record_parse(&record, job->id, data, strlen(data))) return;
+    char *ours = spec_text(&job->s), *theirs = spec_text(&record.job);
+    if (record.has_job && strcmp(ours, theirs) != 0) {
+        placement *p, *t;
+        DL_FOREACH_SAFE2(job->live, p, t, jnext) tw_placement_lost(core, p, "other fields");
+        tw_wire_job_free(&job->s);
+        tw_job_spec(core, job, &record.job);
+        free(job->st);
+        job->st = tw_zalloc((size_t)job->pieces);
+        job->cursor = 0;
+        job->submitted_wall = record.submitted;
+        tw_job_changed(core, job, 1);
+        core->sched_dirty = 1;
+    }
+    free(ours);
+    free(theirs);
+    tw_wire_record_free(&record);
+}
+
+/* A job's record was read: another node accepted the job, or a write of ours went through whose
+ * answer was lost. Stamps grow, so a greater one than ours is of a later record; it is the latest,
+ * since only we write records that exist, and nothing of ours is conditioned on it yet. Writes that
+ * are still on their way hold the older stamp, and fail. */
+void tw_job_record_read(tw_core *core, job *job, const tw_wire_entry *entry) {
+    if (entry->stamp <= job->stamp) return;
+    int stage = tw_wire_record_stage(entry->data, strlen(entry->data));
+    if (!job->created) first_record(core, job, entry->data);
+    record_known(job, stage < 0 ? TW_STAGE_PENDING : stage, entry->stamp);
+    tw_job_tell(core, job, TW_HTTP_OK);
+    requeue(core, job);
+    tw_job_retire(core, job);
+}
+
+/* ---- answers ---- */
+
+static void read_record(tw_core *core, job *job) {
+    char path[JOB_PATH_SIZE];
+    job->reading = 1;
+    snprintf(path, sizeof path, JOB_PATH "%s", job->id);
+    call *call = tw_call(core, K_JOB_READ, TW_TO_STATE, core->cf->state, "GET", path, NULL, 1);
+    snprintf(call->name, sizeof call->name, "%s", job->id);
+}
+
+void tw_job_store_tick(tw_core *core) {
+    job *job, *next;
+    DL_FOREACH_SAFE2(core->dirty, job, next, wnext)
+    if (job->need_read && !job->reading && core->now >= job->write_after) read_record(core, job);
+}
+
+/* Keys whose conditions failed, of a transaction's answer. */
+typedef struct {
+    char (*keys)[TW_WIRE_KEY];
+    int count;
+} refusal;
+
+/* Whether the job's record is not of the revision that the write was conditioned on. */
+static int refused(const refusal *refusal, const job_write *write) {
+    const size_t prefix = sizeof JOB_KEY - 1;
+    for (int i = 0; i < refusal->count; i++) {
+        const char *key = refusal->keys[i];
+        if (!strncmp(key, JOB_KEY, prefix) && !strcmp(key + prefix, write->id)) return 1;
+    }
+    return 0;
+}
+
+/* Not carried out, or unknown. A retry under the same stamps is safe either way: if the first went
+ * through, or still will, one of the two fails. */
+static void not_written(tw_core *core, job *job, const job_write *w, int status,
+                        const refusal *refusal) {
+    job->urgent = 1;
+    if (status != TW_HTTP_CONFLICT) job->write_after = core->now + WRITE_RETRY_S;
+    /* A read for a user may have told us the record's stamp since. */
+    if (w->stamp == job->stamp && refused(refusal, w)) job->need_read = 1;
+    requeue(core, job);
+    if (job->need_read && !job->reading) read_record(core, job);
+}
+
+/* Whether our key is still there, by what a transaction was refused for. */
+static int key_kept(tw_core *core, const refusal *refusal) {
+    for (int i = 0; i < refusal->count; i++) {
+        if (!strncmp(refusal->keys[i], DEPUTY_KEY, sizeof DEPUTY_KEY - 1)) tw_deputies_read(core);
+        if (!strcmp(refusal->keys[i], TW_LEADER_KEY)) return 0;
+    }
+    return 1;
+}
+
+static void txn_done(tw_core *core, call *call, int status, const char *body, size_t length) {
+    uint64_t revision = 0;
+    refusal refusal = {NULL, 0};
+    int ok = status == TW_HTTP_OK && !tw_wire_ledger_parse(&revision, body, length);
+    core->ntxns--;
+    if (status == TW_HTTP_OK || status == TW_HTTP_CONFLICT) core->state_ok_at = core->now;
+    if (ok && call->sent > core->dep_checked_at) core->dep_checked_at = call->sent;
+    if (status == TW_HTTP_CONFLICT &&
+        tw_wire_failed_parse(&refusal.keys, &refusal.count, body, length))
+        refusal.count = 0;
+    if (status == TW_HTTP_BAD_REQUEST) tw_log_error("event=txn_refused body=\"%.200s\"", body);
+    if (!key_kept(core, &refusal)) {
+        free(refusal.keys);
+        tw_step_down(core, "leader key lost");
+        return;
+    }
+    for (int i = 0; i < call->n; i++) {
+        const job_write *write = &call->records[i];
+        job *job = tw_job_find(core, write->id);
+        if (!job) continue;
+        job->inflight = 0;
+        if (ok)
+            durable(core, job, write, revision);
+        else
+            not_written(core, job, write, status, &refusal);
+    }
+    free(refusal.keys);
+}
+
+/* A write of ours that was thought lost went through, or another node accepted the job first. */
+static void read_done(tw_core *core, call *call, int status, const char *body, size_t length) {
+    job *job = tw_job_find(core, call->name);
+    if (!job) return;
+    job->reading = 0;
+    if (status == TW_HTTP_NOT_FOUND) {
+        job->stamp = 0;
+        job->need_read = 0;
+        return;
+    }
+    tw_wire_entry entry;
+    if (status != TW_HTTP_OK || tw_wire_entry_parse(&entry, body, length)) {
+        job->write_after = core->now + READ_RETRY_S;
+        return; /* tw_job_store_tick asks again */
+    }
+    tw_job_record_read(core, job, &entry);
+    free(entry.data);
+}
+
+void tw_jobs_response(tw_core *core, call *call, int status, const char *body, size_t length) {
+    if (call->kind == K_TXN)
+        txn_done(core, call, status, body, length);
+    else
+        read_done(core, call, status, body, length);
+}
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -33,15 +33,7 @@
                     c->offers[k++] = (offer){.rack = i, .zone = y, .loaner = s};
         /* Records read before the types were known. */
         job *j;
-        DL_FOREACH(c->active, j) {
-            if (!j->has_spec) continue;
-            j->rackmask = 0;
-            for (int i = 0; i < n; i++) {
-                int ok = j->s.nracks < 0;
-                for (int r = 0; r < j->s.nracks; r++) ok |= !strcmp(j->s.racks[r], f[i].label);
-                if (ok) j->rackmask |= 1u << i;
-            }
-        }
+        DL_FOREACH(c->active, j) if (j->has_spec) j->rackmask = tw_rack_mask(c, &j->s);
         tw_log_info("event=flavors n=%d", n);
     } else { /* only prices move; an index never changes its meaning */
         for (int i = 0; i < n; i++) {
--- /dev/null
+++ b/src/core/turned_away.c
@@ -0,0 +1,51 @@
+/* Submissions that are turned away since their records could not be written in time. They are
+ * expected again: machines are rented for them meanwhile. */
+#include "core/jobs.h"
+
+/* Most memory that they take, as a share of all. */
+#define MEMORY_SHARE 0.05
+/* Of each, beside its struct: hash entry, allocations. */
+#define OVERHEAD_BYTES 100
+#define BYTES_PER_MIB (1024 * 1024)
+
+void tw_turn_away(tw_core *core, uint64_t conn, const char *id, double retry_s, const char *why) {
+    tw_log_debug("event=turned_away id=%s why=\"%s\"", id, why);
+    tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, retry_s, why);
+}
+
+double tw_write_backlog_s(tw_core *core) {
+    int queued = 0;
+    job *job;
+    DL_FOREACH2(core->dirty, job, wnext) queued += job->urgent || !job->created;
+    double have = tw_peek(core, &core->writes);
+    return queued > have ? (queued - have) / core->writes.rate : 0;
+}
+
+static unsigned max_wishes(const tw_core *core) {
+    return (unsigned)(MEMORY_SHARE * core->cf->mem_mb * BYTES_PER_MIB /
+                      (sizeof(wish) + OVERHEAD_BYTES));
+}
+
+void tw_wish_drop(tw_core *core, wish *wish) {
+    HASH_DEL(core->wishes, wish);
+    tw_wire_job_free(&wish->j.s);
+    free(wish);
+}
+
+void tw_wish_for(tw_core *core, tw_wire_job *spec, double retry_s) {
+    wish *wish;
+    HASH_FIND_STR(core->wishes, spec->id, wish);
+    if (!wish) {
+        if (HASH_COUNT(core->wishes) >= max_wishes(core)) {
+            tw_log_debug("event=wish_dropped id=%s of=%u", spec->id, HASH_COUNT(core->wishes));
+            return;
+        }
+        wish = tw_zalloc(sizeof *wish);
+        snprintf(wish->id, sizeof wish->id, "%s", spec->id);
+        snprintf(wish->j.id, sizeof wish->j.id, "%s", spec->id);
+        wish->j.submitted = wish->j.pending_since = core->now;
+        tw_job_spec(core, &wish->j, spec);
+        HASH_ADD_STR(core->wishes, id, wish);
+    }
+    wish->until = core->now + retry_s + core->cf->lease_s;
+}
--- /dev/null
+++ b/src/core/user_requests.c
@@ -0,0 +1,312 @@
+/* What users ask: submissions, questions and cancellations. A node that does not lead hands them to
+ * the leader, or answers by the state service (docs/design.md, "What users are told"). */
+#include "core/jobs.h"
+
+/* The answer to a question that is read from the state service, or handed to the leader, comes
+ * within these times; less than the 2 s that users wait. */
+#define LOOKUP_TIMEOUT_S 0.9
+#define PROXY_POLL_S 0.8
+#define PROXY_SUBMIT_S 0.7
+#define PROXY_CANCEL_S 2
+#define CREATE_TIMEOUT_S 1.5
+/* A leader that answered no ping for this long, beside half its lease, is not asked. */
+#define LEADER_SILENT_S 0.6
+/* A submission that would wait for longer than this share of what users wait is turned away, and
+ * told to come back within this time. */
+#define WAIT_RATIO 0.8
+#define LONGEST_RETRY_S 30
+#define PATH_SIZE 64
+
+/* At the leader, authority is what counts; see docs/design.md, "What users are told". */
+static int leads(const tw_core *core) {
+    return core->role == R_LEADER && core->phase == PH_ACTIVE && tw_authority(core);
+}
+
+/* ---- by the state service, or by the leader ---- */
+
+void tw_job_lookup(tw_core *core, uint64_t conn, const char *id, int op) {
+    if (!tw_take(core, core->role == R_LEADER && tw_authority(core) ? &core->reqs : &core->reads,
+                 1)) {
+        tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "busy");
+        return;
+    }
+    char path[JOB_PATH_SIZE];
+    snprintf(path, sizeof path, JOB_PATH "%s", id);
+    call *call =
+        tw_call(core, K_LOOKUP, TW_TO_STATE, core->cf->state, "GET", path, NULL, LOOKUP_TIMEOUT_S);
+    call->conn = conn;
+    call->op = op;
+    snprintf(call->name, sizeof call->name, "%s", id);
+}
+
+/* Hands a request to the leader; 0 if there is none to hand it to. */
+static int proxy(tw_core *core, uint64_t conn, int op, const char *method, const char *path,
+                 const char *id, char *body, double timeout_s) {
+    peer *p = *core->leader ? tw_peer_of(core, core->leader) : NULL;
+    if (!p || p->ok_at < core->now - 0.5 * core->ttl - LEADER_SILENT_S) return 0;
+    call *call = tw_call(core, K_PROXY, TW_TO_PEER, p->cf.addr, method, path,
+                         body ? strdup(body) : NULL, timeout_s);
+    call->conn = conn;
+    call->op = op;
+    call->text = body;
+    snprintf(call->name, sizeof call->name, "%s", id);
+    return 1;
+}
+
+/* A new job: it is told to be accepted once its first record is written. */
+static void accept_job(tw_core *core, uint64_t conn, tw_wire_job *spec) {
+    wish *wish;
+    HASH_FIND_STR(core->wishes, spec->id, wish);
+    if (wish) tw_wish_drop(core, wish);
+    job *job = tw_job_new(core, spec->id);
+    tw_job_spec(core, job, spec);
+    job->st = tw_zalloc((size_t)job->pieces);
+    job->submitted = job->pending_since = core->now;
+    job->submitted_wall = core->wall;
+    DL_APPEND(core->active, job);
+    if (core->fresh && core->opened_at <= 0) core->opened_at = core->now;
+    tw_lane_arrival(core, job->lane, job);
+    tw_job_wait(core, job, conn, 0);
+    tw_job_changed(core, job, 1);
+    tw_log_debug("event=submitted id=%s lane=%s team=%d pieces=%d cores=%g gpus=%g mem=%g", job->id,
+                 job->s.lane, job->team, job->pieces, job->s.cores, job->s.gpus, job->s.memory_gb);
+    /* One write holds the acceptance and the first placements. */
+    if (!tw_place_new(core, job)) core->sched_dirty = 1;
+}
+
+static void leader_submit(tw_core *core, uint64_t conn, tw_wire_job *spec) {
+    job *job = tw_job_find(core, spec->id);
+    if (job && tw_job_answerable(job)) {
+        tw_reply(core, conn, TW_HTTP_OK, 0, tw_job_answer(job));
+    } else if (job && job->created) {
+        tw_job_lookup(core, conn, spec->id, OP_POLL);
+    } else if (job) {
+        tw_job_wait(core, job, conn, 0);
+    } else {
+        double wait_s = tw_write_backlog_s(core);
+        if (wait_s > ACCEPT_WAIT_S * WAIT_RATIO) {
+            const double retry_s = fmin(LONGEST_RETRY_S, ceil(wait_s));
+            tw_turn_away(core, conn, spec->id, retry_s, "too many submissions");
+            tw_wish_for(core, spec, retry_s);
+            return;
+        }
+        accept_job(core, conn, spec);
+    }
+}
+
+/* Accepts a job without the leader: its key must not exist. The leader learns of it from a second
+ * key, a successor from its load. */
+static void create_direct(tw_core *core, uint64_t conn, tw_wire_job *spec) {
+    if (core->now - core->state_ok_at > 2 * core->ttl || !tw_take(core, &core->creates, 2)) {
+        tw_turn_away(core, conn, spec->id, 1, "no leader");
+        return;
+    }
+    char key[JOB_KEY_SIZE];
+    snprintf(key, sizeof key, JOB_KEY "%s", spec->id);
+    tw_wire_record record = {
+        .has_job = 1, .job = *spec, .pieces = spec->pieces, .submitted = core->wall, .next_try = 1};
+    char *text = tw_wire_record_text(&record);
+    char news[NEWS_KEY_SIZE];
+    snprintf(news, sizeof news, NEWS "%s", spec->id);
+    tw_wire_cond condition = {key, 0};
+    tw_wire_write writes[2] = {{key, text, 0}, {news, "1", 0}};
+    call *call = tw_call(core, K_CREATE, TW_TO_STATE, core->cf->state, "POST", "/txn",
+                         tw_wire_txn_text(&condition, 1, writes, 2), CREATE_TIMEOUT_S);
+    call->conn = conn;
+    snprintf(call->name, sizeof call->name, "%s", spec->id);
+    free(text);
+}
+
+void tw_submit(tw_core *core, uint64_t conn, const char *body, size_t length, int from_peer) {
+    tw_wire_job spec;
+    const char *why = "";
+    if (tw_wire_job_parse(&spec, body, length, &why)) {
+        tw_reply_error(core, conn, TW_HTTP_BAD_REQUEST, 0, why);
+        return;
+    }
+    if (!core->nflavors) {
+        tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "machine types not known yet");
+    } else if (tw_job_hopeless(core, &spec)) {
+        /* A job accepted once must not be refused later: only proof that it is new allows 422. */
+        job *job = leads(core) ? tw_job_find(core, spec.id) : NULL;
+        if (job && tw_job_answerable(job))
+            tw_reply(core, conn, TW_HTTP_OK, 0, tw_job_answer(job));
+        else
+            tw_job_lookup(core, conn, spec.id, OP_REFUSE);
+    } else if (leads(core)) {
+        leader_submit(core, conn, &spec);
+    } else if (from_peer) {
+        tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "not the leader");
+    } else {
+        char *copy = tw_zalloc(length + 1);
+        memcpy(copy, body, length);
+        if (!proxy(core, conn, OP_SUBMIT, "POST", "/v1/jobs", spec.id, copy, PROXY_SUBMIT_S)) {
+            free(copy);
+            create_direct(core, conn, &spec);
+        }
+    }
+    tw_wire_job_free(&spec);
+}
+
+void tw_poll(tw_core *core, uint64_t conn, const char *id, int from_peer) {
+    if (!tw_wire_id_ok(id, strlen(id))) { /* no such id can have been accepted */
+        tw_reply_error(core, conn, TW_HTTP_NOT_FOUND, 0, "no such job");
+        return;
+    }
+    if (leads(core)) {
+        job *job = tw_job_find(core, id);
+        if (job && tw_job_answerable(job))
+            tw_reply(core, conn, TW_HTTP_OK, 0, tw_job_answer(job));
+        else
+            tw_job_lookup(core, conn, id, OP_POLL);
+        return;
+    }
+    char path[PATH_SIZE];
+    snprintf(path, sizeof path, "/v1/jobs/%s", id);
+    if (from_peer || !proxy(core, conn, OP_POLL, "GET", path, id, NULL, PROXY_POLL_S))
+        tw_job_lookup(core, conn, id, OP_POLL);
+}
+
+static void leader_abort(tw_core *core, uint64_t conn, job *job) {
+    if (job->durable_stage != TW_STAGE_PENDING) {
+        tw_reply(core, conn, TW_HTTP_OK, 0,
+                 tw_wire_stage_text(job->id, job->durable_stage, -1, -1));
+        return;
+    }
+    if (job->stage == TW_STAGE_PENDING && !job->aborting) {
+        job->aborting = 1; /* nothing of it is started any more */
+        tw_job_cancelled(core, job);
+        job->abort_seq = ++core->abort_seq;
+    }
+    int safe = job->stage == TW_STAGE_PENDING ? tw_abort_safe(core, job, 1) : 1;
+    if (safe < 0) {
+        /* It goes on as soon as it can be promised; the user is not kept waiting for that. */
+        tw_log_debug("event=cancel_later id=%s", job->id);
+        tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "machines of it can't be reached");
+        return;
+    }
+    tw_job_wait(core, job, conn, 1);
+    if (safe && job->stage == TW_STAGE_PENDING) tw_job_finish(core, job, TW_STAGE_ABORTED);
+}
+
+void tw_abort_job(tw_core *core, uint64_t conn, const char *id, int from_peer) {
+    if (!tw_wire_id_ok(id, strlen(id))) {
+        tw_reply_error(core, conn, TW_HTTP_NOT_FOUND, 0, "no such job");
+        return;
+    }
+    if (leads(core)) {
+        job *job = tw_job_find(core, id);
+        if (job && tw_job_answerable(job))
+            leader_abort(core, conn, job);
+        else
+            tw_job_lookup(core, conn, id, OP_ABORT);
+        return;
+    }
+    char path[PATH_SIZE];
+    snprintf(path, sizeof path, "/v1/jobs/%s/abort", id);
+    char *body = strdup("{}");
+    if (!from_peer && proxy(core, conn, OP_ABORT, "POST", path, id, body, PROXY_CANCEL_S)) return;
+    free(body);
+    /* Without the leader nothing can be cancelled, but what is over can be told. */
+    tw_job_lookup(core, conn, id, OP_ABORT);
+}
+
+/* At the leader: the job, with its record as just read. NULL: read before this term began, and the
+ * job is not known. */
+static job *job_of_record(tw_core *core, const call *call, const tw_wire_entry *entry) {
+    job *job = tw_job_find(core, call->name);
+    if (job)
+        tw_job_record_read(core, job, entry);
+    else if (call->gen == core->gen)
+        job = tw_adopt(core, call->name, entry->data, entry->stamp);
+    return job;
+}
+
+/* An answer by a record that was read after the question came. */
+static void answer_by_record(tw_core *core, const call *call, const tw_wire_entry *entry) {
+    tw_wire_record record;
+    if (tw_wire_record_parse(&record, call->name, entry->data, strlen(entry->data))) {
+        tw_reply_error(core, call->conn, TW_HTTP_UNAVAILABLE, 1, "record can't be read");
+        return;
+    }
+    int over = record.stage != TW_STAGE_PENDING;
+    int stage = over ? record.stage : record.nlive ? TW_STAGE_RUNNING : TW_STAGE_PENDING;
+    if (call->op == OP_ABORT && !over)
+        tw_reply_error(core, call->conn, TW_HTTP_UNAVAILABLE, 1, "no leader");
+    else if (call->op == OP_ABORT)
+        tw_reply(core, call->conn, TW_HTTP_OK, 0, tw_wire_stage_text(call->name, stage, -1, -1));
+    else
+        tw_reply(core, call->conn, TW_HTTP_OK, 0,
+                 tw_wire_stage_text(call->name, stage, record.ndone, over ? 0 : record.nlive));
+    tw_wire_record_free(&record);
+}
+
+static void lookup_done(tw_core *core, call *call, int status, const char *body, size_t length) {
+    if (status == TW_HTTP_OK || status == TW_HTTP_NOT_FOUND) core->state_ok_at = core->now;
+    if (status == TW_HTTP_NOT_FOUND) {
+        if (call->op == OP_REFUSE)
+            tw_reply_error(core, call->conn, TW_HTTP_IMPOSSIBLE, 0, "can never run");
+        else
+            tw_reply_error(core, call->conn, TW_HTTP_NOT_FOUND, 0, "no such job");
+        return;
+    }
+    tw_wire_entry entry;
+    if (status != TW_HTTP_OK || tw_wire_entry_parse(&entry, body, length)) {
+        tw_reply_error(core, call->conn, TW_HTTP_UNAVAILABLE, 1, "state service does not answer");
+        return;
+    }
+    job *job = leads(core) ? job_of_record(core, call, &entry) : NULL;
+    if (job && call->op == OP_ABORT)
+        leader_abort(core, call->conn, job);
+    else if (job)
+        tw_reply(core, call->conn, TW_HTTP_OK, 0, tw_job_answer(job));
+    else
+        answer_by_record(core, call, &entry);
+    free(entry.data);
+}
+
+static void proxy_done(tw_core *core, call *call, int status, const char *body, size_t length) {
+    if (status >= TW_HTTP_OK && status != TW_HTTP_UNAVAILABLE) {
+        char *copy = tw_zalloc(length + 1);
+        memcpy(copy, body, length);
+        tw_reply(core, call->conn, status, 0, copy);
+        return;
+    }
+    if (!call->conn) return;
+    if (call->op == OP_POLL || (call->op == OP_ABORT && status == 0)) {
+        tw_job_lookup(core, call->conn, call->name, call->op);
+        return;
+    }
+    /* A submission may go straight to the state service, even if the leader's write of it still
+     * comes: the key's absence decides. */
+    tw_wire_job spec;
+    const char *why;
+    if (call->op == OP_SUBMIT && status == 0 && call->text &&
+        !tw_wire_job_parse(&spec, call->text, strlen(call->text), &why)) {
+        create_direct(core, call->conn, &spec);
+        tw_wire_job_free(&spec);
+        return;
+    }
+    tw_turn_away(core, call->conn, call->name, 1, "leader does not answer");
+}
+
+static void create_done(tw_core *core, call *call, int status) {
+    if (status == TW_HTTP_OK) {
+        core->state_ok_at = core->now;
+        tw_reply(core, call->conn, TW_HTTP_CREATED, 0,
+                 tw_wire_stage_text(call->name, TW_STAGE_PENDING, -1, -1));
+    } else if (status == TW_HTTP_CONFLICT) {
+        tw_job_lookup(core, call->conn, call->name, OP_POLL);
+    } else {
+        tw_turn_away(core, call->conn, call->name, 1, "state service does not answer");
+    }
+}
+
+void tw_users_response(tw_core *core, call *call, int status, const char *body, size_t length) {
+    if (call->kind == K_LOOKUP)
+        lookup_done(core, call, status, body, length);
+    else if (call->kind == K_PROXY)
+        proxy_done(core, call, status, body, length);
+    else
+        create_done(core, call, status);
+}
