A call is written at once to an open connection, without a turn of the loop

Cause: each call started a writable watcher and was written when the loop said that the socket takes bytes, which an open idle one nearly always does: two epoll_ctl and one epoll_wait a call too many. A new connection was also asked for its error before the first write, which tells the same.

Change: on an open connection the call is written where it begins; the watcher is kept for what the socket did not take, and for connections that are being made. A write that fails there is told from the loop, so that a call still never ends within the call that began it.

Found on the way, and closed: a connection whose response came before all of the call was sent was used again, with the rest of that call missing, so that the peer would have taken the next call as its rest. Such a connection is now closed.

--- a/src/net/client.c
+++ b/src/net/client.c
@@ -34,7 +34,7 @@
 typedef struct connection {
     struct tw_client_host *host;
     int socket;
-    int connected;
+    int connected; /* it has taken bytes */
     ev_io readable;
     ev_io writable;
     ev_timer timer; /* of the call */
@@ -160,41 +160,40 @@
     }
     size_t used = http_parser_execute(&connection->parser, &parser_settings, bytes, (size_t)count);
     if (connection->complete)
+        /* not kept either where the answer came before all was sent: the rest would be taken for
+         * the next call */
         finish(connection, (int)connection->parser.status_code,
-               connection->keep_alive && used == (size_t)count);
+               connection->keep_alive && used == (size_t)count &&
+                   connection->sent == connection->call->length);
     else if (count == 0 || HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK)
         finish(connection, 0, 0);
 }
 
-/* Whether the connection could be made. */
-static int has_connected(client_connection *connection) {
-    int error = 0;
-    socklen_t size = sizeof error;
-    getsockopt(connection->socket, SOL_SOCKET, SO_ERROR, &error, &size);
-    connection->connected = !error;
-    return connection->connected;
-}
-
-static void on_writable(struct ev_loop *loop, ev_io *watcher, int events) {
-    client_connection *connection = watcher->data;
-    (void)events;
-    if (!connection->connected && !has_connected(connection)) {
-        finish(connection, 0, 0);
-        return;
-    }
-    while (connection->call && connection->sent < connection->call->length) {
+/* Sends what the socket takes now of the call, and waits in the loop for the rest. Where it fails,
+ * errno says why, and the call has not ended. */
+static int send_call(client_connection *connection) {
+    struct ev_loop *loop = connection->host->net->loop;
+    while (connection->sent < connection->call->length) {
         ssize_t sent = write(connection->socket, connection->call->data + connection->sent,
                              connection->call->length - connection->sent);
         if (sent >= 0) {
             connection->sent += (size_t)sent;
-        } else if (errno == EAGAIN) {
-            return;
+            connection->connected = 1;
         } else if (errno != EINTR) {
-            finish(connection, 0, 0);
-            return;
+            ev_io_start(loop, &connection->writable);
+            return errno == EAGAIN ? 0 : -1;
         }
     }
     ev_io_stop(loop, &connection->writable);
+    return 0;
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *watcher, int events) {
+    client_connection *connection = watcher->data;
+    (void)loop;
+    (void)events;
+    /* also where the connection could not be made: the first write says so */
+    if (connection->call && send_call(connection)) finish(connection, 0, 0);
 }
 
 static void on_call_timeout(struct ev_loop *loop, ev_timer *watcher, int events) {
@@ -216,7 +215,12 @@
     connection->call = begun;
     connection->sent = 0;
     start_timer(net, &connection->timer, begun->deadline, LEAST_CALL_S);
-    ev_io_start(net->loop, &connection->writable);
+    /* An open connection takes most calls whole, and the loop need not be asked. A failure is told
+     * from the loop, never to the caller within the call: there the write fails again. */
+    if (connection->connected)
+        (void)send_call(connection);
+    else
+        ev_io_start(net->loop, &connection->writable);
 }
 
 /* A new connection to the host, or NULL: it can't be made. */
