A connection at rest holds no buffers; bytes are parsed where they were read

Cause: a server connection kept up to four buffers of 16 KiB each for its next request, though nearly all connections wait at any time; what was read was copied before it was parsed, 8 KiB at a time.

Change: sockets are read into one buffer of the net, 64 KiB at a time, and requests and responses are parsed there. A connection holds the path and body of a request until it was handed over, what it could not parse yet, and what the socket did not take, each only as long as there is some; a body whose length is told gets its room at once instead of by doubling. Whether a caller is kept is asked once a request.

tw_net_test (requests in pieces, together, long; responses in pieces, large) and tw_e2e pass before and after.

--- a/src/net/buffer.c
+++ b/src/net/buffer.c
@@ -2,16 +2,25 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FIRST_CAPACITY 512
-#define KEPT_CAPACITY 16384
+#define FIRST_CAPACITY 64
 
+static void set_capacity(tw_buffer *buffer, size_t capacity) {
+    buffer->bytes = realloc(buffer->bytes, capacity);
+    if (!buffer->bytes) abort();
+    buffer->capacity = capacity;
+}
+
+void tw_buffer_reserve(tw_buffer *buffer, size_t length) {
+    const size_t needed = buffer->length + length + 1;
+    if (length && needed > buffer->capacity) set_capacity(buffer, needed);
+}
+
+/* Doubles the room as often as needed. */
 static void make_room(tw_buffer *buffer, size_t needed) {
     if (needed <= buffer->capacity) return;
     size_t capacity = buffer->capacity ? buffer->capacity : FIRST_CAPACITY;
     while (capacity < needed) capacity *= 2;
-    buffer->bytes = realloc(buffer->bytes, capacity);
-    if (!buffer->bytes) abort();
-    buffer->capacity = capacity;
+    set_capacity(buffer, capacity);
 }
 
 void tw_buffer_append(tw_buffer *buffer, const void *bytes, size_t length) {
@@ -22,12 +31,6 @@
     buffer->bytes[buffer->length] = 0;
 }
 
-void tw_buffer_reset(tw_buffer *buffer) {
-    if (buffer->capacity > KEPT_CAPACITY) tw_buffer_free(buffer);
-    buffer->length = 0;
-    buffer->taken = 0;
-}
-
 void tw_buffer_free(tw_buffer *buffer) {
     free(buffer->bytes);
     memset(buffer, 0, sizeof *buffer);
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -11,8 +11,9 @@
 } tw_buffer;
 
 void tw_buffer_append(tw_buffer *buffer, const void *bytes, size_t length);
-/* Empties it; keeps its room unless that is large. */
-void tw_buffer_reset(tw_buffer *buffer);
+/* Makes room for that many bytes more, and no others. */
+void tw_buffer_reserve(tw_buffer *buffer, size_t length);
+/* Empties it; an empty buffer takes no memory. */
 void tw_buffer_free(tw_buffer *buffer);
 /* The bytes as a string, "" if there are none. */
 const char *tw_buffer_text(const tw_buffer *buffer);
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -14,7 +14,6 @@
 #include <uthash.h>
 #include <utlist.h>
 
-#define READ_SIZE 16384
 #define LONGEST_ADDRESS 64
 #define LONGEST_HEAD (TW_NET_MAX_PATH + 256)
 #define LEAST_CALL_S 0.001  /* a call's timer runs at least so long */
@@ -130,6 +129,14 @@
     send_queued(host);
 }
 
+/* Makes room for the whole body at once where its length is told. */
+static int on_headers_complete(http_parser *parser) {
+    client_connection *connection = parser->data;
+    if (parser->content_length <= connection->host->net->limits.max_response)
+        tw_buffer_reserve(&connection->body, (size_t)parser->content_length);
+    return 0;
+}
+
 static int on_body(http_parser *parser, const char *bytes, size_t length) {
     client_connection *connection = parser->data;
     if (connection->body.length + length > connection->host->net->limits.max_response) return 1;
@@ -144,29 +151,43 @@
     return 0;
 }
 
-static const http_parser_settings parser_settings = {.on_body = on_body,
+static const http_parser_settings parser_settings = {.on_headers_complete = on_headers_complete,
+                                                     .on_body = on_body,
                                                      .on_message_complete = on_message_complete};
 
+/* Whether the connection can be used again after the response. Not where the response came before
+ * all of the call was sent: the next call would be taken for its rest. */
+static int can_be_kept(const client_connection *connection) {
+    return connection->keep_alive && connection->sent == connection->call->length;
+}
+
+/* Parses bytes of the response; none: the connection was closed. Whether more are needed. */
+static int take_bytes(client_connection *connection, const char *bytes, size_t count) {
+    size_t used = http_parser_execute(&connection->parser, &parser_settings, bytes, count);
+    if (connection->complete) {
+        int keep = can_be_kept(connection) && used == count;
+        finish(connection, (int)connection->parser.status_code, keep);
+        return 0;
+    }
+    if (count && HTTP_PARSER_ERRNO(&connection->parser) == HPE_OK) return 1;
+    finish(connection, 0, 0);
+    return 0;
+}
+
 static void on_readable(struct ev_loop *loop, ev_io *watcher, int events) {
     client_connection *connection = watcher->data;
-    char bytes[READ_SIZE];
+    char *received = connection->host->net->received;
+    ssize_t count;
     (void)loop;
     (void)events;
-    ssize_t count = read(connection->socket, bytes, sizeof bytes);
-    if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
-    if (count < 0 || !connection->call) { /* reset, or bytes that nobody asked for */
-        finish(connection, 0, 0);
-        return;
-    }
-    size_t used = http_parser_execute(&connection->parser, &parser_settings, bytes, (size_t)count);
-    if (connection->complete)
-        /* not kept either where the answer came before all was sent: the rest would be taken for
-         * the next call */
-        finish(connection, (int)connection->parser.status_code,
-               connection->keep_alive && used == (size_t)count &&
-                   connection->sent == connection->call->length);
-    else if (count == 0 || HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK)
-        finish(connection, 0, 0);
+    do {
+        count = read(connection->socket, received, TW_NET_READ_SIZE);
+        if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
+        if (count < 0 || !connection->call) { /* reset, or bytes that nobody asked for */
+            finish(connection, 0, 0);
+            return;
+        }
+    } while (take_bytes(connection, received, (size_t)count) && count == TW_NET_READ_SIZE);
 }
 
 /* Sends what the socket takes now of the call, and waits in the loop for the rest. Where it fails,
--- a/src/net/net_int.h
+++ b/src/net/net_int.h
@@ -5,6 +5,8 @@
 
 /* Longest path of a request. */
 #define TW_NET_MAX_PATH 1024
+/* Bytes read from a socket at once. */
+#define TW_NET_READ_SIZE 65536
 
 struct tw_server_connection;
 struct tw_server_listener;
@@ -33,6 +35,9 @@
     void *context;
     tw_net_server server;
     tw_net_client client;
+    /* Room for TW_NET_READ_SIZE bytes, used by whichever connection is read from within one event
+     * of the loop. What it can't use at once it copies. */
+    char *received;
 };
 
 void tw_net_server_free(tw_net *net);
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -17,8 +17,6 @@
 
 #define MAX_HEAD 16384
 #define MAX_INPUT (TW_NET_MAX_BODY + MAX_HEAD)
-#define READ_SIZE 8192
-#define LONGEST_METHOD 8
 #define LONGEST_RETRY_LINE 48
 #define BACKLOG 256
 #define ACCEPTS_AT_ONCE 16
@@ -34,15 +32,16 @@
     ev_io writable;
     ev_timer idle;
     http_parser parser;
+    /* Each is empty, and takes no memory, while there is nothing to keep. */
     tw_buffer path;
     tw_buffer body;
-    tw_buffer input;
-    tw_buffer output;
-    char method[LONGEST_METHOD];
-    int waiting;   /* a request is in hand, not answered yet */
-    int oversized; /* it is longer than allowed */
+    tw_buffer input;  /* what came after the request in hand */
+    tw_buffer output; /* what the socket has not taken yet */
+    int waiting;      /* a request is in hand, not answered yet */
+    int oversized;    /* it is longer than allowed */
     int keep_alive;
     int closing;       /* after what is to be sent */
+    int kept;          /* its caller must be answered before all others */
     int evictable;     /* in the server's list of these */
     double idle_since; /* while it is */
     struct tw_server_connection *prev;
@@ -66,11 +65,16 @@
 
 /* ---- idle connections ---- */
 
+/* Whether the caller of this path must be answered before all others. */
+static int is_kept(const server_connection *connection, const char *path) {
+    const tw_net_limits *limits = &connection->net->limits;
+    return limits->keeps && limits->keeps(connection->port, path);
+}
+
 /* The connection waits for its next request. */
 static void becomes_idle(server_connection *connection) {
     tw_net *net = connection->net;
-    if (net->limits.keeps &&
-        net->limits.keeps(connection->port, tw_buffer_text(&connection->path))) {
+    if (connection->kept) {
         connection->idle.repeat = net->limits.kept_idle_s;
         ev_timer_again(net->loop, &connection->idle);
         return;
@@ -122,7 +126,7 @@
         }
     }
     ev_io_stop(connection->net->loop, &connection->writable);
-    tw_buffer_reset(output);
+    tw_buffer_free(output);
     if (connection->closing)
         close_connection(connection);
     else if (!connection->waiting)
@@ -165,6 +169,7 @@
                  "%s%s\r\n",
                  status, reason_of(status), length, retry,
                  connection->closing ? "Connection: close\r\n" : "");
+    tw_buffer_reserve(&connection->output, (size_t)head_length + length);
     tw_buffer_append(&connection->output, head, (size_t)head_length);
     tw_buffer_append(&connection->output, body, length);
     connection->waiting = 0;
@@ -186,7 +191,7 @@
     static const char message[] = "{\"error\":\"malformed request\"}";
     connection->keep_alive = 0;
     connection->waiting = 1;
-    tw_buffer_reset(&connection->input);
+    tw_buffer_free(&connection->input);
     answer(connection, STATUS_MALFORMED, 0, message, sizeof message - 1);
     send_output(connection);
 }
@@ -195,8 +200,6 @@
 
 static int on_message_begin(http_parser *parser) {
     server_connection *connection = parser->data;
-    tw_buffer_reset(&connection->path);
-    tw_buffer_reset(&connection->body);
     connection->oversized = 0;
     return 0;
 }
@@ -210,6 +213,14 @@
     return 0;
 }
 
+/* Makes room for the whole body at once where its length is told. */
+static int on_headers_complete(http_parser *parser) {
+    server_connection *connection = parser->data;
+    if (parser->content_length <= TW_NET_MAX_BODY)
+        tw_buffer_reserve(&connection->body, (size_t)parser->content_length);
+    return 0;
+}
+
 static int on_body(http_parser *parser, const char *bytes, size_t length) {
     server_connection *connection = parser->data;
     if (connection->body.length + length > TW_NET_MAX_BODY) {
@@ -224,7 +235,6 @@
     server_connection *connection = parser->data;
     connection->keep_alive = http_should_keep_alive(parser);
     connection->waiting = 1;
-    snprintf(connection->method, sizeof connection->method, "%s", http_method_str(parser->method));
     http_parser_pause(parser, 1);
     return 0;
 }
@@ -232,79 +242,104 @@
 static const http_parser_settings parser_settings = {
     .on_message_begin = on_message_begin,
     .on_url = on_url,
+    .on_headers_complete = on_headers_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
 };
 
-/* Parses input up to the end of a request, or as far as there is some. 0, or -1: not HTTP. */
-static int parse_input(server_connection *connection) {
-    tw_buffer *input = &connection->input;
-    input->taken += http_parser_execute(&connection->parser, &parser_settings,
-                                        input->bytes + input->taken, input->length - input->taken);
+/* Parses bytes up to the end of a request, or all of them. How many, or -1: it is not HTTP. */
+static ssize_t parse(server_connection *connection, const char *bytes, size_t length) {
+    size_t used = http_parser_execute(&connection->parser, &parser_settings, bytes, length);
     enum http_errno error = HTTP_PARSER_ERRNO(&connection->parser);
     if (error == HPE_PAUSED)
         http_parser_pause(&connection->parser, 0);
     else if (error != HPE_OK || connection->parser.upgrade)
         return -1;
-    if (input->taken >= input->length) tw_buffer_reset(input);
-    return 0;
+    return (ssize_t)used;
 }
 
-/* Hands the request in hand to the owner, who may answer it within this call. */
-static void hand_over(server_connection *connection) {
+/* Hands the request in hand to the owner, who may answer it within this call. The connection, or
+ * NULL: it was closed. */
+static server_connection *hand_over(server_connection *connection) {
     tw_net *net = connection->net;
-    net->handler.request(net->context, connection->port, connection->id, connection->method,
-                         tw_buffer_text(&connection->path), tw_buffer_text(&connection->body),
-                         connection->body.length);
+    const uint64_t id = connection->id;
+    /* taken off the connection, which may be closed meanwhile */
+    tw_buffer path = connection->path;
+    tw_buffer body = connection->body;
+    memset(&connection->path, 0, sizeof path);
+    memset(&connection->body, 0, sizeof body);
+    connection->kept = is_kept(connection, tw_buffer_text(&path));
+    net->handler.request(net->context, connection->port, id,
+                         http_method_str(connection->parser.method), tw_buffer_text(&path),
+                         tw_buffer_text(&body), body.length);
+    tw_buffer_free(&path);
+    tw_buffer_free(&body);
+    return find(net, id);
 }
 
-/* Parses what has been read, one request at a time: the next one only after its answer. */
-static void take_requests(server_connection *connection) {
-    tw_net *net = connection->net;
-    const uint64_t id = connection->id;
-    while (connection && !connection->waiting && !connection->closing &&
-           connection->input.taken < connection->input.length) {
-        if (parse_input(connection)) {
+/* Keeps what can't be parsed before the request in hand is answered. */
+static void keep_input(server_connection *connection, const char *bytes, size_t length) {
+    if (connection->input.length + length > MAX_INPUT) /* more than a request may hold */
+        close_connection(connection);
+    else
+        tw_buffer_append(&connection->input, bytes, length);
+}
+
+/* Takes requests out of the bytes, one at a time: the next one only after its answer. */
+static void take_requests(server_connection *connection, const char *bytes, size_t length) {
+    size_t used = 0;
+    while (used < length && !connection->waiting && !connection->closing) {
+        ssize_t parsed = parse(connection, bytes + used, length - used);
+        if (parsed < 0) {
             answer_malformed(connection);
             return;
         }
+        used += (size_t)parsed;
         if (!connection->waiting) continue;
         becomes_busy(connection);
         if (connection->oversized) {
             answer_malformed(connection);
             return;
         }
-        hand_over(connection);
-        connection = find(net, id);
+        connection = hand_over(connection);
+        if (!connection) return;
     }
+    if (used < length) keep_input(connection, bytes + used, length - used);
+}
+
+static void take_kept_input(server_connection *connection) {
+    tw_buffer input = connection->input;
+    memset(&connection->input, 0, sizeof input);
+    take_requests(connection, tw_buffer_text(&input), input.length);
+    tw_buffer_free(&input);
 }
 
 /* ---- the loop's events ---- */
 
-/* Reads what has come. 0, or -1: the connection was closed. */
-static int read_input(server_connection *connection) {
-    char bytes[READ_SIZE];
-    ssize_t count = read(connection->socket, bytes, sizeof bytes);
-    if (count < 0 && (errno == EAGAIN || errno == EINTR)) return 0;
+static void read_input(server_connection *connection) {
+    tw_net *net = connection->net;
+    ssize_t count = read(connection->socket, net->received, TW_NET_READ_SIZE);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
     if (count <= 0) {
         close_connection(connection);
-        return -1;
+        return;
     }
     becomes_busy(connection);
-    if (connection->input.length + (size_t)count > MAX_INPUT) { /* more than a request may hold */
-        close_connection(connection);
-        return -1;
-    }
-    tw_buffer_append(&connection->input, bytes, (size_t)count);
-    ev_timer_again(connection->net->loop, &connection->idle);
-    return 0;
+    ev_timer_again(net->loop, &connection->idle);
+    if (connection->input.length)
+        keep_input(connection, net->received, (size_t)count);
+    else
+        take_requests(connection, net->received, (size_t)count);
 }
 
+/* Bytes have come, or those kept can be parsed now. */
 static void on_readable(struct ev_loop *loop, ev_io *watcher, int events) {
     server_connection *connection = watcher->data;
     (void)loop;
-    if ((events & EV_READ) && read_input(connection)) return;
-    if (!connection->waiting) take_requests(connection);
+    if (!connection->waiting && !connection->closing && connection->input.length)
+        take_kept_input(connection);
+    else if (events & EV_READ)
+        read_input(connection);
 }
 
 static void on_writable(struct ev_loop *loop, ev_io *watcher, int events) {
@@ -350,6 +385,7 @@
     ev_timer_again(net->loop, &connection->idle);
     HASH_ADD(hh, net->server.connections, id, sizeof connection->id, connection);
     net->server.count++;
+    connection->kept = is_kept(connection, "");
     becomes_idle(connection);
 }
 
