Settings go from TOML to a tree directly, not by way of JSON text

Cause: a start printed the TOML document as JSON through a C++ stream and parsed that text again.

Change: the shim around toml++ walks the document and makes the cJSON tree itself. Numbers that are not finite, dates and times become strings, as they were in the text. The complaint about a value that the JSON parser could not take is gone, as there is no such value any more.

tests/unit/conf_golden.txt and all of tests/settings are told as before; a date for a name by hand too.

--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -217,14 +217,8 @@
 /* The file's text as a tree, or NULL and a complaint. */
 static cJSON *parse_toml(tw_complaint *complaint, const char *text) {
     char why[LONGEST_PARSER_ERROR] = "";
-    char *json = tw_conf_toml_to_json(text, why, sizeof why);
-    if (!json) {
-        tw_complain(complaint, "settings file is not valid TOML: %s", why);
-        return NULL;
-    }
-    cJSON *root = cJSON_Parse(json);
-    free(json);
-    if (!root) tw_complain(complaint, "settings file holds a value that can't be used");
+    cJSON *root = tw_conf_toml_parse(text, why, sizeof why);
+    if (!root) tw_complain(complaint, "settings file is not valid TOML: %s", why);
     return root;
 }
 
