Five nodes under 15 requests a second elect a leader: following and elections have a budget

Cause: a follower that is refused by the state service's limit looks again after 0.15 to 0.25 of the leader's lease, whatever the limit is. Retries of a new leader's reading of the records (0.05 of the lease) did the same alone. Ruled out: a pace too slow for one candidate (one node left of five always came to lead).

--- /dev/null
+++ b/src/core/authority.c
@@ -0,0 +1,55 @@
+/* Until when this node, or another one, may command and answer workers. Authority to command ends
+ * before the leader's lease in the state service can; renewing workers' leases without it goes on
+ * for a bounded time, which a successor waits out. The argument is in docs/design.md. */
+#include "core/cluster.h"
+
+/* Share of `margin_ratio` that is kept back where a cancellation must be over by `cancel_s`. */
+#define CANCEL_MARGIN 0.4
+
+int tw_authority(const tw_core *core) {
+    return core->role == R_LEADER && core->now < core->auth_until;
+}
+
+double tw_hold_s(const tw_core *core) { return core->cf->tune.hold_ratio * core->cf->lease_s; }
+
+/* A job cancelled at another node must be gone cancel_s later, even where nobody can say so: by its
+ * machine's lease. So whoever cannot exclude that another leads answers for this long at most. */
+double tw_blind_s(const tw_core *core) {
+    const tw_conf *settings = core->cf;
+    const double lease_by_any_clock =
+        settings->lease_s *
+        (1 + CANCEL_MARGIN * settings->tune.margin_ratio + 2 * settings->tune.drift);
+    return fmax(0, fmin(settings->cancel_s - lease_by_any_clock, tw_hold_s(core)));
+}
+
+/* How long a node may answer workers, by its own last authority or the leader's last grant, without
+ * hearing more. Longer than tw_blind_s: a cancellation is told only once all who may answer without
+ * us for longer know of it (tw_abort_safe). */
+double tw_alone_s(const tw_core *core) {
+    return fmin(tw_hold_s(core), tw_blind_s(core) + core->cf->lease_s);
+}
+
+/* Until when surely no other node had led: when all of them last said that they know of no token
+ * later than ours (see vouch). */
+static double sole_until(const tw_core *core) {
+    double until = INFINITY;
+    for (size_t i = 0; i < core->npeers; i++) until = fmin(until, core->peers[i].vouched_at);
+    return until;
+}
+
+/* Without the state service nobody can tell an outage from being cut off alone. Renewing the
+ * workers' leases under the old token goes on for a bounded time; a successor waits that time out
+ * before it takes a silent machine's tasks for ended (tw_predecessor_end). */
+int tw_holding(const tw_core *core) {
+    if (core->role != R_LEADER || core->phase != PH_ACTIVE || core->now < core->auth_until)
+        return 0;
+    return core->now < core->auth_until + tw_hold_s(core) &&
+           core->now < fmax(core->auth_until, sole_until(core)) + tw_alone_s(core);
+}
+
+/* Until when some earlier leader may have answered a worker that has not seen our token. */
+double tw_predecessor_end(const tw_core *core) {
+    if (core->all_confirmed_at > 0) return core->all_confirmed_at;
+    /* From our acquisition on it can't hear from all nodes that none leads. */
+    return core->acquired_at + tw_alone_s(core) * (1 + 2 * core->cf->tune.drift);
+}
--- /dev/null
+++ b/src/core/cluster.h
@@ -0,0 +1,26 @@
+/* What the modules of the cluster share: who leads (election.c), who may command and answer workers
+ * until when (authority.c), heartbeats between nodes (heartbeat.c). Not for other packages. */
+#ifndef TW_CORE_CLUSTER_H
+#define TW_CORE_CLUSTER_H
+#include "core/core_int.h"
+
+/* Status codes of the state service's and of peers' answers. */
+enum {
+    TW_STATUS_OK = 200,
+    TW_STATUS_MALFORMED = 400,
+    TW_STATUS_ABSENT = 404,
+    TW_STATUS_CONFLICT = 409,
+    TW_STATUS_TOO_MANY = 429
+};
+
+/* Room for the path of a request to the state service that holds a few numbers. */
+#define TW_PATH_SIZE 160
+
+/* A number drawn evenly between the two. */
+double tw_jitter(tw_core *core, double least, double most);
+/* For how long at most, after the end of its authority, a leader renews workers' leases. */
+double tw_hold_s(const tw_core *core);
+void tw_ping_response(tw_core *core, const call *sent, int status, const char *body, size_t len);
+void tw_ping_tick(tw_core *core);
+
+#endif
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -107,12 +107,14 @@
     c->cf = cf;
     c->now = now;
     c->wall = wall;
+    c->npeers = cf->npeers;
     c->rng = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(c->rng, (unsigned long)seed);
     c->started_at = now;
     c->state_ok_at = -1e9;
     c->ttl = cf->tune.election_ratio * cf->lease_s;
     if (c->ttl < 0.2) c->ttl = 0.2;
+    tw_election_init(c);
     double ws = cf->tune.write_share;
     c->writes = bucket_of(ws * cf->state_write_rps, ws * cf->state_write_rps * 0.9, now);
     /* The state service's limit is for all nodes together: the leader gets most of it. */
@@ -126,7 +128,6 @@
     c->cloud = bucket_of(ws * cf->cloud_rps, fmax(1, ws * cf->cloud_rps * 2), now);
     c->team_c = tw_zalloc((cf->nteams + 1) * sizeof(double));
     c->team_g = tw_zalloc((cf->nteams + 1) * sizeof(double));
-    c->npeers = cf->npeers;
     c->peers = tw_zalloc(cf->npeers * sizeof *c->peers);
     for (size_t i = 0; i < cf->npeers; i++) {
         c->peers[i].cf = cf->peers[i];
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -367,6 +367,8 @@
     int renew_busy, poll_busy, electing;
     uint64_t watch_since; /* revision to watch the leader key from; 0: read it first */
     double grant_sent, renew_sent;
+    bucket follows;      /* this node's part of the requests that elections may take */
+    int follows_refused; /* of those, in a row */
     char leader[TW_NAME];
     uint64_t leader_token;
     double leader_seen, state_ok_at, started_at;
@@ -477,17 +479,23 @@
 void *tw_zalloc(size_t n);
 
 /* election.c */
+void tw_election_init(tw_core *c); /* needs the settings and the time */
 void tw_election_tick(tw_core *c);
 void tw_election_response(tw_core *c, call *k, int status, const char *body, size_t len);
-int tw_authority(const tw_core *c); /* may command, write and tell */
-int tw_holding(const tw_core *c);   /* may renew workers' leases, no more */
 void tw_saw_token(tw_core *c, uint64_t token, const char *leader);
 void tw_step_down(tw_core *c, const char *why);
+/* How long a leader leaves the state service's limit to others after an answer with this status. */
+double tw_refused_wait_s(tw_core *c, int status);
+
+/* authority.c */
+int tw_authority(const tw_core *c); /* may command, write and tell */
+int tw_holding(const tw_core *c);   /* may renew workers' leases, no more */
 double tw_predecessor_end(const tw_core *c);
 double tw_blind_s(const tw_core *c);
 double tw_alone_s(const tw_core *c);
+
+/* heartbeat.c */
 int tw_abort_safe(tw_core *c, const job *j, int ask);
-void tw_aborted_note(tw_core *c, uint64_t token, const char *body, size_t len);
 void tw_ping_request(tw_core *c, uint64_t conn, const char *body, size_t len);
 peer *tw_peer_of(tw_core *c, const char *name);
 int tw_isolated(const tw_core *c);
@@ -593,6 +601,7 @@
 int tw_send_home(tw_core *c, uint64_t conn, const tw_wire_report *r);
 double tw_deputy_s(const tw_core *c);
 double tw_deputies_until(const tw_core *c, const char *yard);
+void tw_aborted_note(tw_core *c, uint64_t token, const char *body, size_t len);
 void tw_deputy_granted(tw_core *c, double sent, uint64_t token, const char *body, size_t len);
 int tw_deputy_conds(const tw_core *c, tw_wire_cond *conds, char (*keys)[TW_NAME + 8]);
 void tw_deputies_read(tw_core *c);
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -1,421 +1,348 @@
 /* Who leads. The leader holds a key under a lease of the state service; its token is the revision
  * of the transaction that wrote the key, so tokens grow strictly. Authority to command ends before
  * the lease can: it is counted from when the last good renewal was sent, less drift and margin. */
-#include "core/core_int.h"
+#include "core/cluster.h"
 #include <cjson/cJSON.h>
 
-static double jitter(tw_core *c, double lo, double hi) {
-    return lo + (hi - lo) * gsl_rng_uniform(c->rng);
+/* Shares of the leader's lease (ttl). */
+#define AUTHORITY_MARGIN 0.05 /* authority ends that much earlier */
+#define RENEW_EVERY 0.25
+#define RENEW_SLOW 0.2 /* an answer that takes longer: a second renewal goes out */
+#define RENEW_RETRY 0.1
+#define RENEW_TIMEOUT 0.4
+#define ELECTION_TIMEOUT 0.5
+#define ACQUIRED_LATEST 0.9 /* after the lease was asked for: authority would end at once */
+#define POLL_LEAST 0.15     /* between two readings of the key */
+#define POLL_MOST 0.25
+#define WATCH_RETRY_LEAST 0.1
+#define WATCH_RETRY_MOST 0.2
+#define CHANGED_SPREAD 0.08 /* followers that saw the key change don't all read it at once */
+#define LOST_LEAST 0.05     /* after a lost election */
+#define LOST_MOST 0.2
+#define RESIGNED_LEAST 0.05
+#define RESIGNED_MOST 0.25
+
+#define OWN_KEY_GONE_S 0.05 /* from the end of our own old lease to the next reading */
+#define WATCH_ANSWER_S 0.5  /* for a watch's answer to arrive, besides half a lease */
+#define WATCH_MOST_S 60.0   /* by the protocol */
+#define DROP_TIMEOUT_S 1.0
+#define MS 1000
+
+/* ---- the state service's limit of requests ---- */
+
+/* Share of the limit with which all nodes together follow the leader's key and elect. What is left
+ * is the leader's: renewals, reading the records, writes. */
+#define FOLLOW_SHARE 0.4
+/* Requests of a whole election: read, lease, acquisition, its end, read, watch. */
+#define ELECTION_REQUESTS 6.0
+/* Watches take at most so much of it, so that an election finds some left. */
+#define WATCH_SHARE 0.8
+/* Followers that saw the key go read it spread over at least so many rounds of a request a node:
+ * the first one has often acquired it before the next one reads. */
+#define SPREAD_ROUNDS 0.8
+/* Refused requests of a follower in a row after which its waits grow no further. */
+#define REFUSED_MOST 3
+/* After a refusal the leader leaves the limit to others for so many requests. */
+#define LEADER_WAIT_REQUESTS 4.0
+#define WAIT_LEAST 0.5
+#define WAIT_MOST 1.5
+
+double tw_jitter(tw_core *core, double least, double most) {
+    return least + (most - least) * gsl_rng_uniform(core->rng);
 }
 
-int tw_authority(const tw_core *c) { return c->role == R_LEADER && c->now < c->auth_until; }
-
-static double hold_s(const tw_core *c) { return c->cf->tune.hold_ratio * c->cf->lease_s; }
-
-/* A job cancelled at another node must be gone cancel_s later, even where nobody can say so: by its
- * machine's lease. So whoever cannot exclude that another leads answers for this long at most. */
-double tw_blind_s(const tw_core *c) {
-    const tw_conf *cf = c->cf;
-    double s = cf->cancel_s - cf->lease_s * (1 + 0.4 * cf->tune.margin_ratio + 2 * cf->tune.drift);
-    return fmax(0, fmin(s, hold_s(c)));
-}
-
-/* How long a node may answer workers, by its own last authority or the leader's last grant, without
- * hearing more. Longer than tw_blind_s: a cancellation is told only once all who may answer without
- * us for longer know of it (tw_abort_safe). */
-double tw_alone_s(const tw_core *c) { return fmin(hold_s(c), tw_blind_s(c) + c->cf->lease_s); }
-
-/* Until when surely no other node had led: when all of them last said that they know of no token
- * later than ours (see vouch). */
-static double sole_until(const tw_core *c) {
-    double t = INFINITY;
-    for (size_t i = 0; i < c->npeers; i++) t = fmin(t, c->peers[i].vouched_at);
-    return t;
+/* In which the limit allows a request to each node. */
+static double round_s(const tw_core *core) {
+    return (double)(core->npeers + 1) / core->cf->state_rps;
 }
 
-/* Without the state service nobody can tell an outage from being cut off alone. Renewing the
- * workers' leases under the old token goes on for a bounded time; a successor waits that time out
- * before it takes a silent machine's tasks for ended (tw_predecessor_end). */
-int tw_holding(const tw_core *c) {
-    if (c->role != R_LEADER || c->phase != PH_ACTIVE || c->now < c->auth_until) return 0;
-    return c->now < c->auth_until + hold_s(c) &&
-           c->now < fmax(c->auth_until, sole_until(c)) + tw_alone_s(c);
+void tw_election_init(tw_core *core) {
+    const double rate = core->cf->tune.write_share * FOLLOW_SHARE / round_s(core);
+    const double burst = fmax(ELECTION_REQUESTS, rate);
+    core->follows = (bucket){.tokens = burst, .rate = rate, .burst = burst, .at = core->now};
 }
 
-/* Until when some earlier leader may have answered a worker that has not seen our token. */
-double tw_predecessor_end(const tw_core *c) {
-    if (c->all_confirmed_at > 0) return c->all_confirmed_at;
-    /* From our acquisition on it can't hear from all nodes that none leads. */
-    return c->acquired_at + tw_alone_s(c) * (1 + 2 * c->cf->tune.drift);
+double tw_refused_wait_s(tw_core *core, int status) {
+    if (status != TW_STATUS_TOO_MANY) return 0;
+    return LEADER_WAIT_REQUESTS / core->cf->state_rps * tw_jitter(core, WAIT_LEAST, WAIT_MOST);
 }
 
-peer *tw_peer_of(tw_core *c, const char *name) {
-    for (size_t i = 0; i < c->npeers; i++)
-        if (!strcmp(c->peers[i].cf.name, name)) return &c->peers[i];
-    return NULL;
+/* A node whose requests are refused asks ever less often: a limit that all nodes exceed together,
+ * each as often as it may, would let none of them through. */
+static void note_limit(tw_core *core, int status) {
+    if (status != TW_STATUS_TOO_MANY) {
+        if (status) core->follows_refused = 0;
+        return;
+    }
+    const double wait =
+        ldexp(round_s(core), core->follows_refused) * tw_jitter(core, WAIT_LEAST, WAIT_MOST);
+    if (core->follows_refused < REFUSED_MOST) core->follows_refused++;
+    core->next_poll = fmax(core->next_poll, core->now + wait);
 }
 
-int tw_isolated(const tw_core *c) {
-    double since = c->now - 2 * c->ttl - 1;
-    if (c->state_ok_at > since) return 0;
-    for (size_t i = 0; i < c->npeers; i++)
-        if (c->peers[i].ok_at > since) return 0;
-    return 1;
+/* A request of an election that has begun: it is not broken off for want of budget, which is paid
+ * back before the next reading of the key. */
+static void election_call(tw_core *core, int kind, const char *method, const char *path,
+                          char *body /* owned */, double timeout_s) {
+    tw_put_back(&core->follows, -1);
+    tw_call(core, kind, TW_TO_STATE, core->cf->state, method, path, body, timeout_s);
 }
 
-void tw_step_down(tw_core *c, const char *why) {
-    if (c->role != R_LEADER) return;
-    tw_log_info("event=step_down token=%llu why=\"%s\"", (unsigned long long)c->token, why);
-    c->role = R_FOLLOWER;
-    c->gen++;
-    c->renew_busy = 0;
-    c->hold = 0;
-    if (!strcmp(c->leader, c->cf->host_name)) *c->leader = 0;
-    tw_term_clear(c);
-    c->watch_since = 0;
-    c->next_poll = c->now + jitter(c, 0.2, 1) * c->ttl * 0.25;
+/* ---- terms ---- */
+
+void tw_step_down(tw_core *core, const char *why) {
+    if (core->role != R_LEADER) return;
+    tw_log_info("event=step_down token=%llu why=\"%s\"", (unsigned long long)core->token, why);
+    core->role = R_FOLLOWER;
+    core->gen++;
+    core->renew_busy = 0;
+    core->hold = 0;
+    if (!strcmp(core->leader, core->cf->host_name)) *core->leader = 0;
+    tw_term_clear(core);
+    core->watch_since = 0;
+    core->next_poll = core->now + core->ttl * tw_jitter(core, RESIGNED_LEAST, RESIGNED_MOST);
 }
 
 /* Any sign of a later leader: from the state service, a peer or a worker. */
-void tw_saw_token(tw_core *c, uint64_t token, const char *leader) {
-    if (token > c->seen_token) c->seen_token = token;
-    if (leader && *leader && token >= c->leader_token) {
-        c->leader_token = token;
-        c->leader_seen = c->now;
-        snprintf(c->leader, sizeof c->leader, "%s", leader);
+void tw_saw_token(tw_core *core, uint64_t token, const char *leader) {
+    if (token > core->seen_token) core->seen_token = token;
+    if (leader && *leader && token >= core->leader_token) {
+        core->leader_token = token;
+        core->leader_seen = core->now;
+        snprintf(core->leader, sizeof core->leader, "%s", leader);
     }
-    if (c->role == R_LEADER && token > c->token) tw_step_down(c, "a later leader exists");
+    if (core->role == R_LEADER && token > core->token) tw_step_down(core, "a later leader exists");
 }
 
-static void note_state(tw_core *c, int status) {
-    if (status == 200 || status == 404 || status == 409) c->state_ok_at = c->now;
+/* Until when the lease, granted or renewed by a request sent then, gives authority. */
+static double authority_end(const tw_core *core, double sent_at) {
+    return sent_at + core->ttl * (1 - 2 * core->cf->tune.drift) - core->ttl * AUTHORITY_MARGIN;
 }
 
-static void start_election(tw_core *c) {
-    char body[64];
-    c->electing = 1;
-    c->grant_sent = c->now;
-    snprintf(body, sizeof body, "{\"lifeMs\":%d}", (int)(c->ttl * 1000));
-    tw_call(c, K_GRANT, TW_TO_STATE, c->cf->state, "POST", "/grants", strdup(body), c->ttl * 0.5);
+static void become_leader(tw_core *core, uint64_t token) {
+    core->role = R_LEADER;
+    core->gen++;
+    core->token = token;
+    core->acquired_at = core->now;
+    core->auth_until = authority_end(core, core->grant_sent);
+    core->next_renew = core->now;
+    core->renew_busy = 0;
+    core->all_confirmed_at = core->npeers ? 0 : core->now;
+    for (size_t i = 0; i < core->npeers; i++) {
+        core->peers[i].next = core->now;
+        core->peers[i].abort_ack = core->peers[i].asked_seq = 0;
+        core->peers[i].grant_until = 0; /* given by us in an earlier term: under an older token */
+    }
+    tw_saw_token(core, token, core->cf->host_name);
+    tw_log_info("event=leader token=%llu", (unsigned long long)token);
+    tw_recover_begin(core);
 }
 
-static void drop_grant(tw_core *c, uint64_t hold) {
-    char path[64];
-    if (!hold) return;
-    snprintf(path, sizeof path, "/grants/%llu", (unsigned long long)hold);
-    tw_call(c, K_GRANT_DEL, TW_TO_STATE, c->cf->state, "DELETE", path, NULL, 1);
-}
+/* ---- following the leader's key ---- */
 
-static void poll_leader(tw_core *c) {
-    c->poll_busy = 1;
-    tw_call(c, K_LEADER_GET, TW_TO_STATE, c->cf->state, "GET", "/kv/" TW_LEADER_KEY, NULL,
-            fmax(1, c->ttl * 0.5));
+static void poll_leader(tw_core *core) {
+    core->poll_busy = 1;
+    tw_call(core, K_LEADER_GET, TW_TO_STATE, core->cf->state, "GET", "/kv/" TW_LEADER_KEY, NULL,
+            fmax(1, core->ttl * ELECTION_TIMEOUT));
 }
 
 /* A watch instead of many polls: the state service's limit is for all nodes together, and the end
  * of the leader's key is told at once. Held for no more than a term, since its answer also shows
- * that the state service is there. */
-static void watch_leader(tw_core *c) {
-    char path[160];
-    c->poll_busy = 1;
+ * that the state service is there; longer only where the limit allows no watch a term. */
+static void watch_leader(tw_core *core) {
+    const double most_often = WATCH_SHARE * core->follows.rate;
+    const double hold = fmin(fmax(core->ttl, 1 / most_often), WATCH_MOST_S);
+    char path[TW_PATH_SIZE];
+    core->poll_busy = 1;
     snprintf(path, sizeof path, "/follow?starts=" TW_LEADER_KEY "&since=%llu&holdMs=%d",
-             (unsigned long long)c->watch_since, (int)(c->ttl * 1000));
-    tw_call(c, K_LEADER_WATCH, TW_TO_STATE, c->cf->state, "GET", path, NULL, c->ttl * 1.5 + 0.5);
+             (unsigned long long)core->watch_since, (int)(hold * MS));
+    tw_call(core, K_LEADER_WATCH, TW_TO_STATE, core->cf->state, "GET", path, NULL,
+            hold + core->ttl * 0.5 + WATCH_ANSWER_S);
 }
 
-static void on_watch(tw_core *c, int status, const char *body, size_t len) {
+static void on_watch(tw_core *core, int status, const char *body, size_t len) {
     uint64_t ledger;
-    c->poll_busy = 0;
-    c->watch_since = 0;
-    if (status != 200 || tw_wire_ledger_parse(&ledger, body, len)) {
-        c->next_poll = c->now + c->ttl * jitter(c, 0.1, 0.2);
+    core->poll_busy = 0;
+    core->watch_since = 0;
+    if (status != TW_STATUS_OK || tw_wire_ledger_parse(&ledger, body, len)) {
+        core->next_poll =
+            core->now + core->ttl * tw_jitter(core, WATCH_RETRY_LEAST, WATCH_RETRY_MOST);
     } else if (tw_wire_log_any(body, len)) {
         /* Not all followers at the same moment. */
-        c->next_poll = c->now + c->ttl * jitter(c, 0, 0.08);
+        const double spread = fmax(core->ttl * CHANGED_SPREAD, round_s(core) * SPREAD_ROUNDS);
+        core->next_poll = core->now + tw_jitter(core, 0, spread);
     } else {
-        c->watch_since = ledger;
-        c->next_poll = c->now;
+        core->watch_since = ledger;
+        core->next_poll = core->now;
     }
 }
 
-static void renew(tw_core *c) {
-    char path[64];
-    snprintf(path, sizeof path, "/grants/%llu/renew", (unsigned long long)c->hold);
-    c->renew_busy++;
-    c->renew_sent = c->now;
-    tw_call(c, K_RENEW, TW_TO_STATE, c->cf->state, "POST", path, strdup("{}"), c->ttl * 0.4);
-}
-
-/* Ids in a ping: a request's body must hold them. With more of them no grant is given. */
-#define MAX_ABORTED ((64 * 1024 - 1024) / (TW_WIRE_ID + 3))
-
-/* Cancelled jobs of which something may still run: whoever answers workers must stop it. */
-static int aborted_live(const tw_core *c, const char **ids) {
-    const job *j;
-    int n = 0;
-    DL_FOREACH2(c->cancelled, j, cnext) {
-        if ((j->stage != TW_STAGE_ABORTED && !j->aborting) || !j->live) continue;
-        if (n < MAX_ABORTED) ids[n] = j->id;
-        n++;
-    }
-    return n;
-}
-
-/* What this node says of itself to another; aborted: room for the ids a leader sends along. */
-static tw_wire_ping self(const tw_core *c, const char **aborted, int *n) {
-    tw_wire_ping m = {.token = c->seen_token,
-                      .state_ok = c->now - c->state_ok_at < 2 * c->ttl,
-                      .up_s = c->now - c->started_at,
-                      .deputy_s = c->now - fmax(c->started_at, c->dep_last),
-                      .leading = tw_authority(c)};
-    snprintf(m.name, sizeof m.name, "%s", c->cf->host_name);
-    if (m.leading) snprintf(m.leader, sizeof m.leader, "%s", c->cf->host_name);
-    *n = m.leading ? aborted_live(c, aborted) : 0;
-    return m;
-}
+/* ---- elections ---- */
 
-static void ping(tw_core *c, peer *p) {
-    const char *ids[MAX_ABORTED];
-    int n;
-    tw_wire_ping m = self(c, ids, &n);
-    p->busy++;
-    call *k = tw_call(c, K_PING, TW_TO_PEER, p->cf.addr, "POST", "/peer/ping",
-                      tw_wire_ping_text(&m, ids, n > MAX_ABORTED ? 0 : n), 1);
-    snprintf(k->name, sizeof k->name, "%s", p->cf.name);
-    k->seq = n > MAX_ABORTED ? 0 : c->abort_seq;
-}
-
-/* ---- cancelling ---- */
-
-/* Whether all that may answer the job's machines without us, for longer than a cancellation leaves
- * time for, know that it is cancelled. 0 asks them; -1: some can't be asked now. */
-int tw_abort_safe(tw_core *c, const job *j, int ask) {
-    const double limit = c->now + tw_blind_s(c);
-    const placement *p;
-    int safe = 1;
-    DL_FOREACH2(j->live, p, jnext) {
-        const machine *m = p->m;
-        if (!p->sent && !p->inherited && !p->direct) continue;
-        if (!m->confirmed && tw_predecessor_end(c) > limit) return -1;
-        for (size_t i = 0; i < c->npeers; i++) {
-            peer *q = &c->peers[i];
-            if (q->grant_until <= limit || q->abort_ack >= j->abort_seq ||
-                (*m->yard && strcmp(m->yard, q->cf.zone)))
-                continue;
-            safe = 0;
-            if (q->ok_at < c->now - 1 - 0.5 * c->ttl) return -1;
-            if (!ask || q->asked_seq >= j->abort_seq) continue;
-            q->asked_seq = j->abort_seq;
-            ping(c, q);
-        }
-    }
-    return safe;
-}
-
-static void heard_peer(tw_core *c, peer *p, const tw_wire_ping *m) {
-    if (m->token > p->token) p->token = m->token;
-    p->state_ok = m->state_ok;
-    tw_saw_token(c, m->token, m->leading ? m->name : NULL);
-    if (c->role != R_LEADER || c->all_confirmed_at > 0) return;
-    for (size_t i = 0; i < c->npeers; i++)
-        if (c->peers[i].token < c->token) return;
-    c->all_confirmed_at = c->now;
-    tw_log_info("event=peers_confirmed token=%llu", (unsigned long long)c->token);
+static void start_election(tw_core *core) {
+    char body[64];
+    core->electing = 1;
+    core->grant_sent = core->now;
+    snprintf(body, sizeof body, "{\"lifeMs\":%d}", (int)(core->ttl * MS));
+    election_call(core, K_GRANT, "POST", "/grants", strdup(body), core->ttl * ELECTION_TIMEOUT);
 }
 
-void tw_ping_request(tw_core *c, uint64_t conn, const char *body, size_t len) {
-    tw_wire_ping m;
-    if (tw_wire_ping_parse(&m, body, len)) {
-        tw_reply_error(c, conn, 400, 0, "malformed ping");
-        return;
-    }
-    peer *p = tw_peer_of(c, m.name);
-    if (p) heard_peer(c, p, &m);
-    if (p && m.leading) tw_aborted_note(c, m.token, body, len);
-    /* With this answer it may renew leases in its zone for a while, should it lose us. */
-    const char *ids[MAX_ABORTED];
-    int n;
-    tw_wire_ping a = self(c, ids, &n);
-    if (n > MAX_ABORTED) {
-        tw_log_info("event=no_grant aborted=%d", n);
-        a.leading = n = 0;
-    }
-    if (p && a.leading) p->grant_until = c->now + tw_alone_s(c) * (1 + 2 * c->cf->tune.drift);
-    tw_reply(c, conn, 200, 0, tw_wire_ping_text(&a, ids, n));
+static void drop_grant(tw_core *core, uint64_t hold) {
+    char path[TW_PATH_SIZE];
+    if (!hold) return;
+    snprintf(path, sizeof path, "/grants/%llu", (unsigned long long)hold);
+    election_call(core, K_GRANT_DEL, "DELETE", path, NULL, DROP_TIMEOUT_S);
 }
 
-static void become_leader(tw_core *c, uint64_t token) {
-    c->role = R_LEADER;
-    c->gen++;
-    c->token = token;
-    c->acquired_at = c->now;
-    c->auth_until = c->grant_sent + c->ttl * (1 - 2 * c->cf->tune.drift) - c->ttl * 0.05;
-    c->next_renew = c->now;
-    c->renew_busy = 0;
-    c->all_confirmed_at = c->npeers ? 0 : c->now;
-    for (size_t i = 0; i < c->npeers; i++) {
-        c->peers[i].next = c->now;
-        c->peers[i].abort_ack = c->peers[i].asked_seq = 0;
-        c->peers[i].grant_until = 0; /* given by us in an earlier term: under an older token */
+/* The key names a leader, at its revision. */
+static void key_read(tw_core *core, const tw_wire_entry *entry, const char *leader) {
+    tw_saw_token(core, entry->stamp, leader);
+    /* Our own name while we don't lead: an earlier life of this node, or an acquisition whose
+     * answer was lost. Nobody acts on it any more, so its lease is ended at once. */
+    if (core->role == R_FOLLOWER && !core->electing && !strcmp(leader, core->cf->host_name)) {
+        drop_grant(core, entry->hold);
+        *core->leader = 0;
+        core->watch_since = 0;
+        core->next_poll = core->now + OWN_KEY_GONE_S;
     }
-    tw_saw_token(c, token, c->cf->host_name);
-    tw_log_info("event=leader token=%llu", (unsigned long long)token);
-    tw_recover_begin(c);
 }
 
-static void on_leader_key(tw_core *c, int status, const char *body, size_t len) {
-    c->poll_busy = 0;
-    if (status == 404) {
-        *c->leader = 0;
-        if (c->role == R_FOLLOWER && !c->electing) start_election(c);
+static void on_leader_key(tw_core *core, int status, const char *body, size_t len) {
+    core->poll_busy = 0;
+    if (status == TW_STATUS_ABSENT) {
+        *core->leader = 0;
+        if (core->role == R_FOLLOWER && !core->electing) start_election(core);
         return;
     }
-    tw_wire_entry e;
-    if (status != 200 || tw_wire_entry_parse(&e, body, len)) return;
-    c->watch_since = e.stamp;
-    if (c->role == R_FOLLOWER) c->next_poll = c->now;
-    cJSON *o = cJSON_Parse(e.data);
-    const cJSON *n = cJSON_GetObjectItemCaseSensitive(o, "node");
-    if (cJSON_IsString(n) && strlen(n->valuestring) < TW_NAME) {
-        tw_saw_token(c, e.stamp, n->valuestring);
-        /* Our own name while we don't lead: an earlier life of this node, or an acquisition whose
-         * answer was lost. Nobody acts on it any more, so its lease is ended at once. */
-        if (c->role == R_FOLLOWER && !c->electing && !strcmp(n->valuestring, c->cf->host_name)) {
-            drop_grant(c, e.hold);
-            *c->leader = 0;
-            c->watch_since = 0;
-            c->next_poll = c->now + 0.05;
-        }
-    }
-    cJSON_Delete(o);
-    free(e.data);
+    tw_wire_entry entry;
+    if (status != TW_STATUS_OK || tw_wire_entry_parse(&entry, body, len)) return;
+    core->watch_since = entry.stamp;
+    if (core->role == R_FOLLOWER) core->next_poll = core->now;
+    cJSON *data = cJSON_Parse(entry.data);
+    const cJSON *node = cJSON_GetObjectItemCaseSensitive(data, "node");
+    if (cJSON_IsString(node) && strlen(node->valuestring) < TW_NAME)
+        key_read(core, &entry, node->valuestring);
+    cJSON_Delete(data);
+    free(entry.data);
 }
 
-static void on_grant(tw_core *c, int status, const char *body, size_t len) {
+static void on_grant(tw_core *core, int status, const char *body, size_t len) {
     uint64_t hold;
-    if (status != 200 || tw_wire_hold_parse(&hold, body, len)) {
-        c->electing = 0;
+    if (status != TW_STATUS_OK || tw_wire_hold_parse(&hold, body, len)) {
+        core->electing = 0;
         return;
     }
-    c->hold = hold;
+    core->hold = hold;
     char data[128];
-    snprintf(data, sizeof data, "{\"node\":\"%s\"}", c->cf->host_name);
-    tw_wire_cond cond = {TW_LEADER_KEY, 0};
-    tw_wire_write w = {TW_LEADER_KEY, data, hold};
-    tw_call(c, K_ACQUIRE, TW_TO_STATE, c->cf->state, "POST", "/txn",
-            tw_wire_txn_text(&cond, 1, &w, 1), c->ttl * 0.5);
+    snprintf(data, sizeof data, "{\"node\":\"%s\"}", core->cf->host_name);
+    tw_wire_cond absent = {TW_LEADER_KEY, 0};
+    tw_wire_write key = {TW_LEADER_KEY, data, hold};
+    election_call(core, K_ACQUIRE, "POST", "/txn", tw_wire_txn_text(&absent, 1, &key, 1),
+                  core->ttl * ELECTION_TIMEOUT);
 }
 
-static void on_acquire(tw_core *c, int status, const char *body, size_t len) {
+static void on_acquire(tw_core *core, int status, const char *body, size_t len) {
     uint64_t ledger;
-    c->electing = 0;
-    if (status == 200 && !tw_wire_ledger_parse(&ledger, body, len) &&
-        c->now < c->grant_sent + c->ttl * 0.9) {
-        become_leader(c, ledger);
+    core->electing = 0;
+    if (status == TW_STATUS_OK && !tw_wire_ledger_parse(&ledger, body, len) &&
+        core->now < core->grant_sent + core->ttl * ACQUIRED_LATEST) {
+        become_leader(core, ledger);
         return;
     }
     /* Lost, or unknown: giving the lease back undoes an acquisition that went through. */
-    drop_grant(c, c->hold);
-    c->hold = 0;
-    c->watch_since = 0;
-    c->next_poll = c->now + jitter(c, 0.05, 0.2) * c->ttl;
+    drop_grant(core, core->hold);
+    core->hold = 0;
+    core->watch_since = 0;
+    core->next_poll = core->now + core->ttl * tw_jitter(core, LOST_LEAST, LOST_MOST);
+}
+
+/* ---- the leader's lease ---- */
+
+static void renew(tw_core *core) {
+    char path[TW_PATH_SIZE];
+    snprintf(path, sizeof path, "/grants/%llu/renew", (unsigned long long)core->hold);
+    core->renew_busy++;
+    core->renew_sent = core->now;
+    tw_call(core, K_RENEW, TW_TO_STATE, core->cf->state, "POST", path, strdup("{}"),
+            core->ttl * RENEW_TIMEOUT);
 }
 
-static void on_renew(tw_core *c, call *k, int status) {
-    if (k->gen != c->gen || c->role != R_LEADER) return;
-    if (c->renew_busy) c->renew_busy--;
-    if (status == 200) {
-        double until = k->sent + c->ttl * (1 - 2 * c->cf->tune.drift) - c->ttl * 0.05;
-        if (c->now >= c->auth_until) tw_log_info("event=authority_back");
-        if (until > c->auth_until) c->auth_until = until;
-        c->next_renew = k->sent + c->ttl * 0.25;
-        c->sched_dirty = 1;
-    } else if (status == 404) {
-        tw_step_down(c, "lease lost");
+static void on_renew(tw_core *core, const call *sent, int status) {
+    if (sent->gen != core->gen || core->role != R_LEADER) return;
+    if (core->renew_busy) core->renew_busy--;
+    if (status == TW_STATUS_OK) {
+        const double until = authority_end(core, sent->sent);
+        if (core->now >= core->auth_until) tw_log_info("event=authority_back");
+        if (until > core->auth_until) core->auth_until = until;
+        core->next_renew = sent->sent + core->ttl * RENEW_EVERY;
+        core->sched_dirty = 1;
+    } else if (status == TW_STATUS_ABSENT) {
+        tw_step_down(core, "lease lost");
     } else {
-        c->next_renew = c->now + c->ttl * 0.1;
+        core->next_renew =
+            core->now + fmax(core->ttl * RENEW_RETRY, tw_refused_wait_s(core, status));
     }
 }
 
-/* A peer answered a ping and knows of no token later than ours: it has not led until the ping was
- * sent, unless it started anew since it last vouched. Nobody else can lead while we have authority,
- * so a peer that was up before our authority ended counts as having vouched until then: a leader
- * that loses the state service early in its first term is vouched for, too. */
-static void vouch(tw_core *c, peer *p, const call *k, const tw_wire_ping *m) {
-    double known = p->vouched_at;
-    if (c->role == R_LEADER) known = fmax(known, c->auth_until);
-    double started_by = c->now - m->up_s * (1 - 2 * c->cf->tune.drift);
-    if (tw_authority(c) || started_by <= known) p->vouched_at = fmax(p->vouched_at, k->sent);
+/* ---- inputs ---- */
+
+static void note_state(tw_core *core, int status) {
+    if (status == TW_STATUS_OK || status == TW_STATUS_ABSENT || status == TW_STATUS_CONFLICT)
+        core->state_ok_at = core->now;
 }
 
-void tw_election_response(tw_core *c, call *k, int status, const char *body, size_t len) {
-    if (k->kind != K_PING) note_state(c, status);
-    switch (k->kind) {
+void tw_election_response(tw_core *core, call *sent, int status, const char *body, size_t len) {
+    if (sent->kind == K_PING) {
+        tw_ping_response(core, sent, status, body, len);
+        return;
+    }
+    note_state(core, status);
+    switch (sent->kind) {
     case K_LEADER_GET:
-        on_leader_key(c, status, body, len);
+        on_leader_key(core, status, body, len);
         break;
     case K_LEADER_WATCH:
-        on_watch(c, status, body, len);
+        on_watch(core, status, body, len);
         break;
     case K_GRANT:
-        on_grant(c, status, body, len);
+        on_grant(core, status, body, len);
         break;
     case K_ACQUIRE:
-        on_acquire(c, status, body, len);
+        on_acquire(core, status, body, len);
         break;
     case K_RENEW:
-        on_renew(c, k, status);
-        break;
-    case K_PING: {
-        peer *p = tw_peer_of(c, k->name);
-        tw_wire_ping m;
-        if (!p) break;
-        if (p->busy) p->busy--;
-        if (status == 200 && !tw_wire_ping_parse(&m, body, len)) {
-            vouch(c, p, k, &m);
-            if (p->ok_at < k->sent - 1 - 0.5 * c->ttl) p->back_at = c->now;
-            p->ok_at = k->sent;
-            /* Said after the ping was sent; a late copy of a request would not tell when. */
-            p->dep_last = c->now - m.deputy_s;
-            p->dep_asof = k->sent;
-            heard_peer(c, p, &m);
-            if (m.token == c->token && k->gen == c->gen && k->seq > p->abort_ack) {
-                p->abort_ack = k->seq;
-                c->next_tidy = c->now;
-            }
-            if (m.leading) tw_deputy_granted(c, k->sent, m.token, body, len);
-        }
-        break;
-    }
+        on_renew(core, sent, status);
+        return;
     default:
         break;
     }
+    note_limit(core, status);
 }
 
-void tw_election_tick(tw_core *c) {
-    if (c->role == R_LEADER) {
-        /* A second one when the first is slow: the state service now and then takes long. */
-        if ((!c->renew_busy && c->now >= c->next_renew) ||
-            (c->renew_busy == 1 && c->now >= c->renew_sent + c->ttl * 0.2))
-            renew(c);
-        if (c->now >= c->auth_until + hold_s(c) ||
-            (c->phase == PH_LOADING && c->now >= c->auth_until))
-            tw_step_down(c, "no authority");
-    }
-    /* Followers watch the key; a leader without authority looks whether it was replaced. */
-    int watch = c->role == R_FOLLOWER || !tw_authority(c);
-    if (watch && !c->poll_busy && !c->electing && c->now >= c->next_poll) {
-        c->next_poll = c->now + c->ttl * jitter(c, 0.15, 0.25);
-        if (c->watch_since && c->role == R_FOLLOWER)
-            watch_leader(c);
-        else
-            poll_leader(c);
-    }
-    for (size_t i = 0; i < c->npeers; i++) {
-        peer *p = &c->peers[i];
-        if (!p->busy && c->now >= p->next) {
-            p->next = c->now + c->ttl * jitter(c, 0.2, 0.3);
-            ping(c, p);
-        }
-    }
+static void leader_tick(tw_core *core) {
+    const int due = !core->renew_busy && core->now >= core->next_renew;
+    /* A second one when the first is slow: the state service now and then takes long. */
+    const int slow =
+        core->renew_busy == 1 && core->now >= core->renew_sent + core->ttl * RENEW_SLOW;
+    if (due || slow) renew(core);
+    if (core->now >= core->auth_until + tw_hold_s(core) ||
+        (core->phase == PH_LOADING && core->now >= core->auth_until))
+        tw_step_down(core, "no authority");
+}
+
+/* Followers watch the key; a leader without authority looks whether it was replaced. */
+static void follower_tick(tw_core *core) {
+    if (core->poll_busy || core->electing || core->now < core->next_poll) return;
+    if (!tw_take(core, &core->follows, 1)) return;
+    core->next_poll = core->now + core->ttl * tw_jitter(core, POLL_LEAST, POLL_MOST);
+    if (core->watch_since && core->role == R_FOLLOWER)
+        watch_leader(core);
+    else
+        poll_leader(core);
+}
+
+void tw_election_tick(tw_core *core) {
+    if (core->role == R_LEADER) leader_tick(core);
+    if (core->role == R_FOLLOWER || !tw_authority(core)) follower_tick(core);
+    tw_ping_tick(core);
 }
--- /dev/null
+++ b/src/core/heartbeat.c
@@ -0,0 +1,186 @@
+/* Heartbeats between nodes: what each knows, what it vouches for, and with a leader's answer the
+ * grant to renew leases in its zone and the cancelled jobs that may still run. */
+#include "core/cluster.h"
+
+/* Pause between two heartbeats to a peer, in leader's leases. */
+#define PAUSE_LEAST 0.2
+#define PAUSE_MOST 0.3
+/* A peer counts as answering while its last answered heartbeat is at most this old. */
+#define ANSWERS_S 1.0
+#define ANSWERS_LEASES 0.5
+#define TIMEOUT_S 1.0
+/* A node without news for that many leader's leases, and a second, is cut off. */
+#define ISOLATED_LEASES 2.0
+/* Most bytes of a request's body, and those of them that everything but the ids takes. */
+#define BODY_MOST (64 * 1024)
+#define BODY_REST 1024
+/* Ids in a heartbeat: a request's body must hold them. With more of them no grant is given. */
+#define MAX_ABORTED ((BODY_MOST - BODY_REST) / (TW_WIRE_ID + 3))
+
+peer *tw_peer_of(tw_core *core, const char *name) {
+    for (size_t i = 0; i < core->npeers; i++)
+        if (!strcmp(core->peers[i].cf.name, name)) return &core->peers[i];
+    return NULL;
+}
+
+int tw_isolated(const tw_core *core) {
+    const double since = core->now - ISOLATED_LEASES * core->ttl - 1;
+    if (core->state_ok_at > since) return 0;
+    for (size_t i = 0; i < core->npeers; i++)
+        if (core->peers[i].ok_at > since) return 0;
+    return 1;
+}
+
+/* A heartbeat sent earlier than this, answered, says nothing of whether the peer answers now. */
+static double answers_since(const tw_core *core) {
+    return core->now - ANSWERS_S - ANSWERS_LEASES * core->ttl;
+}
+
+/* Cancelled jobs of which something may still run: whoever answers workers must stop it. Returns
+ * how many there are; `ids` holds the first MAX_ABORTED of them. */
+static int aborted_live(const tw_core *core, const char **ids) {
+    const job *cancelled;
+    int count = 0;
+    DL_FOREACH2(core->cancelled, cancelled, cnext) {
+        if ((cancelled->stage != TW_STAGE_ABORTED && !cancelled->aborting) || !cancelled->live)
+            continue;
+        if (count < MAX_ABORTED) ids[count] = cancelled->id;
+        count++;
+    }
+    return count;
+}
+
+/* What this node says of itself to another; aborted: room for the ids a leader sends along. */
+static tw_wire_ping self(const tw_core *core, const char **aborted, int *count) {
+    tw_wire_ping message = {.token = core->seen_token,
+                            .state_ok = core->now - core->state_ok_at < 2 * core->ttl,
+                            .up_s = core->now - core->started_at,
+                            .deputy_s = core->now - fmax(core->started_at, core->dep_last),
+                            .leading = tw_authority(core)};
+    snprintf(message.name, sizeof message.name, "%s", core->cf->host_name);
+    if (message.leading) snprintf(message.leader, sizeof message.leader, "%s", core->cf->host_name);
+    *count = message.leading ? aborted_live(core, aborted) : 0;
+    return message;
+}
+
+static void ping(tw_core *core, peer *to) {
+    const char *ids[MAX_ABORTED];
+    int count;
+    tw_wire_ping message = self(core, ids, &count);
+    const int all_named = count <= MAX_ABORTED;
+    to->busy++;
+    call *sent = tw_call(core, K_PING, TW_TO_PEER, to->cf.addr, "POST", "/peer/ping",
+                         tw_wire_ping_text(&message, ids, all_named ? count : 0), TIMEOUT_S);
+    snprintf(sent->name, sizeof sent->name, "%s", to->cf.name);
+    sent->seq = all_named ? core->abort_seq : 0;
+}
+
+/* ---- cancelling ---- */
+
+/* Whether a peer that may answer a machine without us for longer than a cancellation leaves time
+ * for does not know yet that the job is cancelled. */
+static int must_be_told(const peer *node, const machine *where, const job *cancelled,
+                        double limit) {
+    return node->grant_until > limit && node->abort_ack < cancelled->abort_seq &&
+           (!*where->yard || !strcmp(where->yard, node->cf.zone));
+}
+
+/* Whether all that may answer the job's machines without us, for longer than a cancellation leaves
+ * time for, know that it is cancelled. 0 asks them; -1: some can't be asked now. */
+int tw_abort_safe(tw_core *core, const job *cancelled, int ask) {
+    const double limit = core->now + tw_blind_s(core);
+    const placement *task;
+    int safe = 1;
+    DL_FOREACH2(cancelled->live, task, jnext) {
+        const machine *where = task->m;
+        if (!task->sent && !task->inherited && !task->direct) continue;
+        if (!where->confirmed && tw_predecessor_end(core) > limit) return -1;
+        for (size_t i = 0; i < core->npeers; i++) {
+            peer *node = &core->peers[i];
+            if (!must_be_told(node, where, cancelled, limit)) continue;
+            safe = 0;
+            if (node->ok_at < answers_since(core)) return -1;
+            if (!ask || node->asked_seq >= cancelled->abort_seq) continue;
+            node->asked_seq = cancelled->abort_seq;
+            ping(core, node);
+        }
+    }
+    return safe;
+}
+
+/* ---- hearing from a peer ---- */
+
+static void heard_peer(tw_core *core, peer *from, const tw_wire_ping *message) {
+    if (message->token > from->token) from->token = message->token;
+    from->state_ok = message->state_ok;
+    tw_saw_token(core, message->token, message->leading ? message->name : NULL);
+    if (core->role != R_LEADER || core->all_confirmed_at > 0) return;
+    for (size_t i = 0; i < core->npeers; i++)
+        if (core->peers[i].token < core->token) return;
+    core->all_confirmed_at = core->now;
+    tw_log_info("event=peers_confirmed token=%llu", (unsigned long long)core->token);
+}
+
+void tw_ping_request(tw_core *core, uint64_t conn, const char *body, size_t len) {
+    tw_wire_ping message;
+    if (tw_wire_ping_parse(&message, body, len)) {
+        tw_reply_error(core, conn, TW_STATUS_MALFORMED, 0, "malformed ping");
+        return;
+    }
+    peer *from = tw_peer_of(core, message.name);
+    if (from) heard_peer(core, from, &message);
+    if (from && message.leading) tw_aborted_note(core, message.token, body, len);
+    /* With this answer it may renew leases in its zone for a while, should it lose us. */
+    const char *ids[MAX_ABORTED];
+    int count;
+    tw_wire_ping answer = self(core, ids, &count);
+    if (count > MAX_ABORTED) {
+        tw_log_info("event=no_grant aborted=%d", count);
+        answer.leading = count = 0;
+    }
+    if (from && answer.leading)
+        from->grant_until = core->now + tw_alone_s(core) * (1 + 2 * core->cf->tune.drift);
+    tw_reply(core, conn, TW_STATUS_OK, 0, tw_wire_ping_text(&answer, ids, count));
+}
+
+/* A peer answered a ping and knows of no token later than ours: it has not led until the ping was
+ * sent, unless it started anew since it last vouched. Nobody else can lead while we have authority,
+ * so a peer that was up before our authority ended counts as having vouched until then: a leader
+ * that loses the state service early in its first term is vouched for, too. */
+static void vouch(tw_core *core, peer *from, const call *sent, const tw_wire_ping *answer) {
+    double known = from->vouched_at;
+    if (core->role == R_LEADER) known = fmax(known, core->auth_until);
+    const double started_by = core->now - answer->up_s * (1 - 2 * core->cf->tune.drift);
+    if (tw_authority(core) || started_by <= known)
+        from->vouched_at = fmax(from->vouched_at, sent->sent);
+}
+
+void tw_ping_response(tw_core *core, const call *sent, int status, const char *body, size_t len) {
+    peer *from = tw_peer_of(core, sent->name);
+    tw_wire_ping answer;
+    if (!from) return;
+    if (from->busy) from->busy--;
+    if (status != TW_STATUS_OK || tw_wire_ping_parse(&answer, body, len)) return;
+    vouch(core, from, sent, &answer);
+    if (from->ok_at < sent->sent - ANSWERS_S - ANSWERS_LEASES * core->ttl)
+        from->back_at = core->now;
+    from->ok_at = sent->sent;
+    /* Said after the ping was sent; a late copy of a request would not tell when. */
+    from->dep_last = core->now - answer.deputy_s;
+    from->dep_asof = sent->sent;
+    heard_peer(core, from, &answer);
+    if (answer.token == core->token && sent->gen == core->gen && sent->seq > from->abort_ack) {
+        from->abort_ack = sent->seq;
+        core->next_tidy = core->now;
+    }
+    if (answer.leading) tw_deputy_granted(core, sent->sent, answer.token, body, len);
+}
+
+void tw_ping_tick(tw_core *core) {
+    for (size_t i = 0; i < core->npeers; i++) {
+        peer *to = &core->peers[i];
+        if (to->busy || core->now < to->next) continue;
+        to->next = core->now + core->ttl * tw_jitter(core, PAUSE_LEAST, PAUSE_MOST);
+        ping(core, to);
+    }
+}
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -46,7 +46,8 @@
     tw_wire_entry *e;
     int n, more;
     if (status != 200 || tw_wire_entries_parse(&e, &n, &more, body, len)) {
-        c->load_retry = c->now + c->ttl * 0.05;
+        /* Retries at the limit would leave this term's own renewals no room. */
+        c->load_retry = c->now + fmax(c->ttl * 0.05, tw_refused_wait_s(c, status));
         return;
     }
     c->state_ok_at = c->now;
