--- a/search/draw.c
+++ b/search/draw.c
@@ -7,7 +7,7 @@
 /* Moments of a day, in seconds. */
 enum { FIRST_ANCHOR_S = 8, LAST_ANCHOR_S = 40, ANCHORS_APART_S = 30 };
 /* Shares of days, in percent. */
-enum { PROMISES = 10, FLOODS = 8, LONG_DAYS = 15 };
+enum { PROMISES = 10, FLOODS = 8, LONG_DAYS = 15, REQUEST_LIMITS = 15 };
 enum { WORLD_SEED_MAX = 9999 };
 enum { TROUBLES_MIN = 2, TROUBLES_MAX = 6 };
 /* After the last trouble of a long day: more than a job may wait by the liveness rules. */
@@ -95,6 +95,9 @@
                          ? CALM_S * TW_SEARCH_SECOND
                          : plan->lease + plan->cancel + 5 * TW_SEARCH_SECOND;
     tw_search_until(plan, plan->last + calm);
+    /* Drawn last: days without it stay as they were. */
+    if (tw_search_dice_percent(dice, REQUEST_LIMITS))
+        tw_search_day_add(plan->day, "set rps %d", TW_SEARCH_ONE_OF(dice, 10, 15, 20, 30));
 }
 
 void tw_search_draw(uint32_t seed, tw_search_day *day) {
