Heads of messages are put together from their parts, without a format string

Change: heads are appended part by part to a buffer that gets its room once. A call's request is such a buffer too, so no head is cut any more.

Five answers (200s, refusals with Retry-After, closing ones, malformed) and a call are the same to the byte. tw_net_test passes.

--- a/src/net/buffer.c
+++ b/src/net/buffer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define FIRST_CAPACITY 64
+#define MOST_DIGITS 20 /* of a size_t */
 
 static void set_capacity(tw_buffer *buffer, size_t capacity) {
     buffer->bytes = realloc(buffer->bytes, capacity);
@@ -31,6 +32,20 @@
     buffer->bytes[buffer->length] = 0;
 }
 
+void tw_buffer_append_text(tw_buffer *buffer, const char *text) {
+    tw_buffer_append(buffer, text, strlen(text));
+}
+
+void tw_buffer_append_number(tw_buffer *buffer, size_t number) {
+    char digits[MOST_DIGITS];
+    size_t first = sizeof digits;
+    do {
+        digits[--first] = (char)('0' + number % 10);
+        number /= 10;
+    } while (number);
+    tw_buffer_append(buffer, digits + first, sizeof digits - first);
+}
+
 void tw_buffer_free(tw_buffer *buffer) {
     free(buffer->bytes);
     memset(buffer, 0, sizeof *buffer);
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -11,6 +11,9 @@
 } tw_buffer;
 
 void tw_buffer_append(tw_buffer *buffer, const void *bytes, size_t length);
+void tw_buffer_append_text(tw_buffer *buffer, const char *text);
+/* In decimal digits. */
+void tw_buffer_append_number(tw_buffer *buffer, size_t number);
 /* Makes room for that many bytes more, and no others. */
 void tw_buffer_reserve(tw_buffer *buffer, size_t length);
 /* Empties it; an empty buffer takes no memory. */
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -15,7 +15,7 @@
 #include <utlist.h>
 
 #define LONGEST_ADDRESS 64
-#define LONGEST_HEAD (TW_NET_MAX_PATH + 256)
+#define USUAL_HEAD 160      /* bytes of a call beside its path, address and body, never more */
 #define LEAST_CALL_S 0.001  /* a call's timer runs at least so long */
 #define LEAST_QUEUE_S 0.01  /* a queue is looked at no more often */
 #define TIMER_ERROR_S 0.001 /* timers fire early by up to that */
@@ -23,8 +23,7 @@
 
 typedef struct call {
     uint64_t id;
-    char *data; /* the request as sent */
-    size_t length;
+    tw_buffer request; /* as sent */
     double deadline;
     struct call *prev;
     struct call *next;
@@ -40,7 +39,7 @@
     http_parser parser;
     tw_buffer body;    /* of the response */
     client_call *call; /* NULL: idle */
-    size_t sent;       /* of the call's data */
+    size_t sent;       /* of the call's request */
     int complete;      /* the response is */
     int keep_alive;    /* after it */
     struct connection *prev;
@@ -64,25 +63,23 @@
 
 /* ---- calls ---- */
 
-/* The whole request. The head is cut where it is longer than any that we send. */
-static void write_request(client_call *call, const char *method, const char *path,
+static void write_request(tw_buffer *request, const char *method, const char *path,
                           const char *address, const char *body) {
-    size_t body_length = body ? strlen(body) : 0;
-    char head[LONGEST_HEAD];
-    int head_length = snprintf(head, sizeof head,
-                               "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
-                               "Content-Length: %zu\r\n\r\n",
-                               method, path, address, body_length);
-    if (head_length >= (int)sizeof head) head_length = (int)sizeof head - 1;
-    call->length = (size_t)head_length + body_length;
-    call->data = malloc(call->length + 1);
-    if (!call->data) abort();
-    memcpy(call->data, head, (size_t)head_length);
-    if (body) memcpy(call->data + head_length, body, body_length + 1);
+    const size_t length = body ? strlen(body) : 0;
+    tw_buffer_reserve(request, USUAL_HEAD + strlen(path) + strlen(address) + length);
+    tw_buffer_append_text(request, method);
+    tw_buffer_append_text(request, " ");
+    tw_buffer_append_text(request, path);
+    tw_buffer_append_text(request, " HTTP/1.1\r\nHost: ");
+    tw_buffer_append_text(request, address);
+    tw_buffer_append_text(request, "\r\nContent-Type: application/json\r\nContent-Length: ");
+    tw_buffer_append_number(request, length);
+    tw_buffer_append_text(request, "\r\n\r\n");
+    tw_buffer_append(request, body, length);
 }
 
 static void free_call(client_call *call) {
-    free(call->data);
+    tw_buffer_free(&call->request);
     free(call);
 }
 
@@ -158,7 +155,7 @@
 /* Whether the connection can be used again after the response. Not where the response came before
  * all of the call was sent: the next call would be taken for its rest. */
 static int can_be_kept(const client_connection *connection) {
-    return connection->keep_alive && connection->sent == connection->call->length;
+    return connection->keep_alive && connection->sent == connection->call->request.length;
 }
 
 /* Parses bytes of the response; none: the connection was closed. Whether more are needed. */
@@ -194,9 +191,9 @@
  * errno says why, and the call has not ended. */
 static int send_call(client_connection *connection) {
     struct ev_loop *loop = connection->host->net->loop;
-    while (connection->sent < connection->call->length) {
-        ssize_t sent = write(connection->socket, connection->call->data + connection->sent,
-                             connection->call->length - connection->sent);
+    while (connection->sent < connection->call->request.length) {
+        ssize_t sent = write(connection->socket, connection->call->request.bytes + connection->sent,
+                             connection->call->request.length - connection->sent);
         if (sent >= 0) {
             connection->sent += (size_t)sent;
             connection->connected = 1;
@@ -407,7 +404,7 @@
     client_call *queued = tw_net_alloc(sizeof *queued);
     queued->id = id;
     queued->deadline = ev_now(net->loop) + timeout_s;
-    write_request(queued, method, path, addr, body);
+    write_request(&queued->request, method, path, addr, body);
     DL_APPEND(host->queue, queued);
     send_queued(host);
 }
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -7,7 +7,6 @@
 #include "net/net_int.h"
 #include <errno.h>
 #include <http_parser.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -17,7 +16,7 @@
 
 #define MAX_HEAD 16384
 #define MAX_INPUT (TW_NET_MAX_BODY + MAX_HEAD)
-#define LONGEST_RETRY_LINE 48
+#define USUAL_HEAD 160 /* bytes of an answer before its body, seldom more */
 #define BACKLOG 256
 #define ACCEPTS_AT_ONCE 16
 
@@ -157,21 +156,22 @@
 /* Puts the answer to the request in hand into the output. */
 static void answer(server_connection *connection, int status, double retry_after, const char *body,
                    size_t length) {
-    char head[256];
-    char retry[LONGEST_RETRY_LINE] = "";
-    if (retry_after > 0)
-        snprintf(retry, sizeof retry, "Retry-After: %d\r\n",
-                 retry_after < 1 ? 1 : (int)(retry_after + 0.5));
+    tw_buffer *output = &connection->output;
     if (!connection->keep_alive) connection->closing = 1;
-    int head_length =
-        snprintf(head, sizeof head,
-                 "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n"
-                 "%s%s\r\n",
-                 status, reason_of(status), length, retry,
-                 connection->closing ? "Connection: close\r\n" : "");
-    tw_buffer_reserve(&connection->output, (size_t)head_length + length);
-    tw_buffer_append(&connection->output, head, (size_t)head_length);
-    tw_buffer_append(&connection->output, body, length);
+    tw_buffer_reserve(output, USUAL_HEAD + length);
+    tw_buffer_append_text(output, "HTTP/1.1 ");
+    tw_buffer_append_number(output, (size_t)status);
+    tw_buffer_append_text(output, " ");
+    tw_buffer_append_text(output, reason_of(status));
+    tw_buffer_append_text(output, "\r\nContent-Type: application/json\r\nContent-Length: ");
+    tw_buffer_append_number(output, length);
+    if (retry_after > 0) {
+        tw_buffer_append_text(output, "\r\nRetry-After: ");
+        tw_buffer_append_number(output, retry_after < 1 ? 1 : (size_t)(retry_after + 0.5));
+    }
+    if (connection->closing) tw_buffer_append_text(output, "\r\nConnection: close");
+    tw_buffer_append_text(output, "\r\n\r\n");
+    tw_buffer_append(output, body, length);
     connection->waiting = 0;
 }
 
