--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -107,7 +107,7 @@
     if (machine->rack < 0 && *machine->rack_name)
         machine->rack = tw_rack_index(core, machine->rack_name);
     /* A lease does not end within its length of a report: few machines need a closer look. */
-    const int is_renewed = core->now < machine->heard + cf->lease_s;
+    const int is_renewed = core->now <= machine->heard + tw_lease_longest_s(core);
     const double lapse_at = is_renewed ? INFINITY : tw_lapse_at(core, machine);
     if (sent && core->now > lapse_at && core->dep_known) lapse(core, machine);
     /* One with a predecessor's tasks is up: it is silent, below, if we don't hear of it. */
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -39,6 +39,8 @@
 void tw_image_note(tw_core *core, machine *machine, const job *job, int ready);
 
 /* lapse.c */
+/* What a worker's lease may last by our clock, from a report that we answered. */
+double tw_lease_longest_s(const tw_core *core);
 /* When a worker has surely ended its session, if we answer it no more (steady time). */
 double tw_lapse_at(const tw_core *core, const machine *machine);
 int tw_zone_cut(tw_core *core, const machine *machine);
--- a/src/core/lapse.c
+++ b/src/core/lapse.c
@@ -32,9 +32,13 @@
            core->now - machine->contact < TW_IN_TOUCH_REPORTS * core->cf->report_s;
 }
 
+double tw_lease_longest_s(const tw_core *core) {
+    const tw_conf *cf = core->cf;
+    return cf->lease_s * (1 + 2 * cf->tune.drift + cf->tune.margin_ratio);
+}
+
 /* A worker that has not seen our token may still have been answered by a predecessor. */
 double tw_lapse_at(const tw_core *core, const machine *machine) {
-    const tw_conf *cf = core->cf;
     double from =
         fmax(fmax(machine->heard, machine->renewed), tw_deputies_until(core, machine->yard));
     /* A session has a full lease from its beginning, also one that no report of was ever answered:
@@ -45,7 +49,7 @@
     /* Once it knows our token, a predecessor's answers no longer count; until then they may have.
      */
     from = fmax(from, machine->confirmed ? machine->confirmed_at : tw_predecessor_end(core));
-    const double lease = cf->lease_s * (1 + 2 * cf->tune.drift + cf->tune.margin_ratio);
+    const double lease = tw_lease_longest_s(core);
     double at = from + lease;
     /* Nodes of its zone that may have answered it while they could not reach us: either one said
      * later that it had not, or its grant is over. */
