--- /dev/null
+++ b/bench/cases/idle.c
@@ -0,0 +1,76 @@
+/* What time alone costs: ticks with nothing to do, and the plan. */
+#include "fleet.h"
+
+#define ROUNDS 3
+#define TASKS 8
+#define LEADER_S 10
+#define FOLLOWER_S 60
+#define PLANS 10 /* in a round */
+#define PLAN_EVERY_S 0.5
+
+static const int usual_waiting[] = {0, 100, 1000};
+#define WAITING_SIZES ((int)(sizeof usual_waiting / sizeof *usual_waiting))
+
+/* All inputs but reports, over rounds of so many simulated seconds. */
+static int run_idle(const tw_bench_load *load, int seconds, double units, tw_bench_result *result,
+                    tw_bench_results *results) {
+    tw_bench_fleet *fleet = tw_bench_fleet_ready(load);
+    if (!fleet) return -1;
+    result->machines = load->machines;
+    result->tasks = load->tasks;
+    for (int i = 0; i < ROUNDS; i++) {
+        tw_bench_meter meter = {.kinds = TW_BENCH_TICK | TW_BENCH_ANSWER | TW_BENCH_PEER};
+        tw_bench_fleet_measure(fleet, &meter);
+        tw_bench_fleet_advance(fleet, seconds);
+        tw_bench_fleet_measure(fleet, NULL);
+        tw_bench_result_round(result, &meter, units);
+    }
+    tw_bench_results_add(results, result);
+    tw_bench_fleet_free(fleet);
+    return 0;
+}
+
+int tw_bench_case_leader(const tw_bench_sizes *sizes, tw_bench_results *results) {
+    const tw_bench_load load = {.machines = sizes->machines,
+                                .tasks = tw_bench_size(sizes->tasks, TASKS)};
+    tw_bench_result result = tw_bench_result_of("leader", "simulated s");
+    return run_idle(&load, LEADER_S, LEADER_S, &result, results);
+}
+
+int tw_bench_case_follower(const tw_bench_sizes *sizes, tw_bench_results *results) {
+    const tw_bench_load load = {.follower = 1};
+    tw_bench_result result = tw_bench_result_of("follower", "simulated min");
+    (void)sizes;
+    return run_idle(&load, FOLLOWER_S, 1, &result, results);
+}
+
+static int run_plan(const tw_bench_load *load, tw_bench_results *results) {
+    tw_bench_result result = tw_bench_result_of("plan", "tick");
+    tw_bench_fleet *fleet = tw_bench_fleet_ready(load);
+    if (!fleet) return -1;
+    result.machines = load->machines;
+    result.tasks = load->tasks;
+    result.jobs = load->waiting;
+    for (int i = 0; i < ROUNDS; i++) {
+        tw_bench_meter meter = {.kinds = TW_BENCH_TICK};
+        tw_bench_fleet_measure(fleet, &meter);
+        for (int k = 0; k < PLANS; k++) tw_bench_fleet_tick_after(fleet, PLAN_EVERY_S);
+        tw_bench_fleet_measure(fleet, NULL);
+        tw_bench_result_round(&result, &meter, PLANS);
+    }
+    tw_bench_results_add(results, &result);
+    tw_bench_fleet_free(fleet);
+    return 0;
+}
+
+int tw_bench_case_plan(const tw_bench_sizes *sizes, tw_bench_results *results) {
+    int waiting;
+    for (int i = 0; (waiting = tw_bench_size_of(sizes->jobs, usual_waiting, WAITING_SIZES, i)) >= 0;
+         i++) {
+        const tw_bench_load load = {.machines = sizes->machines,
+                                    .tasks = tw_bench_size(sizes->tasks, TASKS),
+                                    .waiting = waiting};
+        if (run_plan(&load, results)) return -1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/fleet.c
@@ -0,0 +1,323 @@
+/* The node under measurement, the time that passes for it, and what goes in and out. */
+#include "log/log.h"
+#include "fleet_int.h"
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define SEED 1
+#define STEADY_START 1000.0
+#define WALL_START 1e9
+#define PEERS_EVERY_S 1.0
+#define SETTLED_S 0.05        /* answers on their way come within that time */
+#define LONGEST_START_S 1e4   /* with the largest number of records */
+#define KNOWN_AFTER_REPORTS 3 /* each machine has said that it knows the leader's token */
+#define WORST_S 1.0           /* before a turned away submission comes again, if no time was told */
+
+/* An input to the core. */
+typedef struct {
+    unsigned kind;
+    int port;
+    uint64_t id; /* of the request, or of the call that is answered */
+    const char *method;
+    const char *path;
+    const char *body;
+    int status;
+} input;
+
+/* ---- settings ---- */
+
+static const char settings[] =
+    "host_name = \"tray-0\"\nlocation = \"a\"\napi_addr = \"10.0.0.1:8080\"\n"
+    "peer_bind = \"10.0.0.1:8081\"\n"
+    "[[known]]\nhost_name = \"tray-1\"\nlocation = \"b\"\nendpoint = \"10.0.0.2:8081\"\n"
+    "[[known]]\nhost_name = \"tray-2\"\nlocation = \"a\"\nendpoint = \"10.0.0.3:8081\"\n"
+    "[external]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n"
+    "[settings]\nzones = [\"a\", \"b\"]\n"
+    "[[settings.teams]]\nname = \"team-0\"\n[[settings.teams]]\nname = \"team-1\"\n"
+    "[[settings.teams]]\nname = \"team-2\"\n[[settings.teams]]\nname = \"team-3\"\n"
+    "[settings.workers]\nreport_s = 4.0\nlease_s = 22.0\ncancel_s = 42.0\n"
+    "[settings.state]\nrps = 250.0\nwrite_rps = 70.0\nvalue_kb = 8.0\ntxn_ops = 12\n"
+    "[settings.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n"
+    "[settings.limits]\ncpu_share = 0.1\nmem_mb = 56.0\nsockets = 600\n";
+
+tw_bench_fleet *tw_bench_fleet_new(const tw_bench_load *load) {
+    char error[256];
+    tw_bench_fleet *fleet = tw_bench_alloc(sizeof *fleet);
+    tw_log_init("error", "bench");
+    fleet->load = *load;
+    if (tw_conf_parse(&fleet->conf, settings, error, sizeof error)) {
+        fprintf(stderr, "settings of the fleet: %s\n", error);
+        abort();
+    }
+    fleet->conf.tune.idle_ratio = 100; /* machines without tasks stay */
+    fleet->now = fleet->next_tick = fleet->next_report = fleet->next_peers = STEADY_START;
+    fleet->revision = (uint64_t)tw_bench_jobs_kept(load) + 1;
+    if (load->follower) fleet->token = fleet->revision;
+    fleet->submitted = tw_bench_jobs_kept(load);
+    tw_bench_workers_init(fleet);
+    return fleet;
+}
+
+void tw_bench_fleet_free(tw_bench_fleet *fleet) {
+    tw_bench_pending *answer;
+    tw_bench_pending *next;
+    tw_bench_submission *waits;
+    tw_bench_submission *next_submission;
+    if (fleet->core) tw_core_free(fleet->core);
+    DL_FOREACH_SAFE(fleet->pending, answer, next) {
+        free(answer->body);
+        free(answer);
+    }
+    HASH_ITER(hh, fleet->submissions, waits, next_submission) {
+        HASH_DEL(fleet->submissions, waits);
+        free(waits);
+    }
+    tw_bench_workers_free(fleet);
+    tw_conf_free(&fleet->conf);
+    free(fleet);
+}
+
+void tw_bench_fleet_measure(tw_bench_fleet *fleet, tw_bench_meter *meter) { fleet->meter = meter; }
+
+/* ---- what goes in ---- */
+
+/* Gives the core an input; its effects, in their order. */
+static tw_fx *give(tw_bench_fleet *fleet, const input *in) {
+    const double wall = WALL_START + fleet->now;
+    const size_t length = in->body ? strlen(in->body) : 0;
+    tw_fx *effects = NULL;
+    tw_fx **end = &effects;
+    if (in->kind == TW_BENCH_TICK)
+        tw_core_tick(fleet->core, fleet->now, wall);
+    else if (in->kind & (TW_BENCH_ANSWER | TW_BENCH_RECORDS))
+        tw_core_response(fleet->core, fleet->now, wall, in->id, in->status, in->body, length);
+    else
+        tw_core_request(fleet->core, fleet->now, wall, in->port, in->id, in->method, in->path,
+                        in->body, length);
+    while ((*end = tw_core_next(fleet->core))) end = &(*end)->next;
+    return effects;
+}
+
+/* The measured part, which bench/instructions knows by its name. */
+tw_fx *tw_bench_measured(tw_bench_fleet *fleet, const input *in);
+__attribute__((noinline)) tw_fx *tw_bench_measured(tw_bench_fleet *fleet, const input *in) {
+    return give(fleet, in);
+}
+
+static tw_fx *give_measured(tw_bench_fleet *fleet, const input *in) {
+    tw_bench_meter *meter = fleet->meter;
+    const uint64_t steps = tw_core_steps(fleet->core);
+    const tw_bench_counters before = tw_bench_counters_now();
+    tw_fx *effects = tw_bench_measured(fleet, in);
+    const tw_bench_counters after = tw_bench_counters_now();
+    meter->inputs++;
+    meter->steps += tw_core_steps(fleet->core) - steps;
+    meter->allocations += after.allocations - before.allocations;
+    meter->instructions += after.instructions - before.instructions;
+    meter->seconds += after.seconds - before.seconds;
+    return effects;
+}
+
+/* ---- what comes out ---- */
+
+static void submission_answered(tw_bench_fleet *fleet, const tw_fx *reply) {
+    tw_bench_submission *waits;
+    HASH_FIND(hh, fleet->submissions, &reply->id, sizeof reply->id, waits);
+    if (!waits) return;
+    if (reply->status == TW_BENCH_OK || reply->status == TW_BENCH_CREATED) {
+        fleet->accepted++;
+        HASH_DEL(fleet->submissions, waits);
+        free(waits);
+        return;
+    }
+    waits->again_at = fleet->now + (reply->retry_after > 0 ? reply->retry_after : WORST_S);
+}
+
+static void take(tw_bench_fleet *fleet, const tw_fx *effect) {
+    if (effect->kind == TW_FX_CALL) {
+        tw_bench_pending *answer = tw_bench_alloc(sizeof *answer);
+        answer->call = effect->id;
+        tw_bench_serve(fleet, effect, answer);
+        DL_APPEND(fleet->pending, answer);
+    } else if (effect->id == fleet->reported_by) {
+        if (effect->status == TW_BENCH_OK)
+            tw_bench_worker_orders(fleet, fleet->reporting, effect->body);
+    } else {
+        submission_answered(fleet, effect);
+    }
+}
+
+static void play_input(tw_bench_fleet *fleet, const input *in) {
+    const int measured = fleet->meter && (fleet->meter->kinds & in->kind);
+    tw_fx *effects = measured ? give_measured(fleet, in) : give(fleet, in);
+    while (effects) {
+        tw_fx *next = effects->next;
+        take(fleet, effects);
+        tw_core_fx_free(effects);
+        effects = next;
+    }
+}
+
+/* ---- inputs of all kinds ---- */
+
+static void tick(tw_bench_fleet *fleet) {
+    const input in = {.kind = TW_BENCH_TICK};
+    play_input(fleet, &in);
+}
+
+static void answer_call(tw_bench_fleet *fleet, tw_bench_pending *answer) {
+    const input in = {
+        .kind = answer->kind, .id = answer->call, .body = answer->body, .status = answer->status};
+    DL_DELETE(fleet->pending, answer);
+    if (answer->at > fleet->now) fleet->now = answer->at;
+    play_input(fleet, &in);
+    free(answer->body);
+    free(answer);
+}
+
+void tw_bench_fleet_report(tw_bench_fleet *fleet, int machine) {
+    const int own_zone = fleet->workers[machine].zone == 'a';
+    char *text = tw_bench_worker_report(fleet, machine);
+    const input in = {.kind = TW_BENCH_REPORT,
+                      .port = own_zone ? TW_PORT_API : TW_PORT_PEER,
+                      .id = ++fleet->requests,
+                      .method = "POST",
+                      .path = own_zone ? "/hello" : "/peer/hello",
+                      .body = text};
+    fleet->reported_by = in.id;
+    fleet->reporting = machine;
+    play_input(fleet, &in);
+    free(text);
+}
+
+static void peers_ping(tw_bench_fleet *fleet) {
+    for (size_t i = 0; i < fleet->conf.npeers; i++) {
+        char *text = tw_bench_peer_text(fleet, fleet->conf.peers[i].name);
+        const input in = {.kind = TW_BENCH_PEER,
+                          .port = TW_PORT_PEER,
+                          .id = ++fleet->requests,
+                          .method = "POST",
+                          .path = "/peer/ping",
+                          .body = text};
+        play_input(fleet, &in);
+        free(text);
+    }
+}
+
+static void submit(tw_bench_fleet *fleet, tw_bench_submission *waits) {
+    char *text = tw_bench_submission_text(waits->job);
+    waits->request = ++fleet->requests;
+    waits->again_at = 0;
+    HASH_ADD(hh, fleet->submissions, request, sizeof waits->request, waits);
+    const input in = {.kind = TW_BENCH_USER,
+                      .port = TW_PORT_API,
+                      .id = waits->request,
+                      .method = "POST",
+                      .path = "/v1/jobs",
+                      .body = text};
+    play_input(fleet, &in);
+    free(text);
+}
+
+int tw_bench_fleet_submit(tw_bench_fleet *fleet) {
+    tw_bench_submission *waits = tw_bench_alloc(sizeof *waits);
+    const int job = waits->job = fleet->submitted++;
+    submit(fleet, waits);
+    return job;
+}
+
+static void submit_again(tw_bench_fleet *fleet) {
+    tw_bench_submission *waits;
+    tw_bench_submission *next;
+    HASH_ITER(hh, fleet->submissions, waits, next) {
+        if (waits->again_at <= 0 || waits->again_at > fleet->now) continue;
+        HASH_DEL(fleet->submissions, waits);
+        submit(fleet, waits);
+    }
+}
+
+/* ---- time ---- */
+
+/* The answer that comes first, if it comes by then. */
+static tw_bench_pending *next_answer(const tw_bench_fleet *fleet, double until) {
+    tw_bench_pending *answer;
+    tw_bench_pending *first = NULL;
+    DL_FOREACH(fleet->pending, answer)
+    if (answer->at <= until && (!first || answer->at < first->at)) first = answer;
+    return first;
+}
+
+static void answer_until(tw_bench_fleet *fleet, double until) {
+    tw_bench_pending *answer;
+    while ((answer = next_answer(fleet, until))) answer_call(fleet, answer);
+}
+
+void tw_bench_fleet_settle(tw_bench_fleet *fleet) {
+    const double until = fleet->now + SETTLED_S;
+    answer_until(fleet, until);
+}
+
+static void reports_until(tw_bench_fleet *fleet, double until) {
+    while (fleet->load.machines && fleet->next_report <= until) {
+        if (fleet->next_report > fleet->now) fleet->now = fleet->next_report;
+        answer_until(fleet, fleet->now);
+        tw_bench_fleet_report(fleet, fleet->reporter);
+        fleet->reporter = (fleet->reporter + 1) % fleet->load.machines;
+        fleet->next_report += TW_BENCH_REPORT_S / fleet->load.machines;
+    }
+}
+
+/* All but ticks, up to a time. */
+static void play_until(tw_bench_fleet *fleet, double until) {
+    reports_until(fleet, until);
+    answer_until(fleet, until);
+    fleet->now = fmax(fleet->now, until);
+    if (fleet->now >= fleet->next_peers) {
+        fleet->next_peers = fleet->now + PEERS_EVERY_S;
+        peers_ping(fleet);
+    }
+    submit_again(fleet);
+}
+
+void tw_bench_fleet_advance(tw_bench_fleet *fleet, double seconds) {
+    const double end = fleet->now + seconds;
+    while (fleet->next_tick <= end) {
+        play_until(fleet, fleet->next_tick);
+        tick(fleet);
+        fleet->next_tick += tw_core_tick_s(fleet->core);
+    }
+    play_until(fleet, end);
+}
+
+void tw_bench_fleet_tick_after(tw_bench_fleet *fleet, double seconds) {
+    play_until(fleet, fleet->now + seconds);
+    tick(fleet);
+    fleet->next_tick = fleet->now + tw_core_tick_s(fleet->core);
+}
+
+/* ---- start ---- */
+
+int tw_bench_fleet_start(tw_bench_fleet *fleet) {
+    const tw_bench_load *load = &fleet->load;
+    const double latest = fleet->now + LONGEST_START_S;
+    fleet->core = tw_core_new(&fleet->conf, SEED, fleet->now, WALL_START + fleet->now);
+    while (!load->follower && !fleet->all_read && fleet->now < latest)
+        tw_bench_fleet_advance(fleet, tw_core_tick_s(fleet->core));
+    tw_bench_fleet_advance(fleet, KNOWN_AFTER_REPORTS * TW_BENCH_REPORT_S);
+    if (load->follower) return 0;
+    if (fleet->records != tw_bench_jobs_kept(load) || fleet->released) return -1;
+    return tw_bench_fleet_running(fleet) == load->machines * load->tasks ? 0 : -1;
+}
+
+tw_bench_fleet *tw_bench_fleet_ready(const tw_bench_load *load) {
+    tw_bench_fleet *fleet = tw_bench_fleet_new(load);
+    if (!tw_bench_fleet_start(fleet)) return fleet;
+    tw_bench_fleet_free(fleet);
+    return NULL;
+}
+
+int tw_bench_fleet_accepted(const tw_bench_fleet *fleet) { return fleet->accepted; }
+int tw_bench_fleet_records(const tw_bench_fleet *fleet) { return fleet->records; }
+int tw_bench_fleet_released(const tw_bench_fleet *fleet) { return fleet->released; }
--- /dev/null
+++ b/bench/records.c
@@ -0,0 +1,162 @@
+/* The jobs of a made-up fleet, as records in the state service. */
+#include "fleet_int.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define DECIMAL 10
+#define MOST_RECORDS 1000 /* in a page, whatever is asked for */
+#define SUBMITTED_AT 1e9  /* time of day */
+#define LONG_RUN_S 36000
+#define IMAGE_GB 0.1
+#define WAITING_SHAPES 7 /* that differ in cores: all of them more than 8 tasks leave free */
+
+void *tw_bench_alloc(size_t size) {
+    void *room = calloc(1, size ? size : 1);
+    if (!room) abort();
+    return room;
+}
+
+void tw_bench_job_id(char *id, size_t size, int job) { snprintf(id, size, "run-%08d", job); }
+
+void tw_bench_machine_name(char *name, size_t size, int machine) {
+    snprintf(name, size, "n-%06d", machine + 1);
+}
+
+/* ---- which job runs where ---- */
+
+static int running_tasks(const tw_bench_load *load) { return load->machines * load->tasks; }
+
+/* On small fleets no two tasks of a job stand on the same machine either. */
+static int tasks_per_job(const tw_bench_load *load) {
+    return load->machines < TW_BENCH_TASKS_PER_JOB ? load->machines : TW_BENCH_TASKS_PER_JOB;
+}
+
+static int running_jobs(const tw_bench_load *load) {
+    if (!running_tasks(load)) return 0;
+    return (running_tasks(load) + tasks_per_job(load) - 1) / tasks_per_job(load);
+}
+
+int tw_bench_jobs_kept(const tw_bench_load *load) {
+    return load->finished + running_jobs(load) + load->waiting;
+}
+
+void tw_bench_task_at(const tw_bench_load *load, int machine, int k, tw_bench_task *task) {
+    int slot = k * load->machines + machine;
+    tw_bench_job_id(task->job, sizeof task->job, load->finished + slot / tasks_per_job(load));
+    task->index = slot % tasks_per_job(load);
+    task->attempt = 1;
+    task->done = 0;
+}
+
+/* ---- records ---- */
+
+static tw_wire_job job_of(int job, int pieces, double cores) {
+    tw_wire_job spec = {.rank = TW_RANK_NORMAL,
+                        .pieces = pieces,
+                        .cores = cores,
+                        .memory_gb = 1,
+                        .image_gb = IMAGE_GB,
+                        .nracks = -1,
+                        .expect_s = LONG_RUN_S,
+                        .due_s = -1};
+    tw_bench_job_id(spec.id, sizeof spec.id, job);
+    snprintf(spec.lane, sizeof spec.lane, "batch");
+    snprintf(spec.crew, sizeof spec.crew, "team-%d", job % 4);
+    snprintf(spec.bundle, sizeof spec.bundle, "image-%02d", job % 8);
+    return spec;
+}
+
+static char *finished_record(void) {
+    tw_wire_record record = {.stage = TW_STAGE_DONE,
+                             .pieces = TW_BENCH_TASKS_PER_JOB,
+                             .ndone = TW_BENCH_TASKS_PER_JOB,
+                             .submitted = SUBMITTED_AT,
+                             .next_try = 2};
+    return tw_wire_record_text(&record);
+}
+
+static char *running_record(const tw_bench_load *load, int job) {
+    const int first = (job - load->finished) * tasks_per_job(load);
+    int pieces = running_tasks(load) - first;
+    if (pieces > tasks_per_job(load)) pieces = tasks_per_job(load);
+    tw_wire_live *live = tw_bench_alloc((size_t)pieces * sizeof *live);
+    for (int i = 0; i < pieces; i++) {
+        live[i].index = i;
+        live[i].attempt = 1;
+        tw_bench_machine_name(live[i].tray, sizeof live[i].tray, (first + i) % load->machines);
+    }
+    tw_wire_record record = {.has_job = 1,
+                             .job = job_of(job, pieces, 1),
+                             .pieces = pieces,
+                             .submitted = SUBMITTED_AT,
+                             .next_try = 2,
+                             .nlive = pieces,
+                             .live = live};
+    char *text = tw_wire_record_text(&record);
+    free(live);
+    return text;
+}
+
+static char *waiting_record(int job) {
+    const double cores = TW_BENCH_MACHINE_CORES - job % WAITING_SHAPES;
+    tw_wire_record record = {.has_job = 1,
+                             .job = job_of(job, 1, cores),
+                             .pieces = 1,
+                             .submitted = SUBMITTED_AT,
+                             .next_try = 1};
+    return tw_wire_record_text(&record);
+}
+
+static char *record_of(const tw_bench_load *load, int job) {
+    if (job < load->finished) return finished_record();
+    if (job < load->finished + running_jobs(load)) return running_record(load, job);
+    return waiting_record(job);
+}
+
+/* The number that stands after a text within a path; fallback: the text isn't there. */
+static int number_after(const char *path, const char *text, int fallback) {
+    const char *at = strstr(path, text);
+    return at ? (int)strtol(at + strlen(text), NULL, DECIMAL) : fallback;
+}
+
+char *tw_bench_records_page(const tw_bench_load *load, const char *path, int *records, int *more) {
+    int job = number_after(path, "since=job/run-", -1) + 1;
+    int most = number_after(path, "most=", MOST_RECORDS);
+    char *text = NULL;
+    size_t size = 0;
+    FILE *page = open_memstream(&text, &size);
+    if (!page) abort();
+    if (most > MOST_RECORDS) most = MOST_RECORDS;
+    fputs("{\"entries\":[", page);
+    for (*records = 0; *records < most && job < tw_bench_jobs_kept(load); job++) {
+        char id[TW_WIRE_ID];
+        char *record = record_of(load, job);
+        tw_bench_job_id(id, sizeof id, job);
+        fprintf(page, "%s{\"k\":\"job/%s\",\"data\":%s,\"stamp\":%d}", *records ? "," : "", id,
+                record, job + 1);
+        free(record);
+        ++*records;
+    }
+    *more = job < tw_bench_jobs_kept(load);
+    fprintf(page, "],\"more\":%s,\"ledger\":%d}", *more ? "true" : "false",
+            tw_bench_jobs_kept(load) + 1);
+    fclose(page);
+    return text;
+}
+
+char *tw_bench_submission_text(int job) {
+    const tw_wire_job spec = job_of(job, 1, 1);
+    char *text = NULL;
+    size_t size = 0;
+    FILE *body = open_memstream(&text, &size);
+    if (!body) abort();
+    fprintf(
+        body,
+        "{\"id\":\"%s\",\"lane\":\"%s\",\"crew\":\"%s\",\"shape\":\"batch\",\"rank\":\"normal\","
+        "\"pieces\":1,\"cores\":1.0,\"gpus\":0.0,\"memoryGb\":1.0,\"bundle\":\"%s\","
+        "\"imageGb\":%g,\"racks\":null,\"yard\":null,\"samePlace\":false,\"apart\":false,"
+        "\"loaner\":false,\"expectS\":%d.0,\"snapshotS\":0.0,\"flushS\":0.0,\"dueS\":null}",
+        spec.id, spec.lane, spec.crew, spec.bundle, IMAGE_GB, LONG_RUN_S);
+    fclose(body);
+    return text;
+}
--- /dev/null
+++ b/tests/runner/bench_test.c
@@ -0,0 +1,159 @@
+/* What the core's work may cost, counted, on small fleets: steps and allocations, never time. And
+ * that the counts repeat, and that tw_bench's lines of figures are read as they were written. */
+#include "bench.h"
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SMALL 150
+#define LARGE 1500
+
+static int failures;
+
+static void check(int holds, const char *what, const char *case_name) {
+    if (holds) return;
+    printf("FAIL bench: %s: %s\n", case_name, what);
+    failures++;
+}
+
+/* The one result of a case at these sizes. */
+static tw_bench_result run(const char *name, int machines, int tasks, int jobs) {
+    const tw_bench_sizes sizes = {machines, tasks, jobs};
+    const tw_bench_case *c = tw_bench_cases;
+    tw_bench_results results = {0};
+    tw_bench_result result = tw_bench_result_of(name, "");
+    while (c->name && strcmp(c->name, name) != 0) c++;
+    check(c->name && !c->run(&sizes, &results), "doesn't run", name);
+    check(results.count == 1, "gives not one result", name);
+    if (results.count == 1) result = results.items[0];
+    tw_bench_results_free(&results);
+    return result;
+}
+
+/* ---- what a size must not change ---- */
+
+/* Whether two counts differ by no more than a share of the first. */
+static int near(double first, double second, double share) {
+    return fabs(second - first) <= share * fabs(first) + 1e-9;
+}
+
+static void test_reports_cost_the_same_in_large_fleets(void) {
+    static const char *const names[] = {"report", "relay"};
+    for (size_t i = 0; i < sizeof names / sizeof *names; i++) {
+        const tw_bench_result small = run(names[i], SMALL, 8, -1);
+        const tw_bench_result large = run(names[i], LARGE, 8, -1);
+        check(small.count > 0 && small.allocations > 0, "counts nothing", names[i]);
+        check(near(small.steps, large.steps, 0), "steps grow with the fleet", names[i]);
+        check(near(small.allocations, large.allocations, 0.01), "allocations grow with the fleet",
+              names[i]);
+    }
+}
+
+static void test_takeover_is_linear(void) {
+    const tw_bench_result few = run("takeover", SMALL, 0, 1000);
+    const tw_bench_result many = run("takeover", SMALL, 0, 10000);
+    check(few.allocations > 0, "counts nothing", "takeover");
+    check(near(few.allocations, many.allocations, 0.02), "allocations grow with the records",
+          "takeover");
+    check(near(few.steps, many.steps, 0), "steps grow with the records", "takeover");
+}
+
+/* ---- bounds ---- */
+
+typedef struct {
+    const char *name;
+    int machines;
+    int tasks;
+    int jobs;
+    double steps; /* at most, for one of what the case measures */
+    double allocations;
+} bound;
+
+static void test_bounds(void) {
+    /* Steps as measured, a look at each machine for a placement and at most one a shape for a pass;
+     * allocations as measured, with a twentieth to spare. */
+    static const bound bounds[] = {
+        {"report", SMALL, 0, -1, 0, 39},          {"report", SMALL, 40, -1, 0, 459},
+        {"relay", SMALL, 8, -1, 0, 122},          {"change", SMALL, 8, -1, 0, 212},
+        {"placement", SMALL, 8, -1, SMALL, 647},  {"pass", SMALL, 8, 1000, 10 * SMALL, 222},
+        {"plan", SMALL, 8, 1000, 60 * SMALL, 39}, {"leader", SMALL, 8, -1, 0, 1750},
+        {"follower", SMALL, 8, -1, 0, 13143},     {"opening", SMALL, -1, 300, 1.1 * SMALL, 485},
+        {"takeover", SMALL, 0, 1000, 0, 46},
+    };
+    for (size_t i = 0; i < sizeof bounds / sizeof *bounds; i++) {
+        const bound *b = &bounds[i];
+        const tw_bench_result result = run(b->name, b->machines, b->tasks, b->jobs);
+        if (result.steps <= b->steps && result.allocations <= b->allocations) continue;
+        printf("FAIL bench: %s machines=%d tasks=%d jobs=%d: %.2f steps of %.2f, %.2f allocations "
+               "of %.2f\n",
+               b->name, b->machines, b->tasks, b->jobs, result.steps, b->steps, result.allocations,
+               b->allocations);
+        failures++;
+    }
+}
+
+/* ---- the program ---- */
+
+static void test_counts_repeat(void) {
+    const tw_bench_result first = run("opening", SMALL, -1, 100);
+    const tw_bench_result second = run("opening", SMALL, -1, 100);
+    check(first.steps == second.steps && first.allocations == second.allocations,
+          "a second run counts otherwise", "opening");
+    check(first.steps > 0, "counts no steps", "opening");
+}
+
+static FILE *text_file(const char *text) {
+    FILE *file = tmpfile();
+    if (!file) abort();
+    fputs(text, file);
+    rewind(file);
+    return file;
+}
+
+static void test_lines_are_read_as_written(void) {
+    tw_bench_results written = {0};
+    tw_bench_results read = {0};
+    tw_bench_result result = tw_bench_result_of("report", "report");
+    int bad_line;
+    result.machines = SMALL;
+    result.tasks = 8;
+    result.steps = 3;
+    result.allocations = 12.5;
+    tw_bench_results_add(&written, &result);
+    FILE *file = text_file("");
+    tw_bench_write_lines(file, &written);
+    rewind(file);
+    check(!tw_bench_read_lines(file, &read, &bad_line), "is not read", "lines");
+    fclose(file);
+    const tw_bench_result *found = tw_bench_results_find(&read, &result);
+    check(found && found->steps == 3 && found->allocations == 12.5, "is read otherwise", "lines");
+    check(found && isnan(found->bytes), "a figure that was not measured is one", "lines");
+    result.tasks = 0;
+    check(!tw_bench_results_find(&read, &result), "another size is taken for it", "lines");
+    tw_bench_results_free(&written);
+    tw_bench_results_free(&read);
+}
+
+static void test_other_lines_are_refused(void) {
+    static const char *const texts[] = {"{}\n", "[1]\n", "case\n",
+                                        "{\"case\":\"report\",\"per\":\"report\"}\n"};
+    for (size_t i = 0; i < sizeof texts / sizeof *texts; i++) {
+        tw_bench_results read = {0};
+        int bad_line = 0;
+        FILE *file = text_file(texts[i]);
+        check(tw_bench_read_lines(file, &read, &bad_line) && bad_line == 1, "is taken", texts[i]);
+        fclose(file);
+        tw_bench_results_free(&read);
+    }
+}
+
+int main(void) {
+    test_reports_cost_the_same_in_large_fleets();
+    test_takeover_is_linear();
+    test_bounds();
+    test_counts_repeat();
+    test_lines_are_read_as_written();
+    test_other_lines_are_refused();
+    return failures != 0;
+}
