--- a/sim/judge.c
+++ b/sim/judge.c
@@ -131,6 +131,14 @@
     if (stage == TW_STAGE_ABORTED && job->told_cancel_at <= 0) job->told_cancel_at = w->now;
 }
 
+/* A job is done when all of its tasks are, whoever says so and however long it has been. */
+static void judge_count(tw_sim_world *w, const tw_sim_job *job, const cJSON *answer) {
+    const cJSON *done = cJSON_GetObjectItemCaseSensitive(answer, "done");
+    if (cJSON_IsNumber(done) && done->valueint != job->spec.pieces)
+        tw_sim_break(w, "went_back", "%s is called done with %d tasks of %d", job->spec.id,
+                     done->valueint, job->spec.pieces);
+}
+
 void tw_sim_judge_told(tw_sim_world *w, tw_sim_job *job, const char *id, int kind, double sent,
                        int status, const char *body) {
     if (!job || !job->submitted) {
@@ -152,5 +160,6 @@
     if (other_end || (!stage && job->told_over && is_older(w, sent, job->told_over_at)))
         tw_sim_break(w, "went_back", "%s is called %s", id, said);
     if (stage) judge_end(w, job, stage);
+    if (stage == TW_STAGE_DONE) judge_count(w, job, o);
     cJSON_Delete(o);
 }
--- a/sim/node.c
+++ b/sim/node.c
@@ -162,9 +162,11 @@
 
 int tw_sim_node_start(tw_sim *sim, int node, char *error, size_t error_size) {
     tw_sim_node *n = &sim->nodes[node];
+    const tw_sim_world *w = &sim->world;
     char text[MAX_SETTINGS];
     settings_text(sim, node, text, sizeof text);
     if (tw_conf_parse(&n->conf, text, error, error_size)) return -1;
+    if (w->mem_mb > 0) n->conf.mem_mb = w->mem_mb;
     n->alive = 1;
     n->generation++;
     n->core = tw_core_new(&n->conf, node_seed(sim, node), steady_time(sim, node), wall_time(sim));
--- a/sim/script.c
+++ b/sim/script.c
@@ -125,9 +125,13 @@
     const struct {
         const char *name;
         double *value;
-    } values[] = {{"lease", &world->lease_s},   {"report", &world->report_s},
-                  {"cancel", &world->cancel_s}, {"boot", &world->boot_s},
-                  {"rps", &sim->rps},           {"write_rps", &world->state.write_rps}};
+    } values[] = {{"lease", &world->lease_s},
+                  {"report", &world->report_s},
+                  {"cancel", &world->cancel_s},
+                  {"boot", &world->boot_s},
+                  {"mem", &world->mem_mb},
+                  {"rps", &sim->rps},
+                  {"write_rps", &world->state.write_rps}};
     double value = tw_sim_number(w->word[2]);
     if (!strcmp(w->word[1], "seed")) {
         sim->world.seed = (unsigned)value;
--- a/sim/world.h
+++ b/sim/world.h
@@ -139,6 +139,7 @@
     unsigned seed;
     gsl_rng *draws[TW_SIM_DRAWS]; /* made when first used */
     double report_s, lease_s, cancel_s;
+    double mem_mb; /* memory of a node, 0: as in its settings */
     int nnodes;
     char nodes[TW_SIM_MAX_NODES][TW_SIM_NAME], node_zone[TW_SIM_MAX_NODES][TW_SIM_NAME];
     tw_sim_team teams[TW_SIM_MAX_TEAMS];
--- a/src/core/accepted_elsewhere.c
+++ b/src/core/accepted_elsewhere.c
@@ -15,7 +15,7 @@
  * may be lost or refused: it stays among the untaken until the key was asked to be removed. */
 static void take_over(tw_core *core, gone *untaken) {
     char key[TW_NAME + sizeof NEWS];
-    if (!tw_job_find(core, untaken->name)) {
+    if (!tw_job_known(core, untaken->name)) {
         if (core->now < untaken->at) return;
         untaken->at = core->now + LEARN_S;
         tw_job_lookup(core, 0, untaken->name, OP_POLL);
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -94,6 +94,7 @@
     int cursor; /* no free task below it */
     uint64_t next_try;
     placement *live;
+    int nplacements; /* that point to it: live, or not yet forgotten by their machines */
     /* writing */
     int created; /* its key is known to exist */
     uint64_t stamp, ver, durable_ver, writing_ver;
@@ -402,6 +403,8 @@
 
     /* jobs */
     job *jobs, *active, *dirty;
+    struct tw_finished
+        *finished;  /* jobs that are over and of which nothing may run; see finished.h */
     job *cancelled; /* those being cancelled, and cancelled ones that may still run */
     wish *wishes;
     lane *lanes;
@@ -497,7 +500,7 @@
 void tw_recover_tick(tw_core *c);
 void tw_recover_page(tw_core *c, call *k, int status, const char *body, size_t len);
 void tw_term_clear(tw_core *c);
-job *tw_adopt(tw_core *c, const char *id, const char *data, uint64_t stamp);
+void tw_adopt(tw_core *c, const char *id, const char *data, uint64_t stamp);
 
 /* job.c, job_class.c, job_store.c, turned_away.c, user_requests.c, accepted_elsewhere.c */
 job *tw_job_find(tw_core *c, const char *id);
@@ -505,6 +508,8 @@
 void tw_job_spec(tw_core *c, job *j, tw_wire_job *s /* taken */);
 void tw_job_changed(tw_core *c, job *j, int urgent);
 void tw_job_free(tw_core *c, job *j);
+/* A placement of the job is no more; the job may be none either after it. */
+void tw_job_unplaced(tw_core *c, job *j);
 void tw_job_finish(tw_core *c, job *j, int stage);
 void tw_job_cancelled(tw_core *c, job *j);
 int tw_job_durable(const job *j);
--- /dev/null
+++ b/src/core/finished.h
@@ -0,0 +1,34 @@
+/* Finished jobs, which are kept for the answers to their users: of each its id, how it ended and
+ * how many of its tasks were done, in 12 bytes. A job of which something may still run is not kept
+ * here.
+ *
+ * Memory is bounded. The table consists of generations; when the newest is full and there are as
+ * many as there may be, the oldest is let go as a whole. What was let go is read from the state
+ * service again when somebody asks. Nothing here ever changes: a job that is over stays so. */
+#ifndef TW_CORE_FINISHED_H
+#define TW_CORE_FINISHED_H
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct tw_finished tw_finished;
+
+/* How a job ended. */
+typedef struct {
+    int stage; /* TW_STAGE_DONE or TW_STAGE_ABORTED */
+    int done;  /* tasks that were done, 0 to TW_WIRE_MAX_PIECES */
+} tw_ending;
+
+/* An empty table that takes most_bytes at most (and never less than a few entries). */
+tw_finished *tw_finished_new(size_t most_bytes);
+/* NULL is a table without entries, here and below. */
+void tw_finished_free(tw_finished *table);
+/* id: a job's, of the protocol's form. One that is there already stays as it is. */
+void tw_finished_add(tw_finished *table, const char *id, const tw_ending *ending);
+/* Whether the job is there, and how it ended; ending may be NULL. */
+int tw_finished_find(const tw_finished *table, const char *id, tw_ending *ending);
+/* Jobs in the table. */
+size_t tw_finished_count(const tw_finished *table);
+/* How many times a generation was let go. */
+uint64_t tw_finished_let_go(const tw_finished *table);
+
+#endif
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -94,6 +94,7 @@
     DL_APPEND(m->pls, p);
     j->st[index] = T_LIVE;
     j->nlive++;
+    j->nplacements++;
     if (attempt >= j->next_try) j->next_try = attempt + 1;
     account(c, p, 1);
     m->idle_since = 0;
@@ -118,9 +119,11 @@
 }
 
 void tw_placement_free(tw_core *c, placement *p) {
+    job *j = p->job;
     leave_job(c, p, T_FREE);
     DL_DELETE(p->m->pls, p);
     free(p);
+    tw_job_unplaced(c, j);
 }
 
 void tw_placement_lost(tw_core *c, placement *p, const char *why) {
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -4,6 +4,9 @@
 
 /* Time between two passes over the unfinished jobs. */
 #define TICK_S 0.25
+/* Most memory for finished jobs, as a share of all. */
+#define FINISHED_SHARE 0.25
+#define BYTES_PER_MIB (1024 * 1024)
 /* Amounts that differ by less count as equal. */
 #define ROUNDING 1e-6
 
@@ -13,6 +16,10 @@
     return job;
 }
 
+int tw_job_known(tw_core *core, const char *id) {
+    return tw_job_find(core, id) || tw_finished_find(core->finished, id, NULL);
+}
+
 job *tw_job_new(tw_core *core, const char *id) {
     job *job = tw_zalloc(sizeof *job);
     snprintf(job->id, sizeof job->id, "%s", id);
@@ -156,9 +163,29 @@
     tw_job_changed(core, job, 1);
 }
 
+void tw_job_ended(tw_core *core, const char *id, int stage, int done) {
+    if (!core->finished)
+        core->finished =
+            tw_finished_new((size_t)(FINISHED_SHARE * core->cf->mem_mb * BYTES_PER_MIB));
+    const tw_ending ending = {stage, done};
+    tw_finished_add(core->finished, id, &ending);
+}
+
+/* A retired job, of which no machine has anything left to forget: only its end is kept. */
+static void let_go(tw_core *core, job *job) {
+    if (job->st || job->nplacements || job->queued || job->inflight) return;
+    tw_job_ended(core, job->id, job->durable_stage, job->ndone);
+    tw_job_free(core, job);
+}
+
+void tw_job_unplaced(tw_core *core, job *job) {
+    job->nplacements--;
+    if (job->durable_stage != TW_STAGE_PENDING) let_go(core, job);
+}
+
 void tw_job_retire(tw_core *core, job *job) {
-    if (job->durable_stage == TW_STAGE_PENDING || job->live || job->inflight || !job->st ||
-        job->ver != job->durable_ver)
+    if (job->durable_stage == TW_STAGE_PENDING || job->live || job->inflight || job->queued ||
+        !job->st || job->ver != job->durable_ver)
         return;
     DL_DELETE(core->active, job);
     uncancelled(core, job);
@@ -167,6 +194,7 @@
     job->lane = NULL;
     job->has_spec = 0;
     tw_wire_job_free(&job->s);
+    let_go(core, job);
 }
 
 /* ---- time ---- */
--- a/src/core/job_store.c
+++ b/src/core/job_store.c
@@ -192,11 +192,26 @@
     return tw_wire_record_text(&record);
 }
 
+/* A job that was over and let go from memory (finished.h) was submitted again, and what we took for
+ * its first record was refused. Nothing of ours was durable; the end holds as its record has it. */
+static void was_over(tw_core *core, job *job, const tw_wire_record *record) {
+    placement *task, *next;
+    DL_FOREACH_SAFE2(job->live, task, next, jnext) tw_placement_lost(core, task, "over");
+    job->ndone = record->ndone;
+    job->durable_ver = job->ver;
+    if (job->queued) dequeue(core, job);
+}
+
 /* The first record of a job that we were writing ourselves. If another node accepted the job before
  * us, with other fields, those hold; of ours nothing was durable, so that nothing was launched. */
 static void first_record(tw_core *core, job *job, const char *data) {
     tw_wire_record record;
     if (tw_wire_record_parse(&record, job->id, data, strlen(data))) return;
+    if (record.stage != TW_STAGE_PENDING && !record.nlive) {
+        was_over(core, job, &record);
+        tw_wire_record_free(&record);
+        return;
+    }
     char *ours = spec_text(&job->s), *theirs = spec_text(&record.job);
     if (record.has_job && strcmp(ours, theirs) != 0) {
         placement *p, *t;
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -4,6 +4,7 @@
 #ifndef TW_CORE_JOBS_H
 #define TW_CORE_JOBS_H
 #include "core/core_int.h"
+#include "core/finished.h"
 
 /* Status codes of answers to users. */
 enum {
@@ -36,8 +37,13 @@
 void tw_job_wait(tw_core *core, job *job, uint64_t conn, int cancels);
 /* Answers all who waited for what is durable now; status: of accepted submissions, 201 or 200. */
 void tw_job_tell(tw_core *core, job *job, int status);
-/* Lets go what only an unfinished job needs, if it is over and nothing of it may run. */
+/* Lets go what only an unfinished job needs, if it is over and nothing of it may run; and the job
+ * itself once no machine has to forget a task of it. The caller doesn't use the job after it. */
 void tw_job_retire(tw_core *core, job *job);
+/* Notes a job that is over, by its record, and of which nothing may run. */
+void tw_job_ended(tw_core *core, const char *id, int stage, int done);
+/* Whether the leader has the job in memory, finished or not. */
+int tw_job_known(tw_core *core, const char *id);
 /* Whether what the leader has in memory is as new as anything that any node has told of the job. */
 int tw_job_answerable(const job *job);
 
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -1,7 +1,7 @@
 /* Taking over: every job is read from the state service before anything is decided. What the
  * records say may run is taken to run until its machine, its release or its lease says otherwise.
  */
-#include "core/core_int.h"
+#include "core/jobs.h"
 
 #define LOAD_PAGE 100
 
@@ -32,12 +32,14 @@
     c->sched_dirty = 1;
     c->next_sched = c->now;
     c->next_list = c->now;
-    c->fresh = !c->jobs;
+    const int any = c->jobs || tw_finished_count(c->finished);
+    c->fresh = !any;
     c->opened_at = 0;
     /* Machines rented by a predecessor show in the list only after its lag. */
-    c->rent_from = c->jobs ? c->now + 1.2 * c->cf->list_lag_s : c->now;
-    tw_log_info("event=active jobs=%u token=%llu load_s=%.3f", HASH_COUNT(c->jobs),
-                (unsigned long long)c->token, c->now - c->acquired_at);
+    c->rent_from = any ? c->now + 1.2 * c->cf->list_lag_s : c->now;
+    tw_log_info("event=active jobs=%zu token=%llu load_s=%.3f",
+                HASH_COUNT(c->jobs) + tw_finished_count(c->finished), (unsigned long long)c->token,
+                c->now - c->acquired_at);
 }
 
 void tw_recover_page(tw_core *c, call *k, int status, const char *body, size_t len) {
@@ -52,7 +54,7 @@
     c->state_ok_at = c->now;
     for (int i = 0; i < n; i++) {
         const char *id = e[i].key + 4;
-        if (strlen(e[i].key) > 4 && !tw_job_find(c, id)) tw_adopt(c, id, e[i].data, e[i].stamp);
+        if (strlen(e[i].key) > 4 && !tw_job_known(c, id)) tw_adopt(c, id, e[i].data, e[i].stamp);
     }
     if (n) snprintf(c->load_after, sizeof c->load_after, "%s", e[n - 1].key);
     tw_wire_entries_free(e, n);
@@ -62,12 +64,18 @@
         active(c);
 }
 
-/* A job as its record has it; NULL if the record can't be read (it is then left alone). */
-job *tw_adopt(tw_core *c, const char *id, const char *data, uint64_t stamp) {
+/* A job as its record has it, among the jobs or, if it is over and nothing of it may run, among the
+ * finished ones. A record that can't be read is left alone. */
+void tw_adopt(tw_core *c, const char *id, const char *data, uint64_t stamp) {
     tw_wire_record r;
     if (!tw_wire_id_ok(id, strlen(id)) || tw_wire_record_parse(&r, id, data, strlen(data))) {
         tw_log_error("event=bad_record id=%.32s", id);
-        return NULL;
+        return;
+    }
+    if (r.stage != TW_STAGE_PENDING && !r.nlive) {
+        tw_job_ended(c, id, r.stage, r.ndone);
+        tw_wire_record_free(&r);
+        return;
     }
     job *j = tw_job_new(c, id);
     j->created = 1;
@@ -100,7 +108,6 @@
     tw_wire_record_free(&r);
     if (j->st) DL_APPEND(c->active, j);
     c->sched_dirty = 1;
-    return j;
 }
 
 /* Everything that belongs to a term is forgotten with it. */
@@ -121,6 +128,8 @@
         tw_machine_drop(c, m, NULL);
     }
     HASH_ITER(hh, c->jobs, j, jt) tw_job_free(c, j);
+    tw_finished_free(c->finished);
+    c->finished = NULL;
     c->active = c->dirty = c->cancelled = NULL;
     c->nyards = 0;
     gone *g, *gt;
--- a/src/core/user_requests.c
+++ b/src/core/user_requests.c
@@ -36,6 +36,7 @@
         tw_call(core, K_LOOKUP, TW_TO_STATE, core->cf->state, "GET", path, NULL, LOOKUP_TIMEOUT_S);
     call->conn = conn;
     call->op = op;
+    call->seq = tw_finished_let_go(core->finished);
     snprintf(call->name, sizeof call->name, "%s", id);
 }
 
@@ -53,6 +54,54 @@
     return 1;
 }
 
+/* ---- at the leader ---- */
+
+static void leader_abort(tw_core *core, uint64_t conn, job *job) {
+    if (job->durable_stage != TW_STAGE_PENDING) {
+        tw_reply(core, conn, TW_HTTP_OK, 0,
+                 tw_wire_stage_text(job->id, job->durable_stage, -1, -1));
+        return;
+    }
+    if (job->stage == TW_STAGE_PENDING && !job->aborting) {
+        job->aborting = 1; /* nothing of it is started any more */
+        tw_job_cancelled(core, job);
+        job->abort_seq = ++core->abort_seq;
+    }
+    int safe = job->stage == TW_STAGE_PENDING ? tw_abort_safe(core, job, 1) : 1;
+    if (safe < 0) {
+        /* It goes on as soon as it can be promised; the user is not kept waiting for that. */
+        tw_log_debug("event=cancel_later id=%s", job->id);
+        tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "machines of it can't be reached");
+        return;
+    }
+    tw_job_wait(core, job, conn, 1);
+    if (safe && job->stage == TW_STAGE_PENDING) tw_job_finish(core, job, TW_STAGE_ABORTED);
+}
+
+/* Tells what is in memory of the job; 0: nothing is. */
+static int tell(tw_core *core, uint64_t conn, const char *id, int op) {
+    tw_ending ending;
+    job *job = tw_job_find(core, id);
+    if (job && op == OP_ABORT)
+        leader_abort(core, conn, job);
+    else if (job)
+        tw_reply(core, conn, TW_HTTP_OK, 0, tw_job_answer(job));
+    else if (!tw_finished_find(core->finished, id, &ending))
+        return 0;
+    else if (op == OP_ABORT)
+        tw_reply(core, conn, TW_HTTP_OK, 0, tw_wire_stage_text(id, ending.stage, -1, -1));
+    else
+        tw_reply(core, conn, TW_HTTP_OK, 0, tw_wire_stage_text(id, ending.stage, ending.done, 0));
+    return 1;
+}
+
+/* The same, if it is as new as anything that any node has told of the job. */
+static int answer(tw_core *core, uint64_t conn, const char *id, int op) {
+    const job *job = tw_job_find(core, id);
+    if (job && !tw_job_answerable(job)) return 0;
+    return tell(core, conn, id, op);
+}
+
 /* A new job: it is told to be accepted once its first record is written. */
 static void accept_job(tw_core *core, uint64_t conn, tw_wire_job *spec) {
     wish *wish;
@@ -75,23 +124,24 @@
 }
 
 static void leader_submit(tw_core *core, uint64_t conn, tw_wire_job *spec) {
+    if (answer(core, conn, spec->id, OP_POLL)) return;
     job *job = tw_job_find(core, spec->id);
-    if (job && tw_job_answerable(job)) {
-        tw_reply(core, conn, TW_HTTP_OK, 0, tw_job_answer(job));
-    } else if (job && job->created) {
+    if (job && job->created) {
         tw_job_lookup(core, conn, spec->id, OP_POLL);
-    } else if (job) {
+        return;
+    }
+    if (job) {
         tw_job_wait(core, job, conn, 0);
-    } else {
-        double wait_s = tw_write_backlog_s(core);
-        if (wait_s > ACCEPT_WAIT_S * WAIT_RATIO) {
-            const double retry_s = fmin(LONGEST_RETRY_S, ceil(wait_s));
-            tw_turn_away(core, conn, spec->id, retry_s, "too many submissions");
-            tw_wish_for(core, spec, retry_s);
-            return;
-        }
-        accept_job(core, conn, spec);
+        return;
+    }
+    double wait_s = tw_write_backlog_s(core);
+    if (wait_s > ACCEPT_WAIT_S * WAIT_RATIO) {
+        const double retry_s = fmin(LONGEST_RETRY_S, ceil(wait_s));
+        tw_turn_away(core, conn, spec->id, retry_s, "too many submissions");
+        tw_wish_for(core, spec, retry_s);
+        return;
     }
+    accept_job(core, conn, spec);
 }
 
 /* Accepts a job without the leader: its key must not exist. The leader learns of it from a second
@@ -128,10 +178,7 @@
         tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "machine types not known yet");
     } else if (tw_job_hopeless(core, &spec)) {
         /* A job accepted once must not be refused later: only proof that it is new allows 422. */
-        job *job = leads(core) ? tw_job_find(core, spec.id) : NULL;
-        if (job && tw_job_answerable(job))
-            tw_reply(core, conn, TW_HTTP_OK, 0, tw_job_answer(job));
-        else
+        if (!leads(core) || !answer(core, conn, spec.id, OP_POLL))
             tw_job_lookup(core, conn, spec.id, OP_REFUSE);
     } else if (leads(core)) {
         leader_submit(core, conn, &spec);
@@ -154,11 +201,7 @@
         return;
     }
     if (leads(core)) {
-        job *job = tw_job_find(core, id);
-        if (job && tw_job_answerable(job))
-            tw_reply(core, conn, TW_HTTP_OK, 0, tw_job_answer(job));
-        else
-            tw_job_lookup(core, conn, id, OP_POLL);
+        if (!answer(core, conn, id, OP_POLL)) tw_job_lookup(core, conn, id, OP_POLL);
         return;
     }
     char path[PATH_SIZE];
@@ -167,39 +210,13 @@
         tw_job_lookup(core, conn, id, OP_POLL);
 }
 
-static void leader_abort(tw_core *core, uint64_t conn, job *job) {
-    if (job->durable_stage != TW_STAGE_PENDING) {
-        tw_reply(core, conn, TW_HTTP_OK, 0,
-                 tw_wire_stage_text(job->id, job->durable_stage, -1, -1));
-        return;
-    }
-    if (job->stage == TW_STAGE_PENDING && !job->aborting) {
-        job->aborting = 1; /* nothing of it is started any more */
-        tw_job_cancelled(core, job);
-        job->abort_seq = ++core->abort_seq;
-    }
-    int safe = job->stage == TW_STAGE_PENDING ? tw_abort_safe(core, job, 1) : 1;
-    if (safe < 0) {
-        /* It goes on as soon as it can be promised; the user is not kept waiting for that. */
-        tw_log_debug("event=cancel_later id=%s", job->id);
-        tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "machines of it can't be reached");
-        return;
-    }
-    tw_job_wait(core, job, conn, 1);
-    if (safe && job->stage == TW_STAGE_PENDING) tw_job_finish(core, job, TW_STAGE_ABORTED);
-}
-
 void tw_abort_job(tw_core *core, uint64_t conn, const char *id, int from_peer) {
     if (!tw_wire_id_ok(id, strlen(id))) {
         tw_reply_error(core, conn, TW_HTTP_NOT_FOUND, 0, "no such job");
         return;
     }
     if (leads(core)) {
-        job *job = tw_job_find(core, id);
-        if (job && tw_job_answerable(job))
-            leader_abort(core, conn, job);
-        else
-            tw_job_lookup(core, conn, id, OP_ABORT);
+        if (!answer(core, conn, id, OP_ABORT)) tw_job_lookup(core, conn, id, OP_ABORT);
         return;
     }
     char path[PATH_SIZE];
@@ -211,15 +228,16 @@
     tw_job_lookup(core, conn, id, OP_ABORT);
 }
 
-/* At the leader: the job, with its record as just read. NULL: read before this term began, and the
- * job is not known. */
-static job *job_of_record(tw_core *core, const call *call, const tw_wire_entry *entry) {
+/* At the leader: takes in a record that was read. Of a job that isn't known, one read before this
+ * term began may be old, and so may one that was read before finished jobs were let go: the job may
+ * have been among them. */
+static void note_record(tw_core *core, const call *call, const tw_wire_entry *entry) {
     job *job = tw_job_find(core, call->name);
     if (job)
         tw_job_record_read(core, job, entry);
-    else if (call->gen == core->gen)
-        job = tw_adopt(core, call->name, entry->data, entry->stamp);
-    return job;
+    else if (!tw_job_known(core, call->name) && call->gen == core->gen &&
+             call->seq == tw_finished_let_go(core->finished))
+        tw_adopt(core, call->name, entry->data, entry->stamp);
 }
 
 /* An answer by a record that was read after the question came. */
@@ -255,13 +273,12 @@
         tw_reply_error(core, call->conn, TW_HTTP_UNAVAILABLE, 1, "state service does not answer");
         return;
     }
-    job *job = leads(core) ? job_of_record(core, call, &entry) : NULL;
-    if (job && call->op == OP_ABORT)
-        leader_abort(core, call->conn, job);
-    else if (job)
-        tw_reply(core, call->conn, TW_HTTP_OK, 0, tw_job_answer(job));
-    else
-        answer_by_record(core, call, &entry);
+    int known = 0;
+    if (leads(core)) {
+        note_record(core, call, &entry);
+        known = tell(core, call->conn, call->name, call->op);
+    }
+    if (!known) answer_by_record(core, call, &entry);
     free(entry.data);
 }
 
