--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -500,7 +500,7 @@
 void tw_recover_tick(tw_core *c);
 void tw_recover_page(tw_core *c, call *k, int status, const char *body, size_t len);
 void tw_term_clear(tw_core *c);
-void tw_adopt(tw_core *c, const char *id, const char *data, uint64_t stamp);
+void tw_adopt(tw_core *c, const char *id, tw_wire_record *r, uint64_t stamp);
 
 /* job.c, job_class.c, job_store.c, turned_away.c, user_requests.c, accepted_elsewhere.c */
 job *tw_job_find(tw_core *c, const char *id);
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -45,19 +45,22 @@
 void tw_recover_page(tw_core *c, call *k, int status, const char *body, size_t len) {
     (void)k;
     c->load_busy = 0;
-    tw_wire_entry *e;
+    tw_wire_listed *listed;
     int n, more;
-    if (status != 200 || tw_wire_entries_parse(&e, &n, &more, body, len)) {
+    if (status != TW_HTTP_OK || tw_wire_records_parse(&listed, &n, &more, JOB_KEY, body, len)) {
         c->load_retry = c->now + c->ttl * 0.05;
         return;
     }
     c->state_ok_at = c->now;
     for (int i = 0; i < n; i++) {
-        const char *id = e[i].key + 4;
-        if (strlen(e[i].key) > 4 && !tw_job_known(c, id)) tw_adopt(c, id, e[i].data, e[i].stamp);
+        const char *id = listed[i].key + sizeof JOB_KEY - 1;
+        if (!listed[i].readable)
+            tw_log_error("event=bad_record key=%.32s", listed[i].key);
+        else if (!tw_job_known(c, id))
+            tw_adopt(c, id, &listed[i].record, listed[i].stamp);
     }
-    if (n) snprintf(c->load_after, sizeof c->load_after, "%s", e[n - 1].key);
-    tw_wire_entries_free(e, n);
+    if (n) snprintf(c->load_after, sizeof c->load_after, "%s", listed[n - 1].key);
+    tw_wire_records_free(listed, n);
     if (more && n)
         tw_recover_tick(c);
     else
@@ -65,47 +68,40 @@
 }
 
 /* A job as its record has it, among the jobs or, if it is over and nothing of it may run, among the
- * finished ones. A record that can't be read is left alone. */
-void tw_adopt(tw_core *c, const char *id, const char *data, uint64_t stamp) {
-    tw_wire_record r;
-    if (!tw_wire_id_ok(id, strlen(id)) || tw_wire_record_parse(&r, id, data, strlen(data))) {
-        tw_log_error("event=bad_record id=%.32s", id);
-        return;
-    }
-    if (r.stage != TW_STAGE_PENDING && !r.nlive) {
-        tw_job_ended(c, id, r.stage, r.ndone);
-        tw_wire_record_free(&r);
+ * finished ones. Takes what the job was submitted with out of the record. */
+void tw_adopt(tw_core *c, const char *id, tw_wire_record *r, uint64_t stamp) {
+    if (r->stage != TW_STAGE_PENDING && !r->nlive) {
+        tw_job_ended(c, id, r->stage, r->ndone);
         return;
     }
     job *j = tw_job_new(c, id);
     j->created = 1;
     j->stamp = stamp;
-    j->pieces = r.pieces;
-    j->next_try = r.next_try;
-    j->submitted_wall = r.submitted;
-    j->submitted = c->now - (c->wall - r.submitted);
-    if (j->submitted > c->now || r.submitted <= 0) j->submitted = c->now;
+    j->pieces = r->pieces;
+    j->next_try = r->next_try;
+    j->submitted_wall = r->submitted;
+    j->submitted = c->now - (c->wall - r->submitted);
+    if (j->submitted > c->now || r->submitted <= 0) j->submitted = c->now;
     j->pending_since = c->now;
-    j->stage = j->durable_stage = r.stage;
+    j->stage = j->durable_stage = r->stage;
     j->ver = j->durable_ver = 1;
-    j->ndone = r.ndone;
-    if (r.has_job) tw_job_spec(c, j, &r.job);
-    if (r.stage == TW_STAGE_PENDING || r.nlive) {
+    j->ndone = r->ndone;
+    if (r->has_job) tw_job_spec(c, j, &r->job);
+    if (r->stage == TW_STAGE_PENDING || r->nlive) {
         j->st = tw_zalloc((size_t)j->pieces);
-        j->ndone = r.done_ranges ? tw_ranges_apply(j->st, j->pieces, r.done_ranges, T_DONE) : 0;
-        for (int i = 0; i < r.nlive; i++) {
-            tw_wire_live *l = &r.live[i];
+        j->ndone = r->done_ranges ? tw_ranges_apply(j->st, j->pieces, r->done_ranges, T_DONE) : 0;
+        for (int i = 0; i < r->nlive; i++) {
+            tw_wire_live *l = &r->live[i];
             machine *m = tw_machine(c, l->tray);
             if (!m) m = tw_machine_new(c, l->tray);
             if (j->st[l->index] != T_FREE) continue;
             placement *p = tw_place(c, j, l->index, m, l->attempt);
             p->inherited = p->sent = 1;
             p->ver = 0;
-            if (r.stage == TW_STAGE_ABORTED) p->kill = 1;
+            if (r->stage == TW_STAGE_ABORTED) p->kill = 1;
         }
-        if (r.stage == TW_STAGE_ABORTED) tw_job_cancelled(c, j);
+        if (r->stage == TW_STAGE_ABORTED) tw_job_cancelled(c, j);
     }
-    tw_wire_record_free(&r);
     if (j->st) DL_APPEND(c->active, j);
     c->sched_dirty = 1;
 }
--- a/src/core/user_requests.c
+++ b/src/core/user_requests.c
@@ -228,6 +228,16 @@
     tw_job_lookup(core, conn, id, OP_ABORT);
 }
 
+static void adopt(tw_core *core, const char *id, const tw_wire_entry *entry) {
+    tw_wire_record record;
+    if (tw_wire_record_parse(&record, id, entry->data, strlen(entry->data))) {
+        tw_log_error("event=bad_record id=%.32s", id);
+        return;
+    }
+    tw_adopt(core, id, &record, entry->stamp);
+    tw_wire_record_free(&record);
+}
+
 /* At the leader: takes in a record that was read. Of a job that isn't known, one read before this
  * term began may be old, and so may one that was read before finished jobs were let go: the job may
  * have been among them. */
@@ -237,7 +247,7 @@
         tw_job_record_read(core, job, entry);
     else if (!tw_job_known(core, call->name) && call->gen == core->gen &&
              call->seq == tw_finished_let_go(core->finished))
-        tw_adopt(core, call->name, entry->data, entry->stamp);
+        adopt(core, call->name, entry);
 }
 
 /* An answer by a record that was read after the question came. */
--- a/src/wire/record.c
+++ b/src/wire/record.c
@@ -97,6 +97,49 @@
     return result;
 }
 
+/* ---- lists ---- */
+
+static int read_listed(const cJSON *value, void *item, size_t size) {
+    static const tw_json_field fields[] = {
+        {TW_JSON_NAME("k"), TW_JSON_TEXT_AT(tw_wire_listed, key)},
+        {TW_JSON_NAME("stamp"), TW_JSON_COUNT_AT(tw_wire_listed, stamp)},
+    };
+    (void)size;
+    return tw_json_read(value, fields, TW_JSON_ROWS(fields), item, NULL);
+}
+
+static void read_data(tw_wire_listed *listed, const char *prefix, const cJSON *value) {
+    const size_t length = strlen(prefix);
+    const char *id = listed->key + length;
+    const cJSON *data = cJSON_GetObjectItemCaseSensitive(value, "data");
+    listed->record.job.nracks = -1;
+    listed->readable = !strncmp(listed->key, prefix, length) && tw_wire_id_ok(id, strlen(id)) &&
+                       cJSON_IsObject(data) && !read_record(&listed->record, id, data);
+    if (!listed->readable) tw_wire_record_free(&listed->record);
+}
+
+int tw_wire_records_parse(tw_wire_listed **records, int *n, int *more, const char *prefix,
+                          const char *text, size_t len) {
+    static const tw_json_list list = {"entries", sizeof(tw_wire_listed), read_listed, NULL};
+    void *items;
+    cJSON *object = tw_json_parse(text, len);
+    int result = tw_json_read_list(&list, object, &items, n);
+    *records = items;
+    *more = !result && cJSON_IsTrue(tw_json_get(object, "more"));
+    const cJSON *value;
+    int i = 0;
+    if (!result)
+        cJSON_ArrayForEach(value, tw_json_get(object, list.name))
+            read_data(&(*records)[i++], prefix, value);
+    cJSON_Delete(object);
+    return result;
+}
+
+void tw_wire_records_free(tw_wire_listed *records, int n) {
+    for (int i = 0; i < n; i++) tw_wire_record_free(&records[i].record);
+    free(records);
+}
+
 int tw_wire_record_stage(const char *text, size_t len) {
     tw_wire_record record;
     cJSON *object = tw_json_parse(text, len);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -181,6 +181,17 @@
 } tw_wire_record;
 /* id: the job that its key names. Free the record with tw_wire_record_free. */
 int tw_wire_record_parse(tw_wire_record *r, const char *id, const char *text, size_t len);
+/* A record within a list of the state service, read without a text of its own in between. */
+typedef struct {
+    char key[TW_WIRE_KEY];
+    uint64_t stamp;
+    int readable; /* else there is nothing in the record */
+    tw_wire_record record;
+} tw_wire_listed;
+/* Records whose keys are prefix and the job's id. *more: keys follow after the last one. */
+int tw_wire_records_parse(tw_wire_listed **records, int *n, int *more, const char *prefix,
+                          const char *text, size_t len);
+void tw_wire_records_free(tw_wire_listed *records, int n);
 /* Only its state, TW_STAGE_*; -1: can't be read. */
 int tw_wire_record_stage(const char *text, size_t len);
 void tw_wire_record_free(tw_wire_record *r);
--- a/tests/unit/wire_dump.c
+++ b/tests/unit/wire_dump.c
@@ -160,6 +160,17 @@
     fprintf(out, "ledger=%d %" PRIu64 " hold=%d %" PRIu64, no_ledger, ledger, no_hold, hold);
 }
 
+static void dump_record(FILE *out, const tw_wire_record *record) {
+    fprintf(out, "stage=%d pieces=%d ndone=%d submitted=%.17g next_try=%" PRIu64 " done=%s",
+            record->stage, record->pieces, record->ndone, record->submitted, record->next_try,
+            record->done_ranges ? record->done_ranges : "(none)");
+    for (int i = 0; i < record->nlive; i++)
+        fprintf(out, " [index=%d attempt=%" PRIu64 " tray=%s]", record->live[i].index,
+                record->live[i].attempt, record->live[i].tray);
+    fprintf(out, " has_job=%d ", record->has_job);
+    if (record->has_job) dump_job(out, &record->job);
+}
+
 static void parse_record(FILE *out, const char *text, size_t length) {
     tw_wire_record record;
     fprintf(out, "stage=%d ", tw_wire_record_stage(text, length));
@@ -167,17 +178,28 @@
         fprintf(out, "refused");
         return;
     }
-    fprintf(out, "stage=%d pieces=%d ndone=%d submitted=%.17g next_try=%" PRIu64 " done=%s",
-            record.stage, record.pieces, record.ndone, record.submitted, record.next_try,
-            record.done_ranges ? record.done_ranges : "(none)");
-    for (int i = 0; i < record.nlive; i++)
-        fprintf(out, " [index=%d attempt=%" PRIu64 " tray=%s]", record.live[i].index,
-                record.live[i].attempt, record.live[i].tray);
-    fprintf(out, " has_job=%d ", record.has_job);
-    if (record.has_job) dump_job(out, &record.job);
+    dump_record(out, &record);
     tw_wire_record_free(&record);
 }
 
+static void parse_records(FILE *out, const char *text, size_t length) {
+    tw_wire_listed *records;
+    int count;
+    int more;
+    if (tw_wire_records_parse(&records, &count, &more, "job/", text, length)) {
+        fprintf(out, "refused");
+        return;
+    }
+    fprintf(out, "count=%d more=%d ", count, more);
+    for (int i = 0; i < count; i++) {
+        fprintf(out, "{%s stamp=%" PRIu64 " readable=%d ", records[i].key, records[i].stamp,
+                records[i].readable);
+        if (records[i].readable) dump_record(out, &records[i].record);
+        fprintf(out, "}");
+    }
+    tw_wire_records_free(records, count);
+}
+
 static void parse_ping(FILE *out, const char *text, size_t length) {
     tw_wire_ping ping;
     if (tw_wire_ping_parse(&ping, text, length)) {
@@ -238,5 +260,11 @@
      "{\"name\":\"tray-0\",\"leader\":\"tray-1\",\"token\":41,\"stateOk\":true,\"leading\":false,"
      "\"upS\":12.25,\"deputyS\":3.5}",
      parse_ping, 0},
+    {"records",
+     "{\"entries\":[{\"k\":\"job/run-000412\",\"data\":{\"s\":0,\"j\":" JOB ",\"t\":1.5,\"n\":19,"
+     "\"l\":\"3:17:n-000231\"},\"stamp\":412},{\"k\":\"job/run-000413\",\"data\":{\"s\":2,\"p\":16,"
+     "\"c\":16},\"stamp\":413},{\"k\":\"job/run-000414\",\"data\":{\"s\":0},\"stamp\":414},"
+     "{\"k\":\"new/run-000412\",\"data\":{\"s\":2,\"p\":16},\"stamp\":415}],\"more\":true}",
+     parse_records, 0},
 };
 const size_t message_kind_count = sizeof message_kinds / sizeof *message_kinds;
