A record's text is made of what changed: the job as submitted is printed once

Each write of a record, and each repetition of one, printed the job as submitted anew, fifteen numbers of it.

The text is kept with the job (spec_text, some 350 bytes while it is unfinished) and put into the record as it is.

The 103 older scenarios tell users and workers the same, to the digest; all 104 pass with sanitizers. Not run here: tests/run as a whole, tests/explore.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -80,7 +80,8 @@
     char id[TW_WIRE_ID];
     int has_spec;
     tw_wire_job s;
-    int team; /* index, -1: unknown */
+    char *spec_text; /* s as in the record, made once; NULL: not yet */
+    int team;        /* index, -1: unknown */
     lane *lane;
     uint32_t rackmask; /* over c->flavors */
     uint32_t bundle;   /* sum of its image's name */
@@ -515,7 +516,7 @@
 int tw_job_durable(const job *j);
 void tw_wish_drop(tw_core *c, wish *w);
 char *tw_job_answer(const job *j);
-char *tw_job_record(const job *j);
+char *tw_job_record(job *j);
 void tw_jobs_flush(tw_core *c);
 void tw_jobs_response(tw_core *c, call *k, int status, const char *body, size_t len);
 void tw_jobs_tick(tw_core *c);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -49,6 +49,8 @@
 
 void tw_job_spec(tw_core *core, job *job, tw_wire_job *spec) {
     job->s = *spec;
+    free(job->spec_text);
+    job->spec_text = NULL;
     memset(spec, 0, sizeof *spec);
     spec->nracks = -1;
     job->has_spec = 1;
@@ -69,6 +71,7 @@
         free(waiter);
     }
     tw_wire_job_free(&job->s);
+    free(job->spec_text);
     free(job->st);
     free(job);
 }
@@ -194,6 +197,8 @@
     job->lane = NULL;
     job->has_spec = 0;
     tw_wire_job_free(&job->s);
+    free(job->spec_text);
+    job->spec_text = NULL;
     let_go(core, job);
 }
 
--- a/src/core/job_store.c
+++ b/src/core/job_store.c
@@ -48,7 +48,7 @@
     return tasks;
 }
 
-char *tw_job_record(const job *job) {
+char *tw_job_record(job *job) {
     tw_wire_record record = {.stage = job->stage,
                              .pieces = job->pieces,
                              .ndone = job->ndone,
@@ -57,8 +57,9 @@
     record.live = live_tasks(job, &record.nlive);
     /* While something may run, a successor needs the job's amounts for the team's limit. */
     if (job->has_spec && (job->stage == TW_STAGE_PENDING || record.nlive)) {
+        if (!job->spec_text) job->spec_text = tw_wire_job_text(&job->s);
         record.has_job = 1;
-        record.job = job->s;
+        record.job_text = job->spec_text;
     }
     if (job->stage == TW_STAGE_PENDING)
         record.done_ranges = tw_ranges_text(job->st, job->pieces, T_DONE);
--- a/src/wire/record.c
+++ b/src/wire/record.c
@@ -176,7 +176,9 @@
 char *tw_wire_record_text(const tw_wire_record *record) {
     cJSON *object = cJSON_CreateObject();
     tw_json_write(object, stage_field, 1, record);
-    if (record->has_job)
+    if (record->has_job && record->job_text)
+        cJSON_AddRawToObject(object, "j", record->job_text);
+    else if (record->has_job)
         cJSON_AddItemToObject(object, "j", tw_wire_job_write(&record->job));
     else
         tw_json_write(object, pieces_field, 1, record);
--- a/src/wire/users.c
+++ b/src/wire/users.c
@@ -127,6 +127,8 @@
     return result;
 }
 
+char *tw_wire_job_text(const tw_wire_job *job) { return tw_json_finish(tw_wire_job_write(job)); }
+
 void tw_wire_job_free(tw_wire_job *job) {
     free(job->racks);
     job->racks = NULL;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -41,6 +41,8 @@
 /* *why: what is wrong, in a few words (a constant). Free the job with tw_wire_job_free. */
 int tw_wire_job_parse(tw_wire_job *j, const char *text, size_t len, const char **why);
 void tw_wire_job_free(tw_wire_job *j);
+/* The job as it stands in its record. */
+char *tw_wire_job_text(const tw_wire_job *j);
 
 /* State of a job, as users are told it. */
 enum { TW_STAGE_PENDING, TW_STAGE_RUNNING, TW_STAGE_DONE, TW_STAGE_ABORTED };
@@ -171,7 +173,9 @@
 typedef struct {
     int has_job;
     tw_wire_job job; /* when has_job */
-    int stage;       /* PENDING while unfinished, DONE or ABORTED */
+    const char
+        *job_text; /* when has_job, to be written instead of it: tw_wire_job_text of it; or NULL */
+    int stage;     /* PENDING while unfinished, DONE or ABORTED */
     int pieces, ndone;
     double submitted; /* time of day */
     uint64_t next_try;
