--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -42,6 +42,7 @@
     DL_APPEND(machine->pls, placed);
     job->st[index] = T_LIVE;
     job->nlive++;
+    job->nplacements++;
     if (attempt >= job->next_try) job->next_try = attempt + 1;
     account(core, placed, 1);
     machine->idle_since = 0;
@@ -65,9 +66,11 @@
 }
 
 void tw_placement_free(tw_core *core, placement *placed) {
+    job *job = placed->job;
     tw_placement_leave(core, placed, T_FREE);
     DL_DELETE(placed->m->pls, placed);
     free(placed);
+    tw_job_unplaced(core, job);
 }
 
 void tw_placement_lost(tw_core *core, placement *placed, const char *why) {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -41,6 +41,8 @@
 /* *why: what is wrong, in a few words (a constant). Free the job with tw_wire_job_free. */
 int tw_wire_job_parse(tw_wire_job *j, const char *text, size_t len, const char **why);
 void tw_wire_job_free(tw_wire_job *j);
+/* The job as it stands in its record. */
+char *tw_wire_job_text(const tw_wire_job *j);
 
 /* State of a job, as users are told it. */
 enum { TW_STAGE_PENDING, TW_STAGE_RUNNING, TW_STAGE_DONE, TW_STAGE_ABORTED };
@@ -183,7 +185,9 @@
 typedef struct {
     int has_job;
     tw_wire_job job; /* when has_job */
-    int stage;       /* PENDING while unfinished, DONE or ABORTED */
+    const char
+        *job_text; /* when has_job, to be written instead of it: tw_wire_job_text of it; or NULL */
+    int stage;     /* PENDING while unfinished, DONE or ABORTED */
     int pieces, ndone;
     double submitted; /* time of day */
     uint64_t next_try;
@@ -193,6 +197,17 @@
 } tw_wire_record;
 /* id: the job that its key names. Free the record with tw_wire_record_free. */
 int tw_wire_record_parse(tw_wire_record *r, const char *id, const char *text, size_t len);
+/* A record within a list of the state service, read without a text of its own in between. */
+typedef struct {
+    char key[TW_WIRE_KEY];
+    uint64_t stamp;
+    int readable; /* else there is nothing in the record */
+    tw_wire_record record;
+} tw_wire_listed;
+/* Records whose keys are prefix and the job's id. *more: keys follow after the last one. */
+int tw_wire_records_parse(tw_wire_listed **records, int *n, int *more, const char *prefix,
+                          const char *text, size_t len);
+void tw_wire_records_free(tw_wire_listed *records, int n);
 /* Only its state, TW_STAGE_*; -1: can't be read. */
 int tw_wire_record_stage(const char *text, size_t len);
 void tw_wire_record_free(tw_wire_record *r);
