--- /dev/null
+++ b/src/core/bins.c
@@ -0,0 +1,101 @@
+/* Room as a plan sees it: bins, one for each machine that is there or coming, which tasks are taken
+ * into. */
+#include "core/provision_int.h"
+
+#define ROUNDING 1e-6 /* sums of amounts drift by less */
+#define FIRST_BINS 64
+#define FIRST_STARTS 16
+
+int tw_bin_fits(const bin *bin, const tw_wire_job *spec) {
+    return bin->c + ROUNDING >= spec->cores && bin->g + ROUNDING >= spec->gpus &&
+           bin->mem + ROUNDING >= spec->memory_gb;
+}
+
+int tw_bin_allowed(const bin *bin, const tw_wire_job *spec, uint32_t types) {
+    return (types & (1U << bin->rack)) && (!bin->loaner || spec->loaner) &&
+           (!*spec->yard || !strcmp(spec->yard, bin->yard));
+}
+
+/* As when placing: work without GPUs leaves a GPU machine's GPUs their cores. */
+int tw_bin_leaves_gpus(const tw_core *core, const bin *bin, const tw_wire_job *spec,
+                       int any_machine) {
+    const tw_wire_flavor *type = &core->flavors[bin->rack].f;
+    if (spec->gpus > 0 || any_machine || type->gpus <= 0) return 1;
+    double cores_per_gpu = core->gpu_cores;
+    if (cores_per_gpu <= 0) cores_per_gpu = type->cores / type->gpus;
+    return bin->c - spec->cores + ROUNDING >= bin->g * cores_per_gpu;
+}
+
+void tw_bin_take(bin *bin, const tw_wire_job *spec) {
+    bin->c -= spec->cores;
+    bin->g -= spec->gpus;
+    bin->mem -= spec->memory_gb;
+}
+
+void tw_bin_give(bin *bin, const tw_wire_job *spec) {
+    bin->c += spec->cores;
+    bin->g += spec->gpus;
+    bin->mem += spec->memory_gb;
+}
+
+bin *tw_bins_add(bins *bins) {
+    if (bins->n == bins->cap) {
+        bins->cap = bins->cap ? 2 * bins->cap : FIRST_BINS;
+        bins->v = realloc(bins->v, (size_t)bins->cap * sizeof *bins->v);
+        if (!bins->v) abort();
+    }
+    return &bins->v[bins->n++];
+}
+
+/* Room in bins only gets less while jobs are packed. So those that are too full for a kind of task,
+ * or of a type that it may not use, are passed over by all the jobs alike that come after. */
+struct bin_start {
+    double cores, gpus, memory_gb;
+    uint32_t types;
+    int spot;
+    const char *zone;
+    int bin, drained; /* where to begin: in the bins, and in the room that is given back */
+};
+
+static int same_kind(const struct bin_start *start, const job *job) {
+    const tw_wire_job *spec = &job->s;
+    return start->cores == spec->cores && start->gpus == spec->gpus &&
+           start->memory_gb == spec->memory_gb && start->types == job->rackmask &&
+           start->spot == spec->loaner && !strcmp(start->zone, spec->yard);
+}
+
+/* Valid until the next call. */
+static struct bin_start *start_for(bins *bins, const job *job) {
+    for (int i = 0; i < bins->nstarts; i++)
+        if (same_kind(&bins->starts[i], job)) return &bins->starts[i];
+    if (bins->nstarts == bins->starts_cap) {
+        bins->starts_cap = bins->starts_cap ? 2 * bins->starts_cap : FIRST_STARTS;
+        bins->starts = realloc(bins->starts, (size_t)bins->starts_cap * sizeof *bins->starts);
+        if (!bins->starts) abort();
+    }
+    struct bin_start *start = &bins->starts[bins->nstarts++];
+    *start = (struct bin_start){.cores = job->s.cores,
+                                .gpus = job->s.gpus,
+                                .memory_gb = job->s.memory_gb,
+                                .types = job->rackmask,
+                                .spot = job->s.loaner,
+                                .zone = job->s.yard};
+    return start;
+}
+
+static int of_use(const bin *bin, const job *job) {
+    return !bin->tried && tw_bin_allowed(bin, &job->s, job->rackmask) && tw_bin_fits(bin, &job->s);
+}
+
+int tw_bins_first(bins *bins, const job *job) {
+    struct bin_start *start = start_for(bins, job);
+    while (start->bin < bins->n && !of_use(&bins->v[start->bin], job)) start->bin++;
+    return start->bin;
+}
+
+int *tw_bins_first_drained(bins *bins, const job *job) { return &start_for(bins, job)->drained; }
+
+void tw_bins_free(bins *bins) {
+    free(bins->starts);
+    free(bins->v);
+}
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -276,8 +276,8 @@
 typedef struct bins {
     bin *v;
     int n, cap;
-    struct first *first; /* where to begin for a shape: see plan.c */
-    int nfirst, first_cap;
+    struct bin_start *starts; /* where to begin for a kind of task: see bins.c */
+    int nstarts, starts_cap;
 } bins;
 
 /* Room that a running batch task is expected to give back. */
@@ -431,7 +431,7 @@
     char yards[TW_MAX_ZONES][TW_NAME];
     int nyards;
     uint64_t steps;    /* machines looked at in passes over the fleet: what such a pass costs */
-    tw_futile *futile; /* shapes that found no room in this pass, see place.c */
+    tw_futile *futile; /* kinds of tasks that found no room in this pass, see futile.c */
     int nfutile, futile_cap;
     double gpu_cores, gpu_mem; /* what a GPU's user takes along at most, by the lanes' samples */
     gone *released;
@@ -557,12 +557,17 @@
 
 /* place.c */
 void tw_schedule(tw_core *c);
-void tw_recheck(tw_core *c);
-double tw_job_due(const tw_core *c, const job *j); /* steady time; INFINITY: none */
-double tw_predict(const tw_core *c, const job *j, const machine *m, double *run);
-double tw_estimate(const job *j); /* run time on a machine of slowness 1 */
 int tw_place_new(tw_core *c, job *j);
 int tw_max_live(const tw_core *c);
+
+/* recheck.c */
+void tw_recheck(tw_core *c);
+
+/* estimate.c */
+double tw_job_due(const tw_core *c, const job *j); /* steady time; INFINITY: none */
+double tw_estimate(const job *j);                  /* run time on a machine of slowness 1 */
+
+/* constraints.c */
 int tw_zone_allows(const tw_core *c, const job *j, const char *yard);
 int tw_quota_allows(const tw_core *c, const job *j);
 void tw_per_gpu_note(tw_core *c);
@@ -604,6 +609,8 @@
 
 /* plan.c */
 void tw_plan(tw_core *c);
+
+/* bins.c */
 int tw_bin_fits(const bin *b, const tw_wire_job *s);
 int tw_bin_allowed(const bin *b, const tw_wire_job *s, uint32_t racks);
 int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const tw_wire_job *s, int any_machine);
@@ -620,8 +627,10 @@
 void tw_reopen(tw_core *c);
 void tw_consolidate(tw_core *c, bins *bs);
 
-/* rent.c */
+/* offers.c */
 const char *tw_offer_yard(const tw_core *c, const offer *o);
+
+/* rent.c */
 void tw_rent_tick(tw_core *c);
 void tw_rent_response(tw_core *c, call *k, int status, const char *body, size_t len);
 
--- /dev/null
+++ b/src/core/estimate.c
@@ -0,0 +1,54 @@
+/* Estimates of run time and of T = q + p * missing GB + slowness * expected run time, after
+ * GoodServe. q, p and slowness are moving averages by machine; until a machine has its own, those
+ * of its type stand for them. */
+#include "core/scheduler_int.h"
+
+#define MARGIN_DEVIATIONS 2 /* of a fetch, that a service has to spare before its deadline */
+
+double tw_job_due(const tw_core *core, const job *job) {
+    (void)core;
+    if (!job->s.service && job->s.due_s >= 0) return job->submitted + job->s.due_s;
+    /* A service's deadline is its class's start objective, counted anew after a loss. */
+    if (job->lane && job->lane->within_s > 0)
+        return fmax(job->submitted, job->pending_since) + job->lane->within_s;
+    return INFINITY;
+}
+
+double tw_estimate(const job *job) {
+    if (job->s.service) return 0;
+    return job->s.expect_s * (job->lane ? job->lane->ratio : 1);
+}
+
+double tw_slowness(const tw_core *core, const machine *machine) {
+    return machine->slowness < 0 ? core->flavors[machine->rack].slowness : machine->slowness;
+}
+
+/* What is still to be fetched of an image, in GB. */
+static double missing_gb(const tw_core *core, const job *job, const machine *machine,
+                         const image *image) {
+    if (!image) return job->s.image_gb;
+    if (image->ready_at <= 0) return 0;
+    return fmax(0, image->ready_at - core->now) * core->flavors[machine->rack].f.fetch_gb_s;
+}
+
+tw_prediction tw_predict(const tw_core *core, const tw_demand *demand, const machine *machine) {
+    const job *job = demand->job;
+    const flavor *type = &core->flavors[machine->rack];
+    const double delay_s = machine->q < 0 ? type->q : machine->q;
+    const double s_per_gb = machine->p < 0 ? type->p : machine->p;
+    tw_prediction result = {.image = tw_image(machine, job)};
+    const double gb = missing_gb(core, job, machine, result.image);
+    result.fetch_s = s_per_gb * gb;
+    result.run_s = tw_slowness(core, machine) * demand->estimate_s;
+    result.total_s =
+        delay_s + result.fetch_s * tw_fetch_slowed(core, machine, result.image) + result.run_s;
+    if (job->s.service) result.margin_s = MARGIN_DEVIATIONS * type->p_dev * s_per_gb * gb;
+    return result;
+}
+
+/* A service has no run time to make up in: a fetch that is expected to end just before its start
+ * objective is late half of the time. */
+int tw_predict_in_time(const tw_core *core, const tw_demand *demand,
+                       const tw_prediction *prediction) {
+    return core->now + prediction->total_s + prediction->margin_s <= demand->due;
+}
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -2,380 +2,309 @@
  * expected to need while a machine boots, into the room that is there or coming; what does not fit
  * is to be rented where a task costs least. Room is taken bin by bin, so that a round costs jobs
  * times bins, not tasks times bins. */
-#include "core/core_int.h"
+#include "core/provision_int.h"
 
 #define NEARLY_FREE 0.02 /* share of the fleet's price */
+#define BOOT_SPREAD 1.2  /* of a type's boot time: most machines are up by then */
+#define RUN_SPREAD 1.1   /* of an estimated run time */
+#define RATE_FADES_S 60  /* without arrivals, before their rate is taken to fall, and how fast */
+#define HALF_SHARE 0.5   /* of expected arrivals that spare room is kept for, beside their root */
+#define ROUND_DOWN 0.3   /* of a task of spare room: as little is not rounded up */
+#define ROUNDING 1e-6
 
-/* ---- bins ---- */
+/* ---- packing ---- */
 
-int tw_bin_fits(const bin *b, const tw_wire_job *s) {
-    const double e = 1e-6;
-    return b->c + e >= s->cores && b->g + e >= s->gpus && b->mem + e >= s->memory_gb;
+/* When a machine rented now would run a task, at the soonest, from now. */
+static double soonest_s(const tw_core *core, uint32_t types, double image_gb) {
+    double soonest = INFINITY;
+    for (int i = 0; i < core->nflavors; i++) {
+        const flavor *type = &core->flavors[i];
+        if (types & (1U << i))
+            soonest = fmin(soonest, BOOT_SPREAD * type->f.startup_s + type->p * image_gb);
+    }
+    return soonest;
 }
 
-int tw_bin_allowed(const bin *b, const tw_wire_job *s, uint32_t racks) {
-    return (racks & (1u << b->rack)) && (!b->loaner || s->loaner) &&
-           (!*s->yard || !strcmp(s->yard, b->yard));
+/* Whether to rent for a batch task rather than let it wait until `start`. */
+static int worth_renting(const tw_core *core, const job *job, double start) {
+    if (!isfinite(start)) return 1; /* nothing will be given back */
+    if (start <= core->now + soonest_s(core, job->rackmask, job->s.image_gb)) return 0;
+    return !(start + tw_estimate(job) * RUN_SPREAD <= tw_job_due(core, job));
 }
 
-/* As when placing: work without GPUs leaves a GPU machine's GPUs their cores. */
-int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const tw_wire_job *s, int any_machine) {
-    if (s->gpus > 0 || any_machine || c->flavors[b->rack].f.gpus <= 0) return 1;
-    double per = c->gpu_cores;
-    if (per <= 0) per = c->flavors[b->rack].f.cores / c->flavors[b->rack].f.gpus;
-    return b->c - s->cores + 1e-6 >= b->g * per;
-}
+/* Tasks of a job by zone, placed and planned. */
+typedef struct {
+    const char *zone[TW_MAX_ZONES];
+    int count[TW_MAX_ZONES];
+    int used;
+    int most; /* in a zone */
+} spread;
 
-void tw_bin_take(bin *b, const tw_wire_job *s) {
-    b->c -= s->cores;
-    b->g -= s->gpus;
-    b->mem -= s->memory_gb;
+/* The zone's place in the spread; -1: there are too many. */
+static int spread_slot(spread *spread, const char *zone) {
+    int slot = 0;
+    while (slot < spread->used && strcmp(spread->zone[slot], zone) != 0) slot++;
+    if (slot == TW_MAX_ZONES) return -1;
+    if (slot == spread->used) {
+        spread->zone[slot] = zone;
+        spread->count[slot] = 0;
+        spread->used++;
+    }
+    return slot;
 }
 
-void tw_bin_give(bin *b, const tw_wire_job *s) {
-    b->c += s->cores;
-    b->g += s->gpus;
-    b->mem += s->memory_gb;
+static spread spread_of(const job *job) {
+    spread tasks = {.most = job->s.apart ? (job->pieces + 1) / 2 : INT32_MAX};
+    const placement *placed;
+    DL_FOREACH2(job->live, placed, jnext) {
+        const int slot = spread_slot(&tasks, placed->m->yard);
+        if (slot >= 0) tasks.count[slot]++;
+    }
+    return tasks;
 }
 
-static bin *add(bins *bs) {
-    if (bs->n == bs->cap) {
-        bs->cap = bs->cap ? 2 * bs->cap : 64;
-        bs->v = realloc(bs->v, (size_t)bs->cap * sizeof *bs->v);
-        if (!bs->v) abort();
+/* How many of `want` tasks the bin takes. */
+static int fill(const tw_core *core, bin *bin, const job *job, spread *tasks, int want) {
+    int taken = 0;
+    if (!tw_bin_allowed(bin, &job->s, job->rackmask)) return 0;
+    if (job->s.same_place && tasks->used && strcmp(tasks->zone[0], bin->yard) != 0) return 0;
+    while (taken < want && tw_bin_fits(bin, &job->s) &&
+           tw_bin_leaves_gpus(core, bin, &job->s, job->any_machine)) {
+        const int slot = spread_slot(tasks, bin->yard);
+        if (slot < 0 || tasks->count[slot] >= tasks->most) break;
+        tw_bin_take(bin, &job->s);
+        tasks->count[slot]++;
+        taken++;
     }
-    return &bs->v[bs->n++];
+    return taken;
 }
 
-/* More of a kind than this are not asked for in a round: the next one sees what was granted. */
-static int want_limit(const tw_core *c) {
-    return (int)(TW_RENT_NUMBER * fmax(1, c->cf->cloud_rps));
+/* How many tasks of the job could be placed if there were room. */
+static int placeable(const tw_core *core, const job *job) {
+    const tw_conf_team *team = &core->cf->teams[job->team];
+    int count = job->pieces - job->ndone - job->nlive;
+    if (team->gpus_max > 0 && job->s.gpus > 0)
+        count = (int)fmin(
+            count, floor((team->gpus_max - core->team_g[job->team]) / job->s.gpus + ROUNDING));
+    if (team->cpus_max > 0 && job->s.cores > 0)
+        count = (int)fmin(
+            count, floor((team->cpus_max - core->team_c[job->team]) / job->s.cores + ROUNDING));
+    const int most = tw_max_live(core) - job->nlive;
+    return count > most ? most : count;
 }
 
-static bin *bin_new(tw_core *c, bins *bs, offer *o) {
-    const tw_wire_flavor *f = &c->flavors[o->rack].f;
-    bin *b = add(bs);
-    *b = (bin){.o = o,
-               .rack = o->rack,
-               .loaner = o->loaner,
-               .yard = tw_offer_yard(c, o),
-               .c = f->cores,
-               .g = f->gpus,
-               .mem = f->memory_gb};
-    o->have++;
-    return b;
+/* How many of them to find or rent room for: of a batch, those that had better not wait. */
+static int needed(tw_core *core, bins *bins, const job *job, tw_drain *drain) {
+    const int count = placeable(core, job);
+    int need = 0;
+    int *from = tw_bins_first_drained(bins, job);
+    for (int i = 0; i < count; i++)
+        need += job->s.service || worth_renting(core, job, tw_drain_start(core, drain, job, from));
+    return need;
 }
 
-/* How many of these a machine of the type holds. */
-static double holds(const tw_wire_flavor *f, const tw_wire_job *s) {
-    double n = 1e6;
-    if (s->cores > 0) n = fmin(n, floor(f->cores / s->cores + 1e-6));
-    if (s->gpus > 0) n = fmin(n, floor(f->gpus / s->gpus + 1e-6));
-    if (s->memory_gb > 0) n = fmin(n, floor(f->memory_gb / s->memory_gb + 1e-6));
-    return n;
+/* Rents for `need` tasks of the job. */
+static void rent_for(tw_core *core, bins *bins, job *job, spread *tasks, int need) {
+    while (need > 0) {
+        tw_offer_filter filter = {.only_zone =
+                                      job->s.same_place && tasks->used ? tasks->zone[0] : NULL};
+        for (int i = 0; i < tasks->used; i++)
+            if (tasks->count[i] >= tasks->most) filter.not_zone = tasks->zone[i];
+        offer *offer = tw_offer_best(core, &job->s, job->rackmask, &filter);
+        job->cramped = !offer || offer->refused > 0; /* refused lately: it may be granted again */
+        /* Nothing but GPU machines for it: let it use those that are there before renting. */
+        if (job->s.gpus <= 0 && !job->any_machine &&
+            (!offer || core->flavors[offer->rack].f.gpus > 0)) {
+            job->any_machine = 1;
+            core->sched_dirty = 1;
+            return;
+        }
+        if (!offer) return;
+        const int taken = fill(core, tw_offer_bin(core, bins, offer), job, tasks, need);
+        if (!taken) return;
+        offer->want++;
+        need -= taken;
+    }
 }
 
-/* Where to rent for such a task: least cost a task, then the zone that has fewest of the type. */
-static offer *best_offer(tw_core *c, const tw_wire_job *s, uint32_t racks, const char *not_yard,
-                         const char *only_yard, int spare) {
-    offer *best = NULL;
-    double bv = INFINITY;
-    for (int i = 0; i < c->noffers; i++) {
-        offer *o = &c->offers[i];
-        const tw_wire_flavor *f = &c->flavors[o->rack].f;
-        const char *yard = tw_offer_yard(c, o);
-        if (!(racks & (1u << o->rack)) || (o->loaner && !s->loaner) || c->now < o->refused_until ||
-            o->want >= want_limit(c) || (*s->yard && strcmp(s->yard, yard)) ||
-            (not_yard && !strcmp(not_yard, yard)) || (only_yard && strcmp(only_yard, yard)))
-            continue;
-        if (spare && s->gpus <= 0 && f->gpus > 0) continue;
-        double n = holds(f, s);
-        if (n < 1) continue;
-        double v = (o->loaner ? f->low_price : f->hourly) / n;
-        v *= 1 + 0.001 * o->have;
-        if (v < bv) {
-            bv = v;
-            best = o;
-        }
+static void plan_job(tw_core *core, bins *bins, job *job, tw_drain *drain) {
+    int need = needed(core, bins, job, drain);
+    if (need <= 0) return;
+    spread tasks = spread_of(job);
+    for (int i = tw_bins_first(bins, job); i < bins->n && need > 0; i++) {
+        core->steps++;
+        if (!bins->v[i].tried) need -= fill(core, &bins->v[i], job, &tasks, need);
     }
-    return best;
+    rent_for(core, bins, job, &tasks, need);
 }
 
-/* ---- packing ---- */
+/* ---- spare room ---- */
 
-/* Whether to rent for a batch task rather than let it wait. */
-static int worth_renting(tw_core *c, const job *j, double start) {
-    if (j->s.service) return 1;
-    double est = tw_estimate(j), due = tw_job_due(c, j), soonest = INFINITY;
-    for (int i = 0; i < c->nflavors; i++) {
-        const flavor *f = &c->flavors[i];
-        if (j->rackmask & (1u << i))
-            soonest = fmin(soonest, 1.2 * f->f.startup_s + f->p * j->s.image_gb);
+/* How many tasks to keep room for, of a class whose tasks must start sooner than a machine boots.
+ */
+static int spare_tasks(const tw_core *core, const lane *class, double fleet_price) {
+    const tw_wire_job *sample = &class->sample;
+    if (!class->has_sample || class->within_s <= 0 || !sample->service) return 0;
+    const double lead_s =
+        fmax(0, soonest_s(core, class->sample_racks, sample->image_gb) - class->within_s);
+    const double quiet_s = core->now - class->last_arrival;
+    double rate = class->rate;
+    if (quiet_s > RATE_FADES_S) rate *= exp(-(quiet_s - RATE_FADES_S) / RATE_FADES_S);
+    const double expected = rate * lead_s;
+    const double group = fmax(1, class->batch_tasks);
+    double tasks = core->cf->tune.headroom * (HALF_SHARE * expected + sqrt(expected * group));
+    /* A late start costs the same whatever the task: where twice the room is nearly free beside
+     * what the fleet costs, twice the room. */
+    double price = INFINITY;
+    for (int i = 0; i < core->nflavors; i++) {
+        const tw_wire_flavor *type = &core->flavors[i].f;
+        if (class->sample_racks & (1U << i))
+            price = fmin(price, type->hourly / tw_offer_holds(type, sample));
     }
-    if (!isfinite(start)) return 1; /* nothing will be given back */
-    if (start <= c->now + soonest) return 0;
-    return !(start + est * 1.1 <= due);
+    if (2 * tasks * price < NEARLY_FREE * fleet_price) tasks *= 2;
+    return (int)ceil(tasks - ROUND_DOWN);
 }
 
-/* Tasks of a job by zone, placed and planned. */
-typedef struct {
-    const char *yard[TW_MAX_ZONES];
-    int count[TW_MAX_ZONES], n, cap;
-} spread;
+/* The order in which spare room is looked for. */
+typedef enum { BIN_IN_USE, BIN_IDLE, BIN_COMING, BIN_STATES } bin_state;
 
-static int spread_slot(spread *z, const char *yard) {
-    int i = 0;
-    while (i < z->n && strcmp(z->yard[i], yard)) i++;
-    if (i == TW_MAX_ZONES) return -1;
-    if (i == z->n) {
-        z->yard[z->n] = yard;
-        z->count[z->n++] = 0;
-    }
-    return i;
+static bin_state state_of(const bin *bin) {
+    if (!bin->m || bin->m->stage == M_BOOTING) return BIN_COMING;
+    return bin->busy ? BIN_IN_USE : BIN_IDLE;
 }
 
-/* How many of `want` tasks b takes. */
-static int fill(const tw_core *c, bin *b, const job *j, spread *z, int want) {
-    int n = 0, slot;
-    if (!tw_bin_allowed(b, &j->s, j->rackmask)) return 0;
-    if (j->s.same_place && z->n && strcmp(z->yard[0], b->yard)) return 0;
-    while (n < want && tw_bin_fits(b, &j->s) && tw_bin_leaves_gpus(c, b, &j->s, j->any_machine)) {
-        if ((slot = spread_slot(z, b->yard)) < 0 || z->count[slot] >= z->cap) break;
-        tw_bin_take(b, &j->s);
-        z->count[slot]++;
-        n++;
+/* How many of `want` tasks of the class the bin has spare room for. */
+static int keep(const tw_core *core, bin *bin, const lane *class, int want) {
+    const tw_wire_job *sample = &class->sample;
+    int kept = 0;
+    if (!tw_bin_allowed(bin, sample, class->sample_racks)) return 0;
+    /* Room that placing would not give is no spare room. */
+    if (sample->gpus <= 0 && core->flavors[bin->rack].f.gpus > 0 && !bin->busy) return 0;
+    while (kept < want && tw_bin_fits(bin, sample) && tw_bin_leaves_gpus(core, bin, sample, 0)) {
+        tw_bin_take(bin, sample);
+        if (bin->m) bin->m->keep = 1;
+        kept++;
     }
-    return n;
+    return kept;
 }
 
-/* Room in bins only gets less while jobs are packed. So those that are too full for a shape, or of
- * a kind that it may not use, are passed over by all the jobs alike that come after. */
-typedef struct first {
-    double cores, gpus, mem;
-    uint32_t racks;
-    int loaner, i;
-    const char *yard;
-    int drain; /* in the room that is given back */
-} first;
-
-static first *first_for(bins *bs, const job *j) {
-    const tw_wire_job *s = &j->s;
-    int k = 0;
-    for (; k < bs->nfirst; k++) {
-        const first *f = &bs->first[k];
-        if (f->cores == s->cores && f->gpus == s->gpus && f->mem == s->memory_gb &&
-            f->racks == j->rackmask && f->loaner == s->loaner && !strcmp(f->yard, s->yard))
-            break;
+static void plan_spare(tw_core *core, bins *bins, const lane *class, int want) {
+    for (bin_state state = BIN_IN_USE; state < BIN_STATES && want > 0; state++)
+        for (int i = 0; i < bins->n && want > 0; i++)
+            if (state_of(&bins->v[i]) == state) want -= keep(core, &bins->v[i], class, want);
+    const tw_offer_filter filter = {.spare = 1};
+    while (want > 0) {
+        offer *offer = tw_offer_best(core, &class->sample, class->sample_racks, &filter);
+        if (!offer) return;
+        bin *bin = tw_offer_bin(core, bins, offer);
+        offer->want++;
+        for (; want > 0 && tw_bin_fits(bin, &class->sample); want--)
+            tw_bin_take(bin, &class->sample);
     }
-    if (k == bs->nfirst) {
-        if (bs->nfirst == bs->first_cap) {
-            bs->first_cap = bs->first_cap ? 2 * bs->first_cap : 16;
-            bs->first = realloc(bs->first, (size_t)bs->first_cap * sizeof *bs->first);
-            if (!bs->first) abort();
-        }
-        bs->first[bs->nfirst++] = (first){.cores = s->cores,
-                                          .gpus = s->gpus,
-                                          .mem = s->memory_gb,
-                                          .racks = j->rackmask,
-                                          .loaner = s->loaner,
-                                          .yard = s->yard};
-    }
-    return &bs->first[k];
 }
 
-static int first_of(bins *bs, const job *j) {
-    const tw_wire_job *s = &j->s;
-    first *f = first_for(bs, j);
-    while (f->i < bs->n && (bs->v[f->i].tried || !tw_bin_allowed(&bs->v[f->i], s, j->rackmask) ||
-                            !tw_bin_fits(&bs->v[f->i], s)))
-        f->i++;
-    return f->i;
-}
+/* ---- the round ---- */
 
-static void plan_job(tw_core *c, bins *bs, job *j, tw_drain *d) {
-    int want = j->pieces - j->ndone - j->nlive, need = 0;
-    const tw_conf_team *t = &c->cf->teams[j->team];
-    if (t->gpus_max > 0 && j->s.gpus > 0)
-        want = (int)fmin(want, floor((t->gpus_max - c->team_g[j->team]) / j->s.gpus + 1e-6));
-    if (t->cpus_max > 0 && j->s.cores > 0)
-        want = (int)fmin(want, floor((t->cpus_max - c->team_c[j->team]) / j->s.cores + 1e-6));
-    if (want > tw_max_live(c) - j->nlive) want = tw_max_live(c) - j->nlive;
-    int *from = &first_for(bs, j)->drain;
-    for (int k = 0; k < want; k++)
-        need += j->s.service || worth_renting(c, j, tw_drain_start(c, d, j, from));
-    spread z = {.cap = j->s.apart ? (j->pieces + 1) / 2 : INT32_MAX};
-    placement *p;
-    DL_FOREACH2(j->live, p, jnext) {
-        int slot = spread_slot(&z, p->m->yard);
-        if (slot >= 0) z.count[slot]++;
-    }
-    for (int i = need > 0 ? first_of(bs, j) : 0; i < bs->n && need > 0; i++) {
-        c->steps++;
-        if (!bs->v[i].tried) need -= fill(c, &bs->v[i], j, &z, need);
-    }
-    while (need > 0) {
-        const char *full = NULL;
-        for (int i = 0; i < z.n; i++)
-            if (z.count[i] >= z.cap) full = z.yard[i];
-        offer *o =
-            best_offer(c, &j->s, j->rackmask, full, j->s.same_place && z.n ? z.yard[0] : NULL, 0);
-        j->cramped = !o || o->refused > 0; /* refused lately: it may be granted again */
-        /* Nothing but GPU machines for it: let it use those that are there before renting. */
-        if (j->s.gpus <= 0 && !j->any_machine && (!o || c->flavors[o->rack].f.gpus > 0)) {
-            j->any_machine = c->sched_dirty = 1;
-            return;
-        }
-        if (!o) return;
-        int got = fill(c, bin_new(c, bs, o), j, &z, need);
-        if (!got) return;
-        o->want++;
-        need -= got;
+/* Whether a machine's room can be counted on. */
+static int counts(tw_core *core, const machine *machine) {
+    if (machine->rack < 0 || machine->release || machine->cordon || machine->failed ||
+        machine->closing)
+        return 0;
+    if (machine->stage == M_UP) return machine->warned_until <= 0 && !machine->lapsed;
+    if (machine->overdue) return 0; /* may never come */
+    /* Some of those that boot will be late: as many are not counted on. */
+    double *late = &core->flavors[machine->rack].late_sum;
+    *late += core->flavors[machine->rack].overdue;
+    if (*late >= 1) {
+        *late -= 1;
+        return 0;
     }
+    return 1;
 }
 
-/* Spare room for a class whose tasks must start sooner than a machine boots. */
-static int spare_tasks(const tw_core *c, const lane *l, double fleet_price) {
-    if (!l->has_sample || l->within_s <= 0 || !l->sample.service) return 0;
-    double lead = INFINITY;
-    for (int i = 0; i < c->nflavors; i++)
-        if (l->sample_racks & (1u << i))
-            lead =
-                fmin(lead, 1.2 * c->flavors[i].f.startup_s + c->flavors[i].p * l->sample.image_gb);
-    lead = fmax(0, lead - l->within_s);
-    double rate = l->rate;
-    if (c->now - l->last_arrival > 60) rate *= exp(-(c->now - l->last_arrival - 60) / 60);
-    double x = rate * lead, group = fmax(1, l->batch_tasks);
-    double n = c->cf->tune.headroom * (0.5 * x + sqrt(x * group));
-    /* A late start costs the same whatever the task: where twice the room is nearly free beside
-     * what the fleet costs, twice the room. */
-    double price = INFINITY;
-    for (int i = 0; i < c->nflavors; i++)
-        if (l->sample_racks & (1u << i))
-            price = fmin(price, c->flavors[i].f.hourly / holds(&c->flavors[i].f, &l->sample));
-    if (2 * n * price < NEARLY_FREE * fleet_price) n *= 2;
-    return (int)ceil(n - 0.3);
+static void add_machine(tw_core *core, bins *bins, machine *machine) {
+    const tw_wire_flavor *type = &core->flavors[machine->rack].f;
+    *tw_bins_add(bins) = (bin){.m = machine,
+                               .rack = machine->rack,
+                               .loaner = machine->loaner,
+                               .yard = machine->yard,
+                               .busy = machine->pls != NULL,
+                               /* placing has tried it already */
+                               .tried = machine->stage == M_UP &&
+                                        core->now - machine->first_heard > core->cf->report_s,
+                               .c = type->cores - machine->used_c,
+                               .g = type->gpus - machine->used_g,
+                               .mem = type->memory_gb - machine->used_m};
+    for (int i = 0; i < core->noffers; i++) {
+        offer *offer = &core->offers[i];
+        offer->have +=
+            offer->rack == machine->rack && !strcmp(tw_offer_yard(core, offer), machine->yard);
+    }
 }
 
-static void plan_spare(tw_core *c, bins *bs, const lane *l, int n) {
-    const tw_wire_job *s = &l->sample;
-    for (int pass = 0; pass < 3 && n > 0; pass++) { /* in use, idle, coming */
-        for (int i = 0; i < bs->n && n > 0; i++) {
-            bin *b = &bs->v[i];
-            int kind = !b->m || b->m->stage == M_BOOTING ? 2 : !b->busy;
-            if (kind != pass || !tw_bin_allowed(b, s, l->sample_racks)) continue;
-            /* Room that placing would not give is no spare room. */
-            while (n > 0 && tw_bin_fits(b, s) && tw_bin_leaves_gpus(c, b, s, 0) &&
-                   (s->gpus > 0 || c->flavors[b->rack].f.gpus <= 0 || b->busy)) {
-                tw_bin_take(b, s);
-                if (b->m) b->m->keep = 1;
-                n--;
-            }
-        }
-    }
-    while (n > 0) {
-        offer *o = best_offer(c, s, l->sample_racks, NULL, NULL, 1);
-        if (!o) return;
-        bin *b = bin_new(c, bs, o);
-        o->want++;
-        for (; n > 0 && tw_bin_fits(b, s); n--) tw_bin_take(b, s);
+/* What was asked for and isn't answered yet counts as coming. */
+static void add_asked(tw_core *core, bins *bins, const ask *ask) {
+    for (int i = 0; i < core->noffers; i++) {
+        offer *offer = &core->offers[i];
+        if (offer->rack != ask->rack || offer->zone != ask->zone || offer->loaner != ask->loaner)
+            continue;
+        for (int k = 0; k < ask->number; k++) tw_offer_bin(core, bins, offer)->o = NULL;
     }
 }
 
-static void collect(tw_core *c, bins *bs) {
-    machine *m, *t;
-    for (int i = 0; i < c->noffers; i++) c->offers[i].have = c->offers[i].want = 0;
-    for (int i = 0; i < c->nflavors; i++) c->flavors[i].late_sum = 0;
-    HASH_ITER(hh, c->machines, m, t) {
-        m->keep = 0;
-        if (m->rack < 0 || m->release || m->cordon || m->failed || m->closing) continue;
-        const tw_wire_flavor *f = &c->flavors[m->rack].f;
-        if (m->overdue && m->stage == M_BOOTING) continue; /* may never come */
-        if (m->stage == M_BOOTING) {
-            /* Some of those that boot will be late: as many are not counted on. */
-            double *late = &c->flavors[m->rack].late_sum;
-            *late += c->flavors[m->rack].overdue;
-            if (*late >= 1) {
-                *late -= 1;
-                continue;
-            }
-        }
-        if (m->stage == M_UP && (m->warned_until > 0 || m->lapsed)) continue;
-        *add(bs) = (bin){.m = m,
-                         .rack = m->rack,
-                         .loaner = m->loaner,
-                         .yard = m->yard,
-                         .busy = m->pls != NULL,
-                         /* placing has tried it already */
-                         .tried = m->stage == M_UP && c->now - m->first_heard > c->cf->report_s,
-                         .c = f->cores - m->used_c,
-                         .g = f->gpus - m->used_g,
-                         .mem = f->memory_gb - m->used_m};
-        for (int i = 0; i < c->noffers; i++) {
-            offer *o = &c->offers[i];
-            o->have += o->rack == m->rack && !strcmp(tw_offer_yard(c, o), m->yard);
-        }
-    }
-    ask *a;
-    DL_FOREACH(c->asks, a) { /* asked for, not yet answered: counts as coming */
-        for (int i = 0; i < c->noffers; i++) {
-            offer *o = &c->offers[i];
-            if (o->rack != a->rack || o->zone != a->zone || o->loaner != a->loaner) continue;
-            for (int k = 0; k < a->number; k++) bin_new(c, bs, o)->o = NULL;
-        }
+static void collect(tw_core *core, bins *bins) {
+    for (int i = 0; i < core->noffers; i++) core->offers[i].have = core->offers[i].want = 0;
+    for (int i = 0; i < core->nflavors; i++) core->flavors[i].late_sum = 0;
+    machine *machine;
+    struct machine *next;
+    HASH_ITER(hh, core->machines, machine, next) {
+        machine->keep = 0;
+        if (counts(core, machine)) add_machine(core, bins, machine);
     }
+    const ask *ask;
+    DL_FOREACH(core->asks, ask) add_asked(core, bins, ask);
 }
 
-/* What to ask the cloud for: o->want. */
-static void settle_wants(tw_core *c) {
-    for (int i = 0; i < c->noffers; i++) {
-        offer *o = &c->offers[i];
-        machine *m, *t;
-        if (o->want > 0) HASH_ITER(hh, c->machines, m, t) {
-                /* first those that we were about to return */
-                if (o->want <= 0) break;
-                if (!m->closing || m->release || m->rack != o->rack || m->loaner != o->loaner)
-                    continue;
-                m->closing = 0;
-                c->sched_dirty = 1;
-                o->want--;
-            }
-        if (c->now < c->rent_from) o->want = 0;
-        if (o->want <= 0)
-            o->wanted_since = 0;
-        else if (o->wanted_since <= 0)
-            o->wanted_since = c->now;
+static double price_of(const tw_core *core, const bins *bins) {
+    double price = 0;
+    for (int i = 0; i < bins->n; i++) {
+        const tw_wire_flavor *type = &core->flavors[bins->v[i].rack].f;
+        price += bins->v[i].loaner ? type->low_price : type->hourly;
     }
+    return price;
 }
 
-void tw_plan(tw_core *c) {
-    bins bs = {0};
-    tw_drain d = {0};
-    collect(c, &bs);
-    int had = bs.n;
-    tw_drain_init(c, &d);
-    tw_turns *t = tw_turns_new(c, 0);
-    job *j;
-    while ((j = tw_turns_next(c, t))) plan_job(c, &bs, j, &d);
-    tw_turns_free(t);
-    wish *w, *wt;
-    HASH_ITER(hh, c->wishes, w, wt) {
-        if (c->now < w->until)
-            plan_job(c, &bs, &w->j, &d);
+/* Turned-away submissions are planned for until they have not come again for long. */
+static void plan_turned_away(tw_core *core, bins *bins, tw_drain *drain) {
+    wish *expected;
+    wish *next;
+    HASH_ITER(hh, core->wishes, expected, next) {
+        if (core->now < expected->until)
+            plan_job(core, bins, &expected->j, drain);
         else
-            tw_wish_drop(c, w);
-    }
-    double price = 0;
-    for (int i = 0; i < bs.n; i++) {
-        const tw_wire_flavor *f = &c->flavors[bs.v[i].rack].f;
-        price += bs.v[i].loaner ? f->low_price : f->hourly;
+            tw_wish_drop(core, expected);
     }
-    for (lane *l = c->lanes; l; l = l->hh.next) plan_spare(c, &bs, l, spare_tasks(c, l, price));
-    int more = bs.n > had;
-    settle_wants(c);
-    tw_return_idle(c);
-    tw_reopen(c);
-    if (!more) tw_consolidate(c, &bs); /* else more room is needed, not less */
-    tw_drain_free(&d);
-    free(bs.first);
-    free(bs.v);
+}
+
+void tw_plan(tw_core *core) {
+    bins bins = {0};
+    tw_drain drain = {0};
+    collect(core, &bins);
+    const int there = bins.n;
+    tw_drain_init(core, &drain);
+    tw_turns *turns = tw_turns_new(core, 0);
+    job *job;
+    while ((job = tw_turns_next(core, turns))) plan_job(core, &bins, job, &drain);
+    tw_turns_free(turns);
+    plan_turned_away(core, &bins, &drain);
+    const double price = price_of(core, &bins);
+    for (const lane *class = core->lanes; class; class = class->hh.next)
+        plan_spare(core, &bins, class, spare_tasks(core, class, price));
+    const int more = bins.n > there;
+    tw_offers_settle(core);
+    tw_return_idle(core);
+    tw_reopen(core);
+    if (!more) tw_consolidate(core, &bins); /* else more room is needed, not less */
+    tw_drain_free(&drain);
+    tw_bins_free(&bins);
 }
--- /dev/null
+++ b/src/core/preempt.c
@@ -0,0 +1,142 @@
+/* Room made by stopping work of lower rank, where that loses least. */
+#include "core/scheduler_int.h"
+
+#define ROUNDING 1e-6     /* amounts may differ by that */
+#define SUM_DRIFT 1e-3    /* sums over many tasks may */
+#define COST_OF_RANK 10   /* task seconds, for each step */
+#define COST_OF_LATE 60   /* where the deadline is missed all the same */
+#define RESTART_TIME 1.3  /* of the estimate, to be done in time if started over */
+#define CHOSEN UINT64_MAX /* mark of a task that would be stopped */
+
+typedef struct {
+    double cores, gpus, memory_gb;
+} amounts;
+
+static amounts free_on(const tw_core *core, const machine *machine) {
+    const tw_wire_flavor *type = &core->flavors[machine->rack].f;
+    return (amounts){type->cores - machine->used_c + machine->kill_c,
+                     type->gpus - machine->used_g + machine->kill_g,
+                     type->memory_gb - machine->used_m + machine->kill_m};
+}
+
+static int is_enough(const amounts *room, const tw_wire_job *spec, double tolerance) {
+    return room->cores + tolerance >= spec->cores && room->gpus + tolerance >= spec->gpus &&
+           room->memory_gb + tolerance >= spec->memory_gb;
+}
+
+static int may_stop(const job *job, const placement *placed) {
+    return placed->on_job && !placed->kill && placed->job->has_spec &&
+           placed->job->s.rank < job->s.rank;
+}
+
+/* Work lost when it is stopped, in task seconds. */
+static double cost_of(const tw_core *core, const placement *placed) {
+    const job *job = placed->job;
+    double ran_s = placed->run_at > 0 ? core->now - placed->run_at : 0;
+    if (job->s.snapshot_s > 0) ran_s = fmin(ran_s, job->s.flush_s);
+    /* Rather one that can start over and still make its deadline. */
+    const double estimate_s = tw_estimate(job);
+    const double due = tw_job_due(core, job);
+    if (isfinite(due) && core->now + RESTART_TIME * estimate_s > due) ran_s += estimate_s;
+    return ran_s + 1 + job->s.rank * COST_OF_RANK;
+}
+
+/* Whether it may be enough at all, from sums alone. */
+static int may_vacate(const tw_core *core, const machine *machine, const job *job) {
+    amounts room = free_on(core, machine);
+    for (int rank = 0; rank < job->s.rank; rank++) {
+        room.cores += machine->held[rank].c;
+        room.gpus += machine->held[rank].g;
+        room.memory_gb += machine->held[rank].m;
+    }
+    return is_enough(&room, &job->s, SUM_DRIFT);
+}
+
+/* The one that costs least of those not chosen yet; NULL: none is left. */
+static placement *cheapest(const tw_core *core, const machine *machine, const job *job,
+                           const amounts *room, double *least) {
+    placement *best = NULL;
+    placement *placed;
+    *least = INFINITY;
+    DL_FOREACH(machine->pls, placed) {
+        if (!may_stop(job, placed) || placed->mark == CHOSEN) continue;
+        if (job->s.gpus > 0 && placed->job->s.gpus <= 0 && room->gpus + ROUNDING < job->s.gpus)
+            continue;
+        const double cost = cost_of(core, placed);
+        if (cost < *least) {
+            *least = cost;
+            best = placed;
+        }
+    }
+    return best;
+}
+
+static void stop(tw_core *core, placement *victim, const job *job) {
+    const tw_wire_job *spec = &victim->job->s;
+    tw_log_debug("event=preempt piece=%s/%d for=%s tray=%s", spec->id, victim->index, job->id,
+                 victim->m->name);
+    /* Saving takes flush_s: only where the one that needs the room can wait for it. */
+    const int saves = spec->snapshot_s > 0 && core->now + spec->flush_s < tw_job_due(core, job);
+    tw_placement_kill(core, victim, saves ? spec->flush_s : 0, 1);
+}
+
+/* Chooses tasks to stop until there is room, and with apply stops them. 0: there is not enough. */
+static int vacate(tw_core *core, const job *job, machine *machine, int apply, double *cost) {
+    amounts room = free_on(core, machine);
+    *cost = 0;
+    while (!is_enough(&room, &job->s, ROUNDING)) {
+        double least;
+        placement *victim = cheapest(core, machine, job, &room, &least);
+        if (!victim) return 0;
+        victim->mark = CHOSEN;
+        *cost += least;
+        room.cores += victim->job->s.cores;
+        room.gpus += victim->job->s.gpus;
+        room.memory_gb += victim->job->s.memory_gb;
+        if (apply) stop(core, victim, job);
+    }
+    return 1;
+}
+
+static void unmark(machine *machine) {
+    placement *placed;
+    DL_FOREACH(machine->pls, placed) if (placed->mark == CHOSEN) placed->mark = 0;
+}
+
+struct machine *tw_preempt(tw_core *core, const tw_demand *demand, int in_time, int *kept) {
+    const job *job = demand->job;
+    double least = INFINITY;
+    double cost;
+    machine *machine;
+    struct machine *next;
+    struct machine *best = NULL;
+    if (job->s.rank <= TW_RANK_IDLE) return NULL;
+    HASH_ITER(hh, core->machines, machine, next) {
+        core->steps++;
+        if (machine->rack < 0 || !may_vacate(core, machine, job) ||
+            !tw_machine_usable(core, machine) || !tw_constraints_allow(core, demand, machine) ||
+            !tw_leaves_gpus(core, machine, job))
+            continue;
+        if (!tw_reserve_allows(core, machine, job)) {
+            *kept = 1;
+            continue;
+        }
+        const int enough = vacate(core, job, machine, 0, &cost);
+        unmark(machine);
+        if (!enough) continue;
+        const tw_prediction prediction = tw_predict(core, demand, machine);
+        if (!tw_predict_in_time(core, demand, &prediction)) {
+            if (in_time) continue;
+            cost += COST_OF_LATE;
+        }
+        if (cost < least) {
+            least = cost;
+            best = machine;
+        }
+    }
+    if (!best) return NULL;
+    vacate(core, job, best, 1, &cost);
+    unmark(best);
+    tw_futile_forget(core); /* more may have been stopped than it needs */
+    return best;
+}
--- /dev/null
+++ b/src/core/recheck.c
@@ -0,0 +1,111 @@
+/* The periodic recheck of GoodServe: a task that will miss its deadline is stopped, and starts
+ * again where a full rerun makes it. */
+#include "core/scheduler_int.h"
+
+#define MOST_RERUNS 4      /* in a recheck */
+#define LEAST_REST 0.1     /* of its run time: a task that is past its estimate ends soon */
+#define CLEARLY_FASTER 1.3 /* the other machine, for a rerun to be worth it */
+#define FIRST_CAPACITY 16
+
+/* When a task will end if it misses its deadline, else 0. */
+static double late_end(const tw_core *core, const placement *placed, double *slowness) {
+    const job *job = placed->job;
+    const double estimate_s = tw_estimate(job);
+    const double due = tw_job_due(core, job);
+    const double ran_s = core->now - placed->run_at;
+    if (!isfinite(due) || estimate_s <= 0) return 0;
+    *slowness = fmax(tw_slowness(core, placed->m), ran_s / estimate_s);
+    const double end =
+        fmax(placed->run_at + estimate_s * *slowness, core->now + LEAST_REST * estimate_s);
+    return end <= due ? 0 : end;
+}
+
+/* Where a full rerun of one of a job's tasks would make the deadline. */
+typedef struct {
+    machine *machine;
+    double total_s;
+} alternative;
+
+typedef struct {
+    alternative *items;
+    int count, capacity;
+} alternatives;
+
+static void add(alternatives *found, machine *machine, double total_s) {
+    if (found->count == found->capacity) {
+        found->capacity = found->capacity ? 2 * found->capacity : FIRST_CAPACITY;
+        found->items = realloc(found->items, (size_t)found->capacity * sizeof *found->items);
+        if (!found->items) abort();
+    }
+    found->items[found->count++] = (alternative){machine, total_s};
+}
+
+static alternatives alternatives_of(tw_core *core, job *job) {
+    const tw_demand demand = tw_demand_of(core, job);
+    alternatives found = {0};
+    machine *machine;
+    struct machine *next;
+    HASH_ITER(hh, core->machines, machine, next) {
+        core->steps++;
+        if (machine->rack < 0 || !tw_fits(machine, &core->flavors[machine->rack], &job->s) ||
+            !tw_machine_usable(core, machine) || !tw_constraints_allow(core, &demand, machine))
+            continue;
+        const double total_s = tw_predict(core, &demand, machine).total_s;
+        if (core->now + total_s <= demand.due) add(&found, machine, total_s);
+    }
+    return found;
+}
+
+/* Stops a late task if it would be in time elsewhere. 0: it would not. */
+static int rerun(tw_core *core, placement *placed, double end, double slowness,
+                 const alternatives *found) {
+    const job *job = placed->job;
+    for (int i = 0; i < found->count; i++) {
+        const alternative *other = &found->items[i];
+        if (other->machine == placed->m || core->now + other->total_s >= end ||
+            tw_slowness(core, other->machine) * CLEARLY_FASTER > slowness)
+            continue;
+        tw_log_info("event=rerun piece=%s/%d from=%s to=%s late_s=%.1f", job->id, placed->index,
+                    placed->m->name, other->machine->name, end - tw_job_due(core, job));
+        tw_placement_kill(core, placed, job->s.snapshot_s > 0 ? job->s.flush_s : 0, 0);
+        return 1;
+    }
+    return 0;
+}
+
+/* The number of the job's tasks that were stopped, at most `most`. */
+static int recheck_job(tw_core *core, job *job, int most) {
+    alternatives found = {0};
+    int looked = 0; /* once a job, and only if some task of it is late */
+    int stopped = 0;
+    placement *placed;
+    placement *next;
+    DL_FOREACH_SAFE2(job->live, placed, next, jnext) {
+        double slowness = 0;
+        if (stopped >= most) break;
+        if (placed->kill || placed->run_at <= 0 || placed->stage != TW_PIECE_RUNNING ||
+            placed->m->rack < 0)
+            continue;
+        const double end = late_end(core, placed, &slowness);
+        if (end <= 0) continue;
+        if (!looked) found = alternatives_of(core, job);
+        looked = 1;
+        if (!found.count) break;
+        stopped += rerun(core, placed, end, slowness, &found);
+    }
+    free(found.items);
+    return stopped;
+}
+
+void tw_recheck(tw_core *core) {
+    int left = MOST_RERUNS;
+    job *job;
+    DL_FOREACH(core->active, job) {
+        if (job->stage != TW_STAGE_PENDING || !job->has_spec || job->s.service || job->s.gang ||
+            job->s.due_s < 0)
+            continue;
+        left -= recheck_job(core, job, left);
+        if (left <= 0) break;
+    }
+    core->sched_dirty = 1; /* waits may have ended, too */
+}
--- a/src/core/reserve.c
+++ b/src/core/reserve.c
@@ -4,93 +4,109 @@
  * are expected of the classes that need more GPUs than it does, until their start objective. */
 #include "core/core_int.h"
 
-#define WARM 3
+#define WARM 3 /* times as many holes, where a task starts in time only beside its image */
+#define ROUNDING 1e-6
+#define ANY_NUMBER 1e6
+#define ROUND_DOWN 0.3 /* of a task: as little is not rounded up */
+
+typedef struct {
+    double cores, gpus, memory_gb;
+} amounts;
 
 /* How many tasks of a shape fit into this room. */
-static int fit(double c, double g, double mem, const tw_wire_job *s) {
-    const double e = 1e-6;
-    double n = 1e6;
-    if (s->cores > 0) n = fmin(n, floor(c / s->cores + e));
-    if (s->gpus > 0) n = fmin(n, floor(g / s->gpus + e));
-    if (s->memory_gb > 0) n = fmin(n, floor(mem / s->memory_gb + e));
-    return n > 0 ? (int)n : 0;
+static int fit(const amounts *room, const tw_wire_job *spec) {
+    double count = ANY_NUMBER;
+    if (spec->cores > 0) count = fmin(count, floor(room->cores / spec->cores + ROUNDING));
+    if (spec->gpus > 0) count = fmin(count, floor(room->gpus / spec->gpus + ROUNDING));
+    if (spec->memory_gb > 0)
+        count = fmin(count, floor(room->memory_gb / spec->memory_gb + ROUNDING));
+    return count > 0 ? (int)count : 0;
 }
 
-/* What a service of the highest rank may have on m: free, or held by work of lower rank. */
-static void room(const tw_core *c, const machine *m, double *cores, double *gpus, double *mem) {
-    const tw_wire_flavor *f = &c->flavors[m->rack].f;
-    *cores = f->cores - m->used_c + m->kill_c;
-    *gpus = f->gpus - m->used_g + m->kill_g;
-    *mem = f->memory_gb - m->used_m + m->kill_m;
-    for (int r = 0; r < TW_RANK_PROD; r++) {
-        *cores += m->held[r].c;
-        *gpus += m->held[r].g;
-        *mem += m->held[r].m;
+/* What a service of the highest rank may have on a machine: free, or held by work of lower rank. */
+static amounts room_on(const tw_core *core, const machine *machine) {
+    const tw_wire_flavor *type = &core->flavors[machine->rack].f;
+    amounts room = {type->cores - machine->used_c + machine->kill_c,
+                    type->gpus - machine->used_g + machine->kill_g,
+                    type->memory_gb - machine->used_m + machine->kill_m};
+    for (int rank = 0; rank < TW_RANK_PROD; rank++) {
+        room.cores += machine->held[rank].c;
+        room.gpus += machine->held[rank].g;
+        room.memory_gb += machine->held[rank].m;
     }
+    return room;
 }
 
-static int counts(const lane *l, const machine *m) {
-    return l->reserve > 0 && (l->sample_racks & (1u << m->rack)) &&
-           (!m->loaner || l->sample.loaner);
+static int counts(const lane *class, const machine *machine) {
+    return class->reserve > 0 && (class->sample_racks & (1U << machine->rack)) &&
+           (!machine->loaner || class->sample.loaner);
 }
 
 /* Whether a task can start in time only where its image is cached. */
-static int needs_warm(const tw_core *c, const lane *l) {
-    for (int i = 0; i < c->nflavors; i++) {
-        const flavor *f = &c->flavors[i];
-        double fetch = f->p * l->sample.image_gb;
-        if ((l->sample_racks & (1u << i)) && f->q + fetch * (1 + 2 * f->p_dev) <= l->within_s)
+static int needs_warm(const tw_core *core, const lane *class) {
+    for (int i = 0; i < core->nflavors; i++) {
+        const flavor *type = &core->flavors[i];
+        const double fetch_s = type->p * class->sample.image_gb;
+        if ((class->sample_racks & (1U << i)) &&
+            type->q + fetch_s * (1 + 2 * type->p_dev) <= class->within_s)
             return 0;
     }
     return 1;
 }
 
-void tw_reserve_note(tw_core *c) {
-    machine *m, *t;
-    lane *l;
+/* How many holes to leave for a class. */
+static int reserve_for(const tw_core *core, const lane *class) {
+    if (!class->has_sample || !class->sample.service || class->sample.gpus <= 0 ||
+        class->within_s <= 0)
+        return 0;
+    double tasks = class->rate * class->within_s;
+    const double group = fmax(1, class->batch_tasks);
+    tasks += sqrt(tasks * group);
+    /* A hole is of use to few of the class's images. */
+    if (needs_warm(core, class)) tasks *= WARM;
+    return (int)ceil(tasks - ROUND_DOWN);
+}
+
+void tw_reserve_note(tw_core *core) {
     int any = 0;
-    for (l = c->lanes; l; l = l->hh.next) {
-        l->holes = l->reserve = 0;
-        if (!l->has_sample || !l->sample.service || l->sample.gpus <= 0 || l->within_s <= 0)
-            continue;
-        double x = l->rate * l->within_s, group = fmax(1, l->batch_tasks);
-        x += sqrt(x * group);
-        /* A hole is of use to few of the class's images. */
-        if (needs_warm(c, l)) x *= WARM;
-        l->reserve = (int)ceil(x - 0.3);
-        any |= l->reserve > 0;
+    for (lane *class = core->lanes; class; class = class->hh.next) {
+        class->holes = 0;
+        class->reserve = reserve_for(core, class);
+        any |= class->reserve > 0;
     }
     if (!any) return;
-    HASH_ITER(hh, c->machines, m, t) {
-        double cores, gpus, mem;
-        if (!tw_machine_usable(c, m)) continue;
-        room(c, m, &cores, &gpus, &mem);
-        for (l = c->lanes; l; l = l->hh.next)
-            if (counts(l, m)) l->holes += fit(cores, gpus, mem, &l->sample);
+    machine *machine;
+    struct machine *next;
+    HASH_ITER(hh, core->machines, machine, next) {
+        if (!tw_machine_usable(core, machine)) continue;
+        const amounts room = room_on(core, machine);
+        for (lane *class = core->lanes; class; class = class->hh.next)
+            if (counts(class, machine)) class->holes += fit(&room, &class->sample);
     }
 }
 
-/* How many holes of l are lost when j's task takes room on m. */
-static int lost(const tw_core *c, const machine *m, const job *j, const lane *l) {
-    double cores, gpus, mem;
-    room(c, m, &cores, &gpus, &mem);
-    return fit(cores, gpus, mem, &l->sample) -
-           fit(cores - j->s.cores, gpus - j->s.gpus, mem - j->s.memory_gb, &l->sample);
+/* How many holes of the class are lost when a task of the job takes room on the machine. */
+static int lost(const tw_core *core, const machine *machine, const job *job, const lane *class) {
+    const amounts before = room_on(core, machine);
+    const amounts after = {before.cores - job->s.cores, before.gpus - job->s.gpus,
+                           before.memory_gb - job->s.memory_gb};
+    return fit(&before, &class->sample) - fit(&after, &class->sample);
 }
 
-int tw_reserve_allows(const tw_core *c, const machine *m, const job *j) {
-    if (!j->cramped || !j->s.service) return 1;
-    for (const lane *l = c->lanes; l; l = l->hh.next) {
-        if (l == j->lane || l->sample.gpus <= j->s.gpus || !counts(l, m)) continue;
-        int n = lost(c, m, j, l);
-        if (n > 0 && l->holes - n < l->reserve) return 0;
+int tw_reserve_allows(const tw_core *core, const machine *machine, const job *job) {
+    if (!job->cramped || !job->s.service) return 1;
+    for (const lane *class = core->lanes; class; class = class->hh.next) {
+        if (class == job->lane || class->sample.gpus <= job->s.gpus || !counts(class, machine))
+            continue;
+        const int holes = lost(core, machine, job, class);
+        if (holes > 0 && class->holes - holes < class->reserve) return 0;
     }
     return 1;
 }
 
-/* Before j's task is placed on m. */
-void tw_reserve_take(tw_core *c, const machine *m, const job *j) {
-    if (!j->s.service) return;
-    for (lane *l = c->lanes; l; l = l->hh.next)
-        if (counts(l, m)) l->holes -= lost(c, m, j, l);
+/* Before a task of the job is placed on the machine. */
+void tw_reserve_take(tw_core *core, const machine *machine, const job *job) {
+    if (!job->s.service) return;
+    for (lane *class = core->lanes; class; class = class->hh.next)
+        if (counts(class, machine)) class->holes -= lost(core, machine, job, class);
 }
--- /dev/null
+++ b/src/core/scheduler_int.h
@@ -0,0 +1,62 @@
+/* What the files of placement share: which machines a task may go to, how soon it would end there,
+ * and which of them it takes. Not for the other files of the core. */
+#ifndef TW_SCHEDULER_INT_H
+#define TW_SCHEDULER_INT_H
+#include "core/core_int.h"
+
+/* A task to be placed. What doesn't depend on the machine is worked out once for all of them. */
+typedef struct tw_demand {
+    struct job *job;
+    double due;        /* steady time, INFINITY: none */
+    double estimate_s; /* run time on a machine of slowness 1 */
+    uint32_t zones;    /* that it may go to, as bits over the core's zones */
+} tw_demand;
+
+/* GoodServe's T = q + p * missing GB + slowness * expected run time, for a task on a machine. */
+typedef struct tw_prediction {
+    const struct image *image; /* its image there, cached or on its way; NULL: absent */
+    double fetch_s;            /* for what is missing of the image, by itself on the machine */
+    double run_s;
+    double total_s;  /* T */
+    double margin_s; /* to spare before the deadline, since fetches vary */
+} tw_prediction;
+
+/* estimate.c */
+tw_prediction tw_predict(const tw_core *core, const tw_demand *demand,
+                         const struct machine *machine);
+int tw_predict_in_time(const tw_core *core, const tw_demand *demand,
+                       const tw_prediction *prediction);
+double tw_slowness(const tw_core *core, const struct machine *machine);
+
+/* constraints.c */
+tw_demand tw_demand_of(const tw_core *core, struct job *job);
+/* Whether a task may go to a machine that is usable, whatever room there is. */
+int tw_constraints_allow(const tw_core *core, const tw_demand *demand,
+                         const struct machine *machine);
+/* Whether a task without GPUs leaves the machine's GPUs their cores and memory. */
+int tw_leaves_gpus(const tw_core *core, const struct machine *machine, const struct job *job);
+
+/* futile.c: kinds of tasks for which a pass has found no room. */
+tw_futile tw_futile_kind(const tw_demand *demand);
+int tw_futile_known(const tw_core *core, const tw_futile *kind);
+void tw_futile_note(tw_core *core, const tw_futile *kind);
+void tw_futile_forget_without_gpus(tw_core *core);
+void tw_futile_forget(tw_core *core);
+
+/* What was found for a task. */
+typedef struct tw_choice {
+    struct machine *machine; /* NULL: none */
+    int meets;               /* it is expected to meet the deadline there */
+    int kept;                /* some room was not given, since it is kept for others */
+} tw_choice;
+
+/* choose.c */
+void tw_choose_begin(tw_core *core);
+tw_choice tw_choose(tw_core *core, const tw_demand *demand);
+
+/* preempt.c */
+/* A machine where stopping work of lower rank makes room, at the least loss; the work is told to
+ * stop. in_time: only one where the deadline is met. *kept is set as in tw_choice. */
+struct machine *tw_preempt(tw_core *core, const tw_demand *demand, int in_time, int *kept);
+
+#endif
--- /dev/null
+++ b/src/core/types.c
@@ -0,0 +1,81 @@
+/* Machine types and their prices, as the cloud lists them. */
+#include "core/provision_int.h"
+
+#define TYPES_MAX 31 /* a job's types are bits of a word */
+/* What is taken of a type until something has been learned of it. */
+#define FIRST_DELAY_REPORTS 0.05 /* q, of a report's interval */
+#define FIRST_FETCH_SLOWED 1.1   /* p, of what the type's rate says */
+#define FIRST_FETCH_DEVIATION 0.1
+#define FIRST_OVERDUE_SHARE 0.06
+#define FIRST_INTERFERENCE 0.5
+#define KINDS 2 /* on-demand, spot */
+
+static flavor type_of(const tw_core *core, const tw_wire_flavor *listed) {
+    return (flavor){.f = *listed,
+                    .slowness = 1,
+                    .q = FIRST_DELAY_REPORTS * core->cf->report_s,
+                    .p = FIRST_FETCH_SLOWED / listed->fetch_gb_s,
+                    .p_dev = FIRST_FETCH_DEVIATION,
+                    .overdue = FIRST_OVERDUE_SHARE,
+                    .share = FIRST_INTERFERENCE};
+}
+
+static void make_offers(tw_core *core) {
+    int count = 0;
+    for (int i = 0; i < core->nflavors; i++) count += KINDS * core->flavors[i].f.nyards;
+    core->offers = tw_zalloc((size_t)count * sizeof *core->offers);
+    core->noffers = 0;
+    for (int i = 0; i < core->nflavors; i++)
+        for (int zone = 0; zone < core->flavors[i].f.nyards; zone++)
+            for (int spot = 0; spot < KINDS; spot++)
+                core->offers[core->noffers++] = (offer){.rack = i, .zone = zone, .loaner = spot};
+}
+
+/* The types that a job allows, as bits. */
+static uint32_t types_allowed(const tw_core *core, const tw_wire_job *spec) {
+    uint32_t types = 0;
+    for (int i = 0; i < core->nflavors; i++) {
+        int allowed = spec->nracks < 0;
+        for (int k = 0; k < spec->nracks; k++)
+            allowed |= !strcmp(spec->racks[k], core->flavors[i].f.label);
+        if (allowed) types |= 1U << i;
+    }
+    return types;
+}
+
+static void take_first(tw_core *core, const tw_wire_flavor *listed, int count) {
+    core->flavors = tw_zalloc((size_t)count * sizeof *core->flavors);
+    core->nflavors = count;
+    for (int i = 0; i < count; i++) core->flavors[i] = type_of(core, &listed[i]);
+    make_offers(core);
+    /* Records read before the types were known. */
+    job *job;
+    DL_FOREACH(core->active, job)
+    if (job->has_spec) job->rackmask = types_allowed(core, &job->s);
+    tw_log_info("event=flavors n=%d", count);
+}
+
+/* Only prices move; an index never changes its meaning. */
+static void take_prices(tw_core *core, const tw_wire_flavor *listed, int count) {
+    for (int i = 0; i < count; i++) {
+        const int type = tw_rack_index(core, listed[i].label);
+        if (type < 0) continue;
+        core->flavors[type].f.hourly = listed[i].hourly;
+        core->flavors[type].f.low_price = listed[i].low_price;
+    }
+}
+
+void tw_types_listed(tw_core *core, const char *body, size_t length) {
+    tw_wire_flavor *listed;
+    int count;
+    if (tw_wire_flavors_parse(&listed, &count, body, length) || !count) return;
+    if (count > TYPES_MAX) {
+        tw_log_error("event=too_many_racks used=%d of=%d", TYPES_MAX, count);
+        count = TYPES_MAX;
+    }
+    if (core->nflavors)
+        take_prices(core, listed, count);
+    else
+        take_first(core, listed, count);
+    free(listed);
+}
