No walk over the fleet each tick for returns; the plan counts zones by number

Cause: send_releases() went over all machines each tick (20 times a second at 1 s reports) to find none to return; the plan compared each machine's zone with each offer's by name twice a second (856,000 strcmp in 120 s with 1,000 machines); the list's pages printed each machine's type anew.

Change: returns_due is set where a machine is to be returned (two places) or a return failed, and cleared when a walk finds none left; machines are counted by type and zone number, and an offer takes its count; a type's name is copied when it differs.

What a walk each tick costs in cache misses was not measured.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -444,6 +444,7 @@
     char list_after[TW_NAME];
     double next_list;
     int release_busy;
+    int returns_due; /* some machine is to be returned and may not have been asked for */
     double release_retry;
     offer *offers;
     int noffers;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -807,6 +807,7 @@
 static void ask_release(tw_core *c, machine *m, const char *why) {
     if (m->release) return;
     m->release = m->cordon = 1;
+    c->returns_due = 1;
     tw_log_info("event=release tray=%s why=%s held_s=%.0f", m->name, why, c->now - m->born);
     placement *p, *t;
     DL_FOREACH_SAFE(m->pls, p, t)
--- a/src/core/list.c
+++ b/src/core/list.c
@@ -23,7 +23,8 @@
     machine->missing = 0;
     machine->loaner = listed->loaner;
     if (!*machine->yard) tw_machine_at(core, machine, listed->yard);
-    snprintf(machine->rack_name, sizeof machine->rack_name, "%s", listed->rack);
+    if (strcmp(machine->rack_name, listed->rack) != 0)
+        snprintf(machine->rack_name, sizeof machine->rack_name, "%s", listed->rack);
     if (machine->rack < 0) machine->rack = tw_rack_index(core, listed->rack);
     if (!*machine->endpoint && *listed->endpoint)
         snprintf(machine->endpoint, sizeof machine->endpoint, "%s", listed->endpoint);
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -21,6 +21,7 @@
         double wait = c->cf->tune.idle_ratio * c->flavors[m->rack].f.startup_s;
         if (c->now - m->idle_since < wait) continue;
         m->release = m->cordon = 1;
+        c->returns_due = 1;
         tw_log_info("event=release tray=%s why=idle held_s=%.0f", m->name, c->now - m->born);
     }
 }
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -206,7 +206,7 @@
 /* ---- the round ---- */
 
 /* Whether a machine's room can be counted on. */
-static int counts(tw_core *core, const machine *machine) {
+static int can_count_on(tw_core *core, const machine *machine) {
     if (machine->rack < 0 || machine->release || machine->cordon || machine->failed ||
         machine->closing)
         return 0;
@@ -235,11 +235,6 @@
                                .c = type->cores - machine->used_c,
                                .g = type->gpus - machine->used_g,
                                .mem = type->memory_gb - machine->used_m};
-    for (int i = 0; i < core->noffers; i++) {
-        offer *offer = &core->offers[i];
-        offer->have +=
-            offer->rack == machine->rack && !strcmp(tw_offer_yard(core, offer), machine->yard);
-    }
 }
 
 /* What was asked for and isn't answered yet counts as coming. */
@@ -252,15 +247,40 @@
     }
 }
 
+/* Machines by type and zone; the last zone is for those of no zone known by number. */
+typedef int zone_counts[TW_MAX_ZONES + 1];
+
+/* How many machines of the offer's type its zone has. */
+static int have(const tw_core *core, const offer *offer, const bins *bins,
+                const zone_counts *counts) {
+    const char *name = tw_offer_yard(core, offer);
+    for (int zone = 0; zone < core->nyards; zone++)
+        if (!strcmp(core->yards[zone], name)) return counts[offer->rack][zone];
+    /* More zones than have numbers: by name. */
+    int count = 0;
+    if (!counts[offer->rack][TW_MAX_ZONES]) return 0;
+    for (int i = 0; i < bins->n; i++)
+        count += bins->v[i].rack == offer->rack && !strcmp(bins->v[i].yard, name);
+    return count;
+}
+
 static void collect(tw_core *core, bins *bins) {
-    for (int i = 0; i < core->noffers; i++) core->offers[i].have = core->offers[i].want = 0;
+    zone_counts *counts = tw_zalloc((size_t)core->nflavors * sizeof *counts);
     for (int i = 0; i < core->nflavors; i++) core->flavors[i].late_sum = 0;
     machine *machine;
     struct machine *next;
     HASH_ITER(hh, core->machines, machine, next) {
         machine->keep = 0;
-        if (counts(core, machine)) add_machine(core, bins, machine);
+        if (!can_count_on(core, machine)) continue;
+        add_machine(core, bins, machine);
+        counts[machine->rack][machine->zone < 0 ? TW_MAX_ZONES : machine->zone]++;
+    }
+    for (int i = 0; i < core->noffers; i++) {
+        offer *offer = &core->offers[i];
+        offer->want = 0;
+        offer->have = have(core, offer, bins, counts);
     }
+    free(counts);
     const ask *ask;
     DL_FOREACH(core->asks, ask) add_asked(core, bins, ask);
 }
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -21,12 +21,14 @@
 static void send_returns(tw_core *core) {
     char names[RETURNED_AT_ONCE][TW_NAME];
     int count = 0;
+    if (!core->returns_due) return;
     machine *machine;
     struct machine *next;
     HASH_ITER(hh, core->machines, machine, next) {
         if (!machine->release || machine->releasing || count >= RETURNED_AT_ONCE) continue;
         snprintf(names[count++], TW_NAME, "%s", machine->name);
     }
+    core->returns_due = count > 0; /* until none is left */
     if (!count || !tw_take(core, &core->cloud, 1)) return;
     for (int i = 0; i < count; i++) tw_machine(core, names[i])->releasing = 1;
     call *call = tw_call(core, K_RELEASE, TW_TO_CLOUD, core->cf->cloud, "POST", "/rentals/release",
@@ -44,6 +46,7 @@
         if (!machine) continue;
         if (status != HTTP_OK) {
             machine->releasing = 0; /* asked again: releasing twice is harmless */
+            core->returns_due = 1;
             core->release_retry = core->now + RETRY_S;
             continue;
         }
