--- a/src/core/core.c
+++ b/src/core/core.c
@@ -1,5 +1,32 @@
+/* Dispatch: a request, a response or a tick goes to the file that handles it; then what follows
+ * from it is decided, written and sent. Also the budgets and the effects that all of them use. */
 #include "core/scheduler_int.h"
 
+#define LONG_AGO (-1e9)
+#define SHORTEST_TTL_S 0.2
+#define TEXT_SIZE 160
+#define PATH_SIZE 512
+/* Shares of the state service's limits, which hold for all nodes together. */
+#define LEADER_CALLS 0.6
+#define LEADER_CALLS_BURST 0.5
+#define LEADER_WRITES_BURST 0.9
+#define OTHERS 0.25 /* for all nodes that don't lead, when there is no leader to ask */
+#define OTHERS_WRITES_BURST_S 8
+#define OTHERS_LEAST_READS 2
+#define OTHERS_LEAST_WRITES 4
+/* Ticks: so many in a report's interval, within limits. */
+#define TICKS_PER_REPORT 20
+#define SHORTEST_TICK_S 0.05
+#define LONGEST_TICK_S 0.1
+
+enum {
+    HTTP_OK = 200,
+    HTTP_NOT_FOUND = 404,
+    HTTP_NOT_ALLOWED = 405,
+    HTTP_TOO_MANY = 429,
+    HTTP_UNAVAILABLE = 503
+};
+
 void *tw_zalloc(size_t n) {
     void *p = calloc(1, n ? n : 1);
     if (!p) abort();
@@ -61,7 +88,7 @@
 }
 
 void tw_reply_error(tw_core *c, uint64_t conn, int status, double retry_after, const char *what) {
-    char text[160];
+    char text[TEXT_SIZE];
     snprintf(text, sizeof text, "{\"error\":\"%s\"}", what);
     tw_reply(c, conn, status, retry_after, strdup(text));
 }
@@ -110,19 +137,23 @@
     c->rng = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(c->rng, (unsigned long)seed);
     c->started_at = now;
-    c->state_ok_at = -1e9;
+    c->state_ok_at = LONG_AGO;
     c->ttl = cf->tune.election_ratio * cf->lease_s;
-    if (c->ttl < 0.2) c->ttl = 0.2;
+    if (c->ttl < SHORTEST_TTL_S) c->ttl = SHORTEST_TTL_S;
     double ws = cf->tune.write_share;
-    c->writes = bucket_of(ws * cf->state_write_rps, ws * cf->state_write_rps * 0.9, now);
+    c->writes =
+        bucket_of(ws * cf->state_write_rps, ws * cf->state_write_rps * LEADER_WRITES_BURST, now);
     /* The state service's limit is for all nodes together: the leader gets most of it. */
-    c->reqs = bucket_of(ws * cf->state_rps * 0.6, ws * cf->state_rps * 0.5, now);
+    c->reqs =
+        bucket_of(ws * cf->state_rps * LEADER_CALLS, ws * cf->state_rps * LEADER_CALLS_BURST, now);
     /* Without a leader to ask, all nodes at once read jobs for users and write acceptances:
      * together they leave the greater part to the leader's renewals and writes. */
-    double others = ws * 0.25 / (double)(cf->npeers + 1);
-    c->reads = bucket_of(others * cf->state_rps, fmax(2, others * cf->state_rps), now);
-    c->creates =
-        bucket_of(others * cf->state_write_rps, fmax(4, others * cf->state_write_rps * 8), now);
+    double others = ws * OTHERS / (double)(cf->npeers + 1);
+    c->reads =
+        bucket_of(others * cf->state_rps, fmax(OTHERS_LEAST_READS, others * cf->state_rps), now);
+    c->creates = bucket_of(
+        others * cf->state_write_rps,
+        fmax(OTHERS_LEAST_WRITES, others * cf->state_write_rps * OTHERS_WRITES_BURST_S), now);
     c->cloud = bucket_of(ws * cf->cloud_rps, fmax(1, ws * cf->cloud_rps * 2), now);
     c->team_c = tw_zalloc((cf->nteams + 1) * sizeof(double));
     c->team_g = tw_zalloc((cf->nteams + 1) * sizeof(double));
@@ -130,7 +161,7 @@
     c->peers = tw_zalloc(cf->npeers * sizeof *c->peers);
     for (size_t i = 0; i < cf->npeers; i++) {
         c->peers[i].cf = cf->peers[i];
-        c->peers[i].ok_at = c->peers[i].vouched_at = -1e9;
+        c->peers[i].ok_at = c->peers[i].vouched_at = LONG_AGO;
     }
     for (size_t i = 0; i < cf->nobjectives; i++) {
         const tw_conf_objective *o = &cf->objectives[i];
@@ -189,9 +220,9 @@
 static void up(tw_core *c, uint64_t conn) {
     /* Useful requests can be served while the state service or another node answers us. */
     if (tw_isolated(c) && !tw_authority(c))
-        tw_reply_error(c, conn, 503, 1, "isolated");
+        tw_reply_error(c, conn, HTTP_UNAVAILABLE, 1, "isolated");
     else
-        tw_reply(c, conn, 200, 0, strdup("{\"up\":true}"));
+        tw_reply(c, conn, HTTP_OK, 0, strdup("{\"up\":true}"));
 }
 
 void tw_core_request(tw_core *c, double now, double wall, int port, uint64_t conn,
@@ -199,7 +230,7 @@
     at(c, now, wall);
     int get = !strcmp(method, "GET"), post = !strcmp(method, "POST");
     int peer_port = port == TW_PORT_PEER;
-    char p[512];
+    char p[PATH_SIZE];
     size_t n = strcspn(path, "?#");
     if (n >= sizeof p) n = sizeof p - 1;
     memcpy(p, path, n);
@@ -223,10 +254,11 @@
             *slash = 0;
             tw_abort_job(c, conn, id, peer_port);
         } else {
-            tw_reply_error(c, conn, slash ? 404 : 405, 0, "no such resource");
+            tw_reply_error(c, conn, slash ? HTTP_NOT_FOUND : HTTP_NOT_ALLOWED, 0,
+                           "no such resource");
         }
     } else {
-        tw_reply_error(c, conn, 404, 0, "no such resource");
+        tw_reply_error(c, conn, HTTP_NOT_FOUND, 0, "no such resource");
     }
     settle(c);
 }
@@ -238,7 +270,7 @@
     HASH_FIND(hh, c->calls, &id, sizeof id, k);
     if (!k) return;
     HASH_DEL(c->calls, k);
-    if (status == 429) c->calls_refused++;
+    if (status == HTTP_TOO_MANY) c->calls_refused++;
     switch (k->kind) {
     case K_LEADER_GET:
     case K_LEADER_WATCH:
@@ -288,8 +320,8 @@
 uint64_t tw_core_steps(const tw_core *c) { return c->steps; }
 
 double tw_core_tick_s(const tw_core *c) {
-    double s = c->cf->report_s / 20;
-    return s < 0.05 ? 0.05 : s > 0.1 ? 0.1 : s;
+    const double interval_s = c->cf->report_s / TICKS_PER_REPORT;
+    return fmin(LONGEST_TICK_S, fmax(SHORTEST_TICK_S, interval_s));
 }
 
 /* What the state service was asked for: its limit is for all nodes together. */
