--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -169,6 +169,7 @@
     int trial;                        /* suspect, and tried with one task at a time */
     double trial_at, sick_pause;
     double slowness, q, p;         /* EMAs; p in seconds a GB */
+    double step, step_of;          /* what slowness step_of is in steps, see preference.c */
     double used_c, used_g, used_m; /* by all that may run */
     double kill_c, kill_g, kill_m; /* part of it that was told to stop for others */
     struct {
@@ -278,8 +279,8 @@
 typedef struct bins {
     bin *v;
     int n, cap;
-    struct first *first; /* where to begin for a shape: see plan.c */
-    int nfirst, first_cap;
+    struct bin_start *starts; /* where to begin for a kind of task: see bins.c */
+    int nstarts, starts_cap;
 } bins;
 
 /* Room that a running batch task is expected to give back. */
@@ -439,14 +440,19 @@
     char yards[TW_MAX_ZONES][TW_NAME];
     int nyards;
     uint64_t steps;    /* machines looked at in passes over the fleet: what such a pass costs */
-    tw_futile *futile; /* shapes that found no room in this pass, see place.c */
+    tw_futile *futile; /* kinds of tasks that found no room in this pass, see futile.c */
     int nfutile, futile_cap;
+    struct tw_candidate *candidates; /* machines that this pass may use, see candidates.c */
+    int ncandidates, candidates_cap;
+    struct tw_score_table *score_tables; /* of this pass, see scores.c */
+    int nscore_tables, next_score_table;
     double gpu_cores, gpu_mem; /* what a GPU's user takes along at most, by the lanes' samples */
     gone *released;
     int list_busy, list_more, lists;
     char list_after[TW_NAME];
     double next_list;
     int release_busy;
+    int returns_due; /* some machine is to be returned and may not have been asked for */
     double release_retry;
     offer *offers;
     int noffers;
@@ -456,10 +462,8 @@
 
     double next_move;
     struct {
-        char yard[TW_NAME];
-        double cores, used_c, gpus, used_g;
-    } zones[TW_MAX_ZONES]; /* how full each zone is, as of the last pass */
-    int nzones;
+        double free_cores, free_gpus; /* shares */
+    } zones[TW_MAX_ZONES + 1]; /* as of the last pass; the last one: machines of no known zone */
     struct {
         char yard[TW_NAME];
         int all, silent;
@@ -581,12 +585,17 @@
 
 /* place.c */
 void tw_schedule(tw_core *c);
-void tw_recheck(tw_core *c);
-double tw_job_due(const tw_core *c, const job *j); /* steady time; INFINITY: none */
-double tw_predict(const tw_core *c, const job *j, const machine *m, double *run);
-double tw_estimate(const job *j); /* run time on a machine of slowness 1 */
 int tw_place_new(tw_core *c, job *j);
 int tw_max_live(const tw_core *c);
+
+/* recheck.c */
+void tw_recheck(tw_core *c);
+
+/* estimate.c */
+double tw_job_due(const tw_core *c, const job *j); /* steady time; INFINITY: none */
+double tw_estimate(const job *j);                  /* run time on a machine of slowness 1 */
+
+/* constraints.c */
 int tw_zone_allows(const tw_core *c, const job *j, const char *yard);
 int tw_quota_allows(const tw_core *c, const job *j);
 void tw_per_gpu_note(tw_core *c);
@@ -629,6 +638,8 @@
 
 /* plan.c */
 void tw_plan(tw_core *c);
+
+/* bins.c */
 int tw_bin_fits(const bin *b, const tw_wire_job *s);
 int tw_bin_allowed(const bin *b, const tw_wire_job *s, uint32_t racks);
 int tw_bin_leaves_gpus(const tw_core *c, const bin *b, const tw_wire_job *s, int any_machine);
@@ -645,8 +656,10 @@
 void tw_reopen(tw_core *c);
 void tw_consolidate(tw_core *c, bins *bs);
 
-/* rent.c */
+/* offers.c */
 const char *tw_offer_yard(const tw_core *c, const offer *o);
+
+/* rent.c */
 void tw_rent_tick(tw_core *c);
 void tw_rent_response(tw_core *c, call *k, int status, const char *body, size_t len);
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -21,6 +21,7 @@
     placement *each, *next;
     if (machine->release) return;
     machine->release = machine->cordon = 1;
+    core->returns_due = 1;
     tw_log_info("event=release tray=%s why=%s held_s=%.0f", machine->name, why,
                 core->now - machine->born);
     DL_FOREACH_SAFE(machine->pls, each, next)
