Workers are not left at a node whose end in a zone cut would cost them their leases

Cause: a worker whose node ends tries the next nodes in their order and loses 5 s at each that is beyond the cut.

Change: failover.c reckons, from the nodes' order and zones, whether a worker is answered in time; such nodes are not named where another will do, and pass their zone's workers on while all nodes answer. Ruled out: direct orders, which don't renew a lease.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -616,6 +616,11 @@
 void tw_turns_free(tw_turns *t);
 int tw_job_pending(const tw_core *c, const job *j);
 
+/* failover.c */
+/* Whether a worker of this node's zone that reports to it finds another node within its lease when
+ * it ends, also where no other zone can be reached. */
+int tw_failover_in_time(const tw_core *core, const char *name);
+
 /* relay.c */
 void tw_relay_hello(tw_core *c, uint64_t conn, const tw_wire_report *r, const char *body,
                     size_t len);
@@ -624,6 +629,7 @@
 peer *tw_home_of(tw_core *c, const char *yard);
 int tw_zone_reached(const tw_core *c, const char *yard);
 int tw_send_home(tw_core *c, uint64_t conn, const tw_wire_report *r);
+int tw_send_safer(tw_core *c, uint64_t conn, const tw_wire_report *r);
 double tw_deputy_s(const tw_core *c);
 double tw_deputies_until(const tw_core *c, const char *yard);
 void tw_aborted_note(tw_core *c, uint64_t token, const char *body, size_t len);
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -33,11 +33,17 @@
     return 0;
 }
 
-/* A live node of that zone, for workers to report to; NULL: none known. */
+/* A live node of that zone, for workers to report to, rather one whose end they survive; NULL: none
+ * known. */
 peer *tw_home_of(tw_core *c, const char *yard) {
-    for (size_t i = 0; i < c->npeers; i++)
-        if (live_in(c, &c->peers[i], yard) && c->now >= c->peers[i].shun_until) return &c->peers[i];
-    return NULL;
+    peer *any = NULL;
+    for (size_t i = 0; i < c->npeers; i++) {
+        peer *p = &c->peers[i];
+        if (!live_in(c, p, yard) || c->now < p->shun_until) continue;
+        if (tw_failover_in_time(c, p->cf.name)) return p;
+        if (!any) any = p;
+    }
+    return any;
 }
 
 /* Names the node that a worker should report to, unless it comes back from there: 0, it is to be
@@ -87,6 +93,22 @@
     return home && send_to(c, conn, r->tray, home);
 }
 
+/* Whether all other nodes answer: no time to send workers about otherwise. */
+static int all_live(const tw_core *c) {
+    for (size_t i = 0; i < c->npeers; i++)
+        if (!live_in(c, &c->peers[i], c->peers[i].cf.zone)) return 0;
+    return 1;
+}
+
+/* A worker of this node's zone, at a node whose end would cost it its lease if the zone is cut off:
+ * sent to another one of the zone where that is not so; 0: there is none, or it is answered here.
+ */
+int tw_send_safer(tw_core *c, uint64_t conn, const tw_wire_report *r) {
+    if (tw_failover_in_time(c, c->cf->host_name) || !all_live(c)) return 0;
+    peer *safer = tw_home_of(c, r->yard);
+    return safer && tw_failover_in_time(c, safer->cf.name) && send_to(c, conn, r->tray, safer);
+}
+
 /* ---- at a follower ---- */
 
 /* The tasks of a job cancelled meanwhile must be gone cancel_s after its user was told, lapsing
@@ -364,6 +386,8 @@
         }
         if (!tw_home_of(c, r->yard) && c->now >= l->shun_until && send_to(c, conn, r->tray, l))
             return;
+    } else if (tw_send_safer(c, conn, r)) {
+        return;
     }
     char *copy = tw_zalloc(len + 1);
     memcpy(copy, body, len);
--- a/src/core/report.c
+++ b/src/core/report.c
@@ -170,8 +170,9 @@
 /* At a node that may answer workers. */
 static void lead(tw_core *core, uint64_t conn, const tw_wire_report *report, int from_peer) {
     /* Sent to its own zone, where it is answered even if that is cut off from ours. */
-    if (!from_peer && strcmp(report->yard, core->cf->location) != 0 &&
-        tw_send_home(core, conn, report))
+    const int is_ours = !strcmp(report->yard, core->cf->location);
+    if (!from_peer &&
+        (is_ours ? tw_send_safer(core, conn, report) : tw_send_home(core, conn, report)))
         return;
     if (core->phase == PH_LOADING) {
         /* Renewed, nothing more: what should run there is not known yet. */
