--- a/src/core/move.c
+++ b/src/core/move.c
@@ -1,6 +1,15 @@
 /* Which machines to give back: idle ones, and those whose replicas fit elsewhere. */
 #include "core/core_int.h"
 
+#define TRIES 4           /* machines looked at in a pass, to empty the next one */
+#define RETRY_REPORTS 3   /* reports until one that could not be emptied is looked at again */
+#define PASS_REPORTS 0.3  /* reports between passes that move tasks */
+#define LEAST_MOVES 2     /* tasks that a pass may move anyway */
+#define WRITE_SHARE 0.25  /* of the state service's changes, for moves */
+#define CLOSING_PART 20   /* one machine is emptied at a time, and one more for so many */
+#define LEAST_UP_LEASES 2 /* leases for which a machine is up before it is emptied */
+#define NEAR_SHARE 0.5    /* of its start objective: how long a moved replica's fetch may take */
+
 /* Tasks that ended stay in the list until the machine forgot them; those whose direct launch may
  * still come are never forgotten there, and don't keep the machine. */
 static int holds_work(const machine *m) {
@@ -27,14 +36,12 @@
 
 /* ---- moving replicas together ---- */
 
-#define TRIES 4 /* machines looked at in a pass */
-
 /* Whether its image is there, or comes so fast that a start objective would still be met. */
 static int image_near(const tw_core *c, const placement *p, const machine *m) {
     const image *im = tw_image(m, p->job);
     if (im) return im->ready_at <= 0;
     double rate = m->p < 0 ? c->flavors[m->rack].p : m->p;
-    return p->job->lane && rate * p->job->s.image_gb <= 0.5 * p->job->lane->within_s;
+    return p->job->lane && rate * p->job->s.image_gb <= NEAR_SHARE * p->job->lane->within_s;
 }
 
 /* Room for a replica elsewhere, where it would start at once. */
@@ -44,7 +51,8 @@
         bin *b = &bs->v[i];
         if (!b->m || b->m == p->m || !b->busy || !tw_machine_usable(c, b->m)) continue;
         if (!tw_bin_allowed(b, s, p->job->rackmask) || !tw_bin_fits(b, s)) continue;
-        if ((s->apart || s->same_place) && s->pieces > 1 && strcmp(b->yard, p->m->yard)) continue;
+        if ((s->apart || s->same_place) && s->pieces > 1 && strcmp(b->yard, p->m->yard) != 0)
+            continue;
         if (!image_near(c, p, b->m)) continue;
         if (!tw_bin_leaves_gpus(c, b, &p->job->s, p->job->any_machine)) continue;
         return b;
@@ -131,62 +139,99 @@
     (*moves)--;
 }
 
-/* Machines whose replicas fit elsewhere are emptied, one by one, and returned. */
-void tw_consolidate(tw_core *c, bins *bs) {
-    machine *m, *t, *best = NULL;
-    job *j;
-    /* Each move ends in a write or two: a quarter of what may be written. */
-    double between = 0.3 * c->cf->report_s;
-    int closing = 0, moves = (int)fmax(2, ceil(0.25 * c->cf->state_write_rps * between));
-    double gain = 0;
-    HASH_ITER(hh, c->machines, m, t) closing += m->closing && !m->release;
-    if (c->now < c->next_move) return;
-    c->next_move = c->now + between;
+/* Each move ends in a write or two: a share of what may be written in the time between passes. */
+static int moves_allowed(const tw_core *c, double between_s) {
+    return (int)fmax(LEAST_MOVES, ceil(WRITE_SHARE * c->cf->state_write_rps * between_s));
+}
+
+/* Whether a machine was asked for that is not there yet. */
+static int awaits_machine(const bins *bs) {
     for (int i = 0; i < bs->n; i++)
-        if (!bs->v[i].m) return; /* asked for, not there yet */
+        if (!bs->v[i].m) return 1;
+    return 0;
+}
+
+static int service_waits(const tw_core *c) {
+    const job *j;
     DL_FOREACH(c->active, j)
-    if (j->has_spec && j->s.service && tw_job_pending(c, j)) return;
-    /* Those on their way: a task at a time, so that its start elsewhere is not held up. */
-    HASH_ITER(hh, c->machines, m, t) {
-        placement *p, *n;
-        if (!m->closing || m->release) continue;
-        DL_FOREACH_SAFE(m->pls, p, n) {
-            if (moves <= 0) return;
-            if (!p->on_job || p->kill) continue;
-            if (!p->job->s.service) {
-                move_batch(c, bs, p, &moves);
-                continue;
-            }
-            bin *b = new_home(c, bs, p);
-            if (!b) {
-                m->closing = 0; /* the room has gone */
-                break;
-            }
-            tw_bin_take(b, &p->job->s);
-            tw_log_debug("event=move piece=%s/%d from=%s", p->job->id, p->index, m->name);
-            tw_placement_kill(c, p, 0, 0);
-            moves--;
+    if (j->has_spec && j->s.service && tw_job_pending(c, j)) return 1;
+    return 0;
+}
+
+/* Moves what runs on a machine that is being emptied, a task at a time, so that its start elsewhere
+ * is not held up. 0: no more may be moved in this pass. */
+static int move_tasks(tw_core *c, bins *bs, machine *m, int *moves) {
+    placement *p;
+    placement *next;
+    DL_FOREACH_SAFE(m->pls, p, next) {
+        if (*moves <= 0) return 0;
+        if (!p->on_job || p->kill) continue;
+        if (!p->job->s.service) {
+            move_batch(c, bs, p, moves);
+            continue;
         }
+        bin *room = new_home(c, bs, p);
+        if (!room) {
+            m->closing = 0; /* the room has gone */
+            break;
+        }
+        tw_bin_take(room, &p->job->s);
+        tw_log_debug("event=move piece=%s/%d from=%s", p->job->id, p->index, m->name);
+        tw_placement_kill(c, p, 0, 0);
+        (*moves)--;
     }
-    if (closing >= 1 + (int)HASH_COUNT(c->machines) / 20) return;
+    return 1;
+}
+
+/* Whether it has been up for long enough, and is not one that was just looked at in vain. */
+static int may_close(const tw_core *c, const machine *m) {
+    if (!tw_machine_usable(c, m) || m->loaner || !m->pls || c->now < m->no_close_until) return 0;
+    double least_up_s = fmax(c->flavors[m->rack].f.startup_s, LEAST_UP_LEASES * c->cf->lease_s);
+    return c->now - m->first_heard >= least_up_s;
+}
+
+static machine *most_to_gain(const tw_core *c) {
+    machine *m;
+    machine *next;
+    machine *best = NULL;
+    double most = 0;
+    HASH_ITER(hh, c->machines, m, next) {
+        if (!may_close(c, m)) continue;
+        double gain = close_gain(c, m);
+        if (gain <= most) continue;
+        most = gain;
+        best = m;
+    }
+    return best;
+}
+
+/* The next machine to empty, of the few that are looked at in a pass; NULL: none. */
+static machine *next_to_close(tw_core *c, bins *bs) {
     for (int k = 0; k < TRIES; k++) {
-        best = NULL;
-        gain = 0;
-        HASH_ITER(hh, c->machines, m, t) {
-            if (!tw_machine_usable(c, m) || m->loaner || !m->pls || c->now < m->no_close_until ||
-                c->now - m->first_heard < fmax(c->flavors[m->rack].f.startup_s, 2 * c->cf->lease_s))
-                continue;
-            double g = close_gain(c, m);
-            if (g > gain) {
-                gain = g;
-                best = m;
-            }
-        }
-        if (!best) return;
-        if (!waited_for(c, best) && can_empty(c, bs, best)) break;
-        best->no_close_until = c->now + 3 * c->cf->report_s;
-        best = NULL;
+        machine *best = most_to_gain(c);
+        if (!best) return NULL;
+        if (!waited_for(c, best) && can_empty(c, bs, best)) return best;
+        best->no_close_until = c->now + RETRY_REPORTS * c->cf->report_s;
+    }
+    return NULL;
+}
+
+/* Machines whose replicas fit elsewhere are emptied, one by one, and returned. */
+void tw_consolidate(tw_core *c, bins *bs) {
+    machine *m;
+    machine *next;
+    double between_s = PASS_REPORTS * c->cf->report_s;
+    int moves = moves_allowed(c, between_s);
+    int closing = 0;
+    if (c->now < c->next_move) return;
+    c->next_move = c->now + between_s;
+    if (awaits_machine(bs) || service_waits(c)) return;
+    HASH_ITER(hh, c->machines, m, next) closing += m->closing && !m->release;
+    HASH_ITER(hh, c->machines, m, next) {
+        if (m->closing && !m->release && !move_tasks(c, bs, m, &moves)) return;
     }
+    if (closing >= 1 + (int)HASH_COUNT(c->machines) / CLOSING_PART) return;
+    machine *best = next_to_close(c, bs);
     if (!best) return;
     best->closing = 1;
     tw_log_info("event=closing tray=%s rack=%s", best->name, best->rack_name);
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -8,6 +8,7 @@
 #include "core/core_int.h"
 
 #define OLD_AFTER (0.5 * TW_BEGIN_S) /* a job that waits longer for its first task is old */
+#define ROUNDING 1e-6                /* of sums of cores and GPUs */
 
 struct tw_turns {
     job **v;
@@ -60,8 +61,8 @@
             cpus += x->s.cores * (x->pieces - x->ndone);
             gpus += x->s.gpus * (x->pieces - x->ndone);
         }
-        int fits =
-            (t->gpus <= 0 || gpus <= t->gpus + 1e-6) && (t->cpus <= 0 || cpus <= t->cpus + 1e-6);
+        int fits = (t->gpus <= 0 || gpus <= t->gpus + ROUNDING) &&
+                   (t->cpus <= 0 || cpus <= t->cpus + ROUNDING);
         for (int l = i; l < k; l++)
             v[l].j->guaranteed = fits && (v[l].j->s.gpus > 0 ? t->gpus > 0 : t->cpus > 0);
     }
@@ -101,7 +102,7 @@
 static void note_old(const tw_core *c, tw_turns *t) {
     int n = 0;
     waiting *v = tw_zalloc((size_t)t->n * sizeof *v);
-    t->old = tw_zalloc((size_t)t->n * sizeof *t->old);
+    t->old = tw_zalloc((size_t)t->n * sizeof(job *));
     for (int i = 0; i < t->n; i++) {
         job *j = t->v[i];
         if (j->begun || j->nlive || j->ndone) continue;
@@ -133,7 +134,7 @@
     qsort(v, (size_t)t->n, sizeof *v, by_group);
     t->nteams = nt;
     t->ngroups = 8 * nt;
-    t->v = tw_zalloc((size_t)t->n * sizeof *t->v);
+    t->v = tw_zalloc((size_t)t->n * sizeof(job *));
     t->start = tw_zalloc((size_t)t->ngroups * sizeof *t->start);
     t->end = tw_zalloc((size_t)t->ngroups * sizeof *t->end);
     for (int i = 0; i < t->n; i++) {
