A kind of task is scored and chosen for in one look at the fleet

A machine that lacked only what its GPUs' users need was left out for the rest of the pass, though a task with GPUs placed there meanwhile may leave it free for others.

--- a/src/core/choose.c
+++ b/src/core/choose.c
@@ -2,27 +2,45 @@
  * the one with the least overshoot (GoodServe, section 3.4). */
 #include "core/scheduler_int.h"
 
+/* Takes the machine instead of the one chosen so far, if it is better. */
+static void consider(const tw_core *core, const tw_demand *demand, const tw_score *score,
+                     tw_choice *choice) {
+    machine *machine = core->candidates[score->candidate].machine;
+    if (!tw_constraints_zone(core, demand, machine)) return;
+    const int meets = score->end <= demand->due;
+    const double points = meets ? score->points : -score->total_s;
+    if (meets < choice->meets || (meets == choice->meets && points <= choice->points)) return;
+    if (!tw_reserve_allows(core, machine, demand->job)) {
+        choice->kept = 1;
+        return;
+    }
+    choice->machine = machine;
+    choice->candidate = score->candidate;
+    choice->meets = meets;
+    choice->points = points;
+}
+
+/* Scores the whole fleet for a kind of task that was not yet looked at in this pass. */
+static void choose_first(tw_core *core, const tw_demand *demand, tw_choice *choice) {
+    tw_score_table *table = tw_scores_begin(core, demand);
+    for (int i = 0; i < core->ncandidates; i++) {
+        const tw_score *score = tw_scores_add(core, table, demand, i);
+        core->steps++;
+        if (score) consider(core, demand, score, choice);
+    }
+}
+
 tw_choice tw_choose(tw_core *core, const tw_demand *demand) {
-    const tw_scores scores = tw_scores_for(core, demand);
-    tw_choice choice = {0};
-    double best = -INFINITY;
-    for (int i = 0; i < scores.count; i++) {
-        tw_score *score = &scores.items[i];
-        const tw_candidate *candidate = &core->candidates[score->candidate];
+    tw_choice choice = {.points = -INFINITY};
+    tw_score_table *table = tw_scores_find(core, demand);
+    if (!table) {
+        choose_first(core, demand, &choice);
+        return choice;
+    }
+    for (int i = 0; i < tw_scores_count(table); i++) {
+        const tw_score *score = tw_scores_get(core, table, demand, i);
         core->steps++;
-        if (score->changes != candidate->changes) tw_scores_renew(core, demand, score);
-        if (!score->possible || !tw_constraints_zone(core, demand, candidate->machine)) continue;
-        const int meets = score->end <= demand->due;
-        const double points = meets ? score->points : -score->total_s;
-        if (meets < choice.meets || (meets == choice.meets && points <= best)) continue;
-        if (!tw_reserve_allows(core, candidate->machine, demand->job)) {
-            choice.kept = 1;
-            continue;
-        }
-        choice.machine = candidate->machine;
-        choice.candidate = score->candidate;
-        choice.meets = meets;
-        best = points;
+        if (score) consider(core, demand, score, &choice);
     }
     return choice;
 }
--- a/src/core/scheduler_int.h
+++ b/src/core/scheduler_int.h
@@ -65,19 +65,23 @@
 typedef struct tw_score {
     int candidate;
     int changes;    /* of the candidate, when this was worked out */
-    int possible;   /* it has room and is allowed, its zone apart */
+    int fits;       /* it has room and is allowed, its zone apart */
+    int possible;   /* and the task leaves its GPUs what they need */
     double end;     /* as tw_predict_end has it */
     double total_s; /* T */
     double points;  /* where the deadline is met */
 } tw_score;
-typedef struct tw_scores {
-    tw_score *items;
-    int count;
-} tw_scores;
-/* Valid until the next call. */
-tw_scores tw_scores_for(tw_core *core, const tw_demand *demand);
-/* Works one out again after a task was placed there. */
-void tw_scores_renew(tw_core *core, const tw_demand *demand, tw_score *score);
+typedef struct tw_score_table tw_score_table;
+/* The scores for the demand's kind of task, valid until the next table is begun; NULL: none yet. */
+tw_score_table *tw_scores_find(tw_core *core, const tw_demand *demand);
+/* A table without scores, to which those of all candidates are added, in their order. */
+tw_score_table *tw_scores_begin(tw_core *core, const tw_demand *demand);
+/* Scores a candidate; NULL: no such task can go there. Valid until the next one is added. */
+tw_score *tw_scores_add(tw_core *core, tw_score_table *table, const tw_demand *demand,
+                        int candidate);
+int tw_scores_count(const tw_score_table *table);
+/* A score, worked out again if a task was placed there; NULL: no more can go there. */
+tw_score *tw_scores_get(tw_core *core, tw_score_table *table, const tw_demand *demand, int index);
 /* Room was given back, or a pass begins. */
 void tw_scores_forget(tw_core *core);
 void tw_scores_free(tw_core *core);
@@ -85,6 +89,7 @@
 /* What was found for a task. */
 typedef struct tw_choice {
     struct machine *machine; /* NULL: none */
+    double points;           /* the most, or where no deadline is met the least overshoot */
     int candidate;           /* its number */
     int meets;               /* it is expected to meet the deadline there */
     int kept;                /* none, and some room was not given, since it is kept for others */
--- a/src/core/scores.c
+++ b/src/core/scores.c
@@ -55,14 +55,15 @@
     return result;
 }
 
-void tw_scores_renew(tw_core *core, const tw_demand *demand, tw_score *score) {
+/* Works a score out, at first and after a task was placed on its machine. */
+static void renew(tw_core *core, const tw_demand *demand, tw_score *score) {
     const tw_candidate *candidate = &core->candidates[score->candidate];
     machine *machine = candidate->machine;
     const job *job = demand->job;
     score->changes = candidate->changes;
-    score->possible = tw_fits(machine, &core->flavors[machine->rack], &job->s) &&
-                      tw_constraints_machine(core, job, machine) &&
-                      tw_leaves_gpus(core, machine, job);
+    score->fits = tw_fits(machine, &core->flavors[machine->rack], &job->s) &&
+                  tw_constraints_machine(core, job, machine);
+    score->possible = score->fits && tw_leaves_gpus(core, machine, job);
     if (!score->possible) return;
     const tw_prediction prediction = tw_predict(core, demand, machine);
     score->end = tw_predict_end(core, &prediction);
@@ -70,45 +71,52 @@
     score->points = tw_preference(core, demand, machine, &prediction);
 }
 
-static void add(struct tw_score_table *table, const tw_score *score) {
+tw_score *tw_scores_add(tw_core *core, tw_score_table *table, const tw_demand *demand,
+                        int candidate) {
     if (table->count == table->capacity) {
         table->capacity = table->capacity ? 2 * table->capacity : FIRST_CAPACITY;
         table->items = realloc(table->items, (size_t)table->capacity * sizeof *table->items);
         if (!table->items) abort();
     }
-    table->items[table->count++] = *score;
+    tw_score *score = &table->items[table->count];
+    *score = (tw_score){.candidate = candidate};
+    renew(core, demand, score);
+    /* What doesn't fit won't in this pass. But once its GPUs are taken, a machine may take a task
+     * without GPUs that it had to refuse before. */
+    if (!score->fits) return NULL;
+    table->count++;
+    return score->possible ? score : NULL;
 }
 
-static void fill(tw_core *core, struct tw_score_table *table, const tw_demand *demand) {
-    table->kind = kind_of(demand);
-    table->count = 0;
-    for (int i = 0; i < core->ncandidates; i++) {
-        tw_score score = {.candidate = i};
-        core->steps++;
-        tw_scores_renew(core, demand, &score);
-        if (score.possible) add(table, &score);
-    }
-}
-
-/* A table to be filled: one that is not in use, else the one filled longest ago. */
-static struct tw_score_table *table_new(tw_core *core) {
+/* Room for a table: one that is not in use, else the one filled longest ago. */
+static tw_score_table *table_new(tw_core *core) {
     if (!core->score_tables)
         core->score_tables = tw_zalloc(TABLES_MAX * sizeof *core->score_tables);
     if (core->nscore_tables < TABLES_MAX) return &core->score_tables[core->nscore_tables++];
-    struct tw_score_table *table = &core->score_tables[core->next_score_table];
+    tw_score_table *table = &core->score_tables[core->next_score_table];
     core->next_score_table = (core->next_score_table + 1) % TABLES_MAX;
     return table;
 }
 
-tw_scores tw_scores_for(tw_core *core, const tw_demand *demand) {
-    struct tw_score_table *table = NULL;
-    for (int i = 0; i < core->nscore_tables && !table; i++)
-        if (same_kind(&core->score_tables[i].kind, demand)) table = &core->score_tables[i];
-    if (!table) {
-        table = table_new(core);
-        fill(core, table, demand);
-    }
-    return (tw_scores){table->items, table->count};
+tw_score_table *tw_scores_find(tw_core *core, const tw_demand *demand) {
+    for (int i = 0; i < core->nscore_tables; i++)
+        if (same_kind(&core->score_tables[i].kind, demand)) return &core->score_tables[i];
+    return NULL;
+}
+
+tw_score_table *tw_scores_begin(tw_core *core, const tw_demand *demand) {
+    tw_score_table *table = table_new(core);
+    table->kind = kind_of(demand);
+    table->count = 0;
+    return table;
+}
+
+int tw_scores_count(const tw_score_table *table) { return table->count; }
+
+tw_score *tw_scores_get(tw_core *core, tw_score_table *table, const tw_demand *demand, int index) {
+    tw_score *score = &table->items[index];
+    if (score->changes != core->candidates[score->candidate].changes) renew(core, demand, score);
+    return score->possible ? score : NULL;
 }
 
 void tw_scores_forget(tw_core *core) {
