HTTP statuses are named in one place of the core

They stood in cluster.h, fleet.h, jobs.h, core.c, rent.c and list.c, under three prefixes, since these files were divided at the same time.

--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -4,15 +4,6 @@
 #define TW_CORE_CLUSTER_H
 #include "core/core_int.h"
 
-/* Status codes of the state service's and of peers' answers. */
-enum {
-    TW_STATUS_OK = 200,
-    TW_STATUS_MALFORMED = 400,
-    TW_STATUS_ABSENT = 404,
-    TW_STATUS_CONFLICT = 409,
-    TW_STATUS_TOO_MANY = 429
-};
-
 /* Room for the path of a request to the state service that holds a few numbers. */
 #define TW_PATH_SIZE 160
 
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -19,14 +19,6 @@
 #define SHORTEST_TICK_S 0.05
 #define LONGEST_TICK_S 0.1
 
-enum {
-    HTTP_OK = 200,
-    HTTP_NOT_FOUND = 404,
-    HTTP_NOT_ALLOWED = 405,
-    HTTP_TOO_MANY = 429,
-    HTTP_UNAVAILABLE = 503
-};
-
 void *tw_zalloc(size_t n) {
     void *p = calloc(1, n ? n : 1);
     if (!p) abort();
@@ -223,9 +215,9 @@
 static void up(tw_core *c, uint64_t conn) {
     /* Useful requests can be served while the state service or another node answers us. */
     if (tw_isolated(c) && !tw_authority(c))
-        tw_reply_error(c, conn, HTTP_UNAVAILABLE, 1, "isolated");
+        tw_reply_error(c, conn, TW_HTTP_UNAVAILABLE, 1, "isolated");
     else
-        tw_reply(c, conn, HTTP_OK, 0, strdup("{\"up\":true}"));
+        tw_reply(c, conn, TW_HTTP_OK, 0, strdup("{\"up\":true}"));
 }
 
 void tw_core_request(tw_core *c, double now, double wall, int port, uint64_t conn,
@@ -257,11 +249,11 @@
             *slash = 0;
             tw_abort_job(c, conn, id, peer_port);
         } else {
-            tw_reply_error(c, conn, slash ? HTTP_NOT_FOUND : HTTP_NOT_ALLOWED, 0,
+            tw_reply_error(c, conn, slash ? TW_HTTP_NOT_FOUND : TW_HTTP_METHOD_NOT_ALLOWED, 0,
                            "no such resource");
         }
     } else {
-        tw_reply_error(c, conn, HTTP_NOT_FOUND, 0, "no such resource");
+        tw_reply_error(c, conn, TW_HTTP_NOT_FOUND, 0, "no such resource");
     }
     settle(c);
 }
@@ -273,7 +265,7 @@
     HASH_FIND(hh, c->calls, &id, sizeof id, k);
     if (!k) return;
     HASH_DEL(c->calls, k);
-    if (status == HTTP_TOO_MANY) c->calls_refused++;
+    if (status == TW_HTTP_TOO_MANY) c->calls_refused++;
     switch (k->kind) {
     case K_LEADER_GET:
     case K_LEADER_WATCH:
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -2,6 +2,7 @@
 #ifndef TW_CORE_INT_H
 #define TW_CORE_INT_H
 #include "core/core.h"
+#include "core/status.h"
 #include "log/log.h"
 #include "wire/wire.h"
 #include <gsl/gsl_rng.h>
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -63,14 +63,14 @@
 }
 
 double tw_refused_wait_s(tw_core *core, int status) {
-    if (status != TW_STATUS_TOO_MANY) return 0;
+    if (status != TW_HTTP_TOO_MANY) return 0;
     return LEADER_WAIT_REQUESTS / core->cf->state_rps * tw_jitter(core, WAIT_LEAST, WAIT_MOST);
 }
 
 /* A node whose requests are refused asks ever less often: a limit that all nodes exceed together,
  * each as often as it may, would let none of them through. */
 static void note_limit(tw_core *core, int status) {
-    if (status != TW_STATUS_TOO_MANY) {
+    if (status != TW_HTTP_TOO_MANY) {
         if (status) core->follows_refused = 0;
         return;
     }
@@ -164,7 +164,7 @@
     uint64_t ledger;
     core->poll_busy = 0;
     core->watch_since = 0;
-    if (status != TW_STATUS_OK || tw_wire_ledger_parse(&ledger, body, len)) {
+    if (status != TW_HTTP_OK || tw_wire_ledger_parse(&ledger, body, len)) {
         core->next_poll =
             core->now + core->ttl * tw_jitter(core, WATCH_RETRY_LEAST, WATCH_RETRY_MOST);
     } else if (tw_wire_log_any(body, len)) {
@@ -209,13 +209,13 @@
 
 static void on_leader_key(tw_core *core, int status, const char *body, size_t len) {
     core->poll_busy = 0;
-    if (status == TW_STATUS_ABSENT) {
+    if (status == TW_HTTP_NOT_FOUND) {
         *core->leader = 0;
         if (core->role == R_FOLLOWER && !core->electing) start_election(core);
         return;
     }
     tw_wire_entry entry;
-    if (status != TW_STATUS_OK || tw_wire_entry_parse(&entry, body, len)) return;
+    if (status != TW_HTTP_OK || tw_wire_entry_parse(&entry, body, len)) return;
     core->watch_since = entry.stamp;
     if (core->role == R_FOLLOWER) core->next_poll = core->now;
     cJSON *data = cJSON_Parse(entry.data);
@@ -228,7 +228,7 @@
 
 static void on_grant(tw_core *core, int status, const char *body, size_t len) {
     uint64_t hold;
-    if (status != TW_STATUS_OK || tw_wire_hold_parse(&hold, body, len)) {
+    if (status != TW_HTTP_OK || tw_wire_hold_parse(&hold, body, len)) {
         core->electing = 0;
         return;
     }
@@ -244,7 +244,7 @@
 static void on_acquire(tw_core *core, int status, const char *body, size_t len) {
     uint64_t ledger;
     core->electing = 0;
-    if (status == TW_STATUS_OK && !tw_wire_ledger_parse(&ledger, body, len) &&
+    if (status == TW_HTTP_OK && !tw_wire_ledger_parse(&ledger, body, len) &&
         core->now < core->grant_sent + core->ttl * ACQUIRED_LATEST) {
         become_leader(core, ledger);
         return;
@@ -270,13 +270,13 @@
 static void on_renew(tw_core *core, const call *sent, int status) {
     if (sent->gen != core->gen || core->role != R_LEADER) return;
     if (core->renew_busy) core->renew_busy--;
-    if (status == TW_STATUS_OK) {
+    if (status == TW_HTTP_OK) {
         const double until = authority_end(core, sent->sent);
         if (core->now >= core->auth_until) tw_log_info("event=authority_back");
         if (until > core->auth_until) core->auth_until = until;
         core->next_renew = sent->sent + core->ttl * RENEW_EVERY;
         core->sched_dirty = 1;
-    } else if (status == TW_STATUS_ABSENT) {
+    } else if (status == TW_HTTP_NOT_FOUND) {
         tw_step_down(core, "lease lost");
     } else {
         core->next_renew =
@@ -287,7 +287,7 @@
 /* ---- inputs ---- */
 
 static void note_state(tw_core *core, int status) {
-    if (status == TW_STATUS_OK || status == TW_STATUS_ABSENT || status == TW_STATUS_CONFLICT)
+    if (status == TW_HTTP_OK || status == TW_HTTP_NOT_FOUND || status == TW_HTTP_CONFLICT)
         core->state_ok_at = core->now;
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -18,15 +18,6 @@
 /* Launches in a row that did not take, from which on a machine counts as unresponsive. */
 #define TW_DEAF_AT 3
 
-/* Answers to workers, by the protocol. */
-enum {
-    TW_HTTP_OK = 200,
-    TW_HTTP_BAD_REQUEST = 400,
-    TW_HTTP_CONFLICT = 409, /* of direct orders; holds a report all the same */
-    TW_HTTP_MISDIRECTED = 421,
-    TW_HTTP_UNAVAILABLE = 503
-};
-
 /* Commands under way to one machine. */
 typedef struct {
     tw_wire_order *list; /* the core's scratch: one answer is put together at a time */
--- a/src/core/heartbeat.c
+++ b/src/core/heartbeat.c
@@ -124,7 +124,7 @@
 void tw_ping_request(tw_core *core, uint64_t conn, const char *body, size_t len) {
     tw_wire_ping message;
     if (tw_wire_ping_parse(&message, body, len)) {
-        tw_reply_error(core, conn, TW_STATUS_MALFORMED, 0, "malformed ping");
+        tw_reply_error(core, conn, TW_HTTP_BAD_REQUEST, 0, "malformed ping");
         return;
     }
     peer *from = tw_peer_of(core, message.name);
@@ -140,7 +140,7 @@
     }
     if (from && answer.leading)
         from->grant_until = core->now + tw_alone_s(core) * (1 + 2 * core->cf->tune.drift);
-    tw_reply(core, conn, TW_STATUS_OK, 0, tw_wire_ping_text(&answer, ids, count));
+    tw_reply(core, conn, TW_HTTP_OK, 0, tw_wire_ping_text(&answer, ids, count));
 }
 
 /* A peer answered a ping and knows of no token later than ours: it has not led until the ping was
@@ -160,7 +160,7 @@
     tw_wire_ping answer;
     if (!from) return;
     if (from->busy) from->busy--;
-    if (status != TW_STATUS_OK || tw_wire_ping_parse(&answer, body, len)) return;
+    if (status != TW_HTTP_OK || tw_wire_ping_parse(&answer, body, len)) return;
     vouch(core, from, sent, &answer);
     if (from->ok_at < sent->sent - ANSWERS_S - ANSWERS_LEASES * core->ttl)
         from->back_at = core->now;
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -6,18 +6,6 @@
 #include "core/core_int.h"
 #include "core/finished.h"
 
-/* Status codes of answers to users. */
-enum {
-    TW_HTTP_OK = 200,
-    TW_HTTP_CREATED = 201,
-    TW_HTTP_BAD_REQUEST = 400,
-    TW_HTTP_NOT_FOUND = 404,
-    TW_HTTP_CONFLICT = 409,
-    TW_HTTP_GONE = 410,
-    TW_HTTP_IMPOSSIBLE = 422,
-    TW_HTTP_UNAVAILABLE = 503
-};
-
 /* What a request of a user is about, kept with the call that was made for it. */
 enum { OP_POLL, OP_SUBMIT, OP_ABORT, OP_REFUSE, OP_CREATE };
 
--- a/src/core/list.c
+++ b/src/core/list.c
@@ -8,7 +8,6 @@
 #define OF_LAG 0.5 /* between two readings, of the time that the list lags behind */
 
 enum { RENTAL_UP = 1, RENTAL_FAILED = 2 }; /* tw_wire_tray.stage */
-enum { HTTP_OK = 200 };
 
 static void take_machine(tw_core *core, const tw_wire_tray *listed) {
     const gone *released;
@@ -47,7 +46,7 @@
     int count;
     int more;
     core->list_busy = 0;
-    if (status != HTTP_OK || tw_wire_trays_parse(&listed, &count, &more, body, length)) {
+    if (status != TW_HTTP_OK || tw_wire_trays_parse(&listed, &count, &more, body, length)) {
         core->next_list = core->now + RETRY_S;
         return;
     }
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -14,8 +14,6 @@
 #define AFTER_REFUSAL_MOST_LAGS 6
 #define AFTER_MALFORMED_S 60
 
-enum { HTTP_OK = 200, HTTP_BAD_REQUEST = 400, HTTP_UNAVAILABLE = 503 };
-
 /* ---- returning ---- */
 
 static void send_returns(tw_core *core) {
@@ -44,7 +42,7 @@
     for (int i = 0; i < call->n; i++) {
         machine *machine = tw_machine(core, call->names[i]);
         if (!machine) continue;
-        if (status != HTTP_OK) {
+        if (status != TW_HTTP_OK) {
             machine->releasing = 0; /* asked again: releasing twice is harmless */
             core->returns_due = 1;
             core->release_retry = core->now + RETRY_S;
@@ -154,12 +152,12 @@
     DL_FOREACH(core->asks, request) if (!strcmp(request->name, call->name)) break;
     if (!request) return;
     request->busy = 0;
-    if (status == HTTP_OK && !tw_wire_names_parse(&names, &count, body, length)) {
+    if (status == TW_HTTP_OK && !tw_wire_names_parse(&names, &count, body, length)) {
         granted(core, request, names, count, call->sent);
         free(names);
-    } else if (status == HTTP_UNAVAILABLE && strstr(body, "no capacity")) {
+    } else if (status == TW_HTTP_UNAVAILABLE && strstr(body, "no capacity")) {
         refused(core, request);
-    } else if (status == HTTP_BAD_REQUEST) {
+    } else if (status == TW_HTTP_BAD_REQUEST) {
         tw_log_error("event=rent_malformed ask=%s", request->name);
         offer_of(core, request)->refused_until = core->now + AFTER_MALFORMED_S;
     } else { /* unknown: the same name again gets the same answer */
@@ -256,7 +254,7 @@
     switch (call->kind) {
     case K_FLAVORS:
         core->flavors_busy = 0;
-        if (status == HTTP_OK) tw_types_listed(core, body, length);
+        if (status == TW_HTTP_OK) tw_types_listed(core, body, length);
         core->next_flavors = core->now + (core->nflavors ? TYPES_EVERY_S : TYPES_RETRY_S);
         break;
     case K_LIST:
--- /dev/null
+++ b/src/core/status.h
@@ -0,0 +1,20 @@
+/* HTTP statuses of answers that the core gives and gets, by the protocol. Not for other packages.
+ */
+#ifndef TW_CORE_STATUS_H
+#define TW_CORE_STATUS_H
+
+enum {
+    TW_HTTP_OK = 200,
+    TW_HTTP_CREATED = 201,
+    TW_HTTP_BAD_REQUEST = 400,
+    TW_HTTP_NOT_FOUND = 404,
+    TW_HTTP_METHOD_NOT_ALLOWED = 405,
+    TW_HTTP_CONFLICT = 409,
+    TW_HTTP_GONE = 410,
+    TW_HTTP_MISDIRECTED = 421, /* a worker is to report to another node */
+    TW_HTTP_IMPOSSIBLE = 422,  /* a job that can never run */
+    TW_HTTP_TOO_MANY = 429,
+    TW_HTTP_UNAVAILABLE = 503
+};
+
+#endif
