--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -57,7 +57,7 @@
 enum { T_FREE, T_LIVE, T_DONE };
 typedef struct waiter {
     uint64_t conn;
-    int abort_; /* else: a submission */
+    int cancels; /* else: a submission */
     double until;
     struct waiter *next;
 } waiter;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -103,7 +103,7 @@
 void tw_job_wait(tw_core *core, job *job, uint64_t conn, int cancels) {
     waiter *waiter = tw_zalloc(sizeof *waiter);
     waiter->conn = conn;
-    waiter->abort_ = cancels;
+    waiter->cancels = cancels;
     waiter->until = core->now + ACCEPT_WAIT_S;
     waiter->next = job->waiters;
     job->waiters = waiter;
@@ -139,8 +139,8 @@
     for (waiter **at = &job->waiters; *at;) {
         waiter *waiter = *at;
         int over = job->durable_stage != TW_STAGE_PENDING;
-        if (waiter->abort_ ? over : job->created) {
-            tw_reply(core, waiter->conn, waiter->abort_ ? TW_HTTP_OK : status, 0,
+        if (waiter->cancels ? over : job->created) {
+            tw_reply(core, waiter->conn, waiter->cancels ? TW_HTTP_OK : status, 0,
                      tw_wire_stage_text(job->id, job->durable_stage, -1, -1));
             *at = waiter->next;
             free(waiter);
