Redirects, deputies and relayed reports are modules of their own

Change, behaviour as before: - redirect.c: which node a worker is told to report to - deputy.c: renews leases for a leader out of reach: entitlement, key, cancelled jobs - relay.c: reports handed to the leader and back, held reports - deputies_seen.c: the deputies' keys at the leader, conditions of its writes relay.h has what these share. Held reports and redirects have the glossary's names; the held reports' tick and end are relay.c's, called in the order as before. HTTP statuses come from status.h; times are ratios with names. Log events keep their names.

Shared fields of deputies keep their `dep_` names: five other files use them.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -169,7 +169,9 @@
 
 void tw_core_free(tw_core *c) {
     tw_term_clear(c);
+    tw_relay_end(c);
     tw_deputy_end(c);
+    tw_redirect_end(c);
     call *k, *kt;
     HASH_ITER(hh, c->calls, k, kt) {
         HASH_DEL(c->calls, k);
@@ -285,7 +287,7 @@
         tw_relay_response(c, k, status, body, len);
         break;
     case K_DEP_JOBS:
-        tw_deputy_jobs(c, k, status, body, len);
+        tw_deputy_jobs(c, status, body, len);
         break;
     case K_DEPUTY:
         tw_deputy_response(c, k, status);
@@ -340,6 +342,7 @@
     log_calls(c);
     tw_election_tick(c);
     tw_jobs_tick(c);
+    tw_relay_tick(c);
     tw_deputy_tick(c);
     if (c->role == R_LEADER) {
         if (c->phase == PH_LOADING) tw_recover_tick(c);
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -238,13 +238,14 @@
     UT_hash_handle hh;
 } call;
 
-typedef struct parked {
+/* A worker's report that waits for a leader, see relay.c. */
+typedef struct held_report {
     uint64_t conn;
     char tray[TW_NAME];
     char *body;
     double until;
-    struct parked *prev, *next;
-} parked;
+    struct held_report *prev, *next;
+} held_report;
 
 typedef struct {
     double tokens, rate, burst, at;
@@ -315,18 +316,18 @@
     double grant_until;            /* and by our answer to its ping, as long as it can't reach us */
     double dep_last; /* when it last did, as it said in answer to a ping sent at dep_asof */
     double dep_asof;
-    double shun_from, shun_until; /* workers sent to it come back, see tw_send_home */
+    double shun_from, shun_until; /* workers sent to it come back, see redirect.c */
     int came_back;
 } peer;
 
 /* A worker, the node that we told it to report to, and when. */
-typedef struct sent {
+typedef struct redirect {
     char name[TW_NAME];
     const peer *to;
     double at;
     int back; /* and it came back */
     UT_hash_handle hh;
-} sent;
+} redirect;
 
 typedef struct gone {
     char name[TW_NAME];
@@ -382,7 +383,7 @@
     peer *peers;
     size_t npeers;
 
-    /* as a deputy, see relay.c */
+    /* as a deputy, see deputy.c; reports handed on, see relay.c; redirects, see redirect.c */
     uint64_t dep_token, dep_seq;
     double dep_until, dep_read_at, relay_bad_until;
     uint64_t grant_token; /* by the leader's answer to a ping */
@@ -390,19 +391,19 @@
     double dep_last;      /* when we last answered a worker as a deputy */
     struct gone *relayed; /* workers, and when the leader last answered them through us */
     double relayed_tidy;
-    struct sent *sent_off; /* workers that were told of another node */
-    double sent_off_tidy;
-    int dep_busy, nparked;
-    double dep_try;        /* no earlier attempt to become one */
-    struct parked *parked; /* reports that wait for a leader */
-    double parked_next;
+    redirect *redirects; /* workers that were told of another node */
+    double redirects_tidy;
+    int dep_busy, nheld;
+    double dep_try;    /* no earlier attempt to become one */
+    held_report *held; /* reports that wait for a leader */
+    double held_next;
     uint64_t abort_seq;  /* numbers the cancellations of a term */
     gone *dep_aborted;   /* cancelled jobs, whose tasks a deputy stops: read as one by its key */
     gone *grant_aborted; /* and named with the leader's last grant */
     int dep_listing;
     double dep_list_from, dep_list_next;
     char dep_list_after[256];
-    /* deputies, at the leader */
+    /* deputies, at the leader, see deputies_seen.c */
     int dep_reading, dep_known;
     double dep_checked_at, dep_next, lapse_decided_at;
 
@@ -622,26 +623,54 @@
  * it ends, also where no other zone can be reached. */
 int tw_failover_in_time(const tw_core *core, const char *name);
 
-/* relay.c */
-void tw_relay_hello(tw_core *c, uint64_t conn, const tw_wire_report *r, const char *body,
+/* redirect.c: which node a worker is told to report to */
+/* A live node of that zone, for workers to report to, rather one whose end they survive; NULL: none
+ * known. */
+peer *tw_home_of(tw_core *core, const char *zone);
+/* Whether some node of that zone answers us. */
+int tw_zone_reached(const tw_core *core, const char *zone);
+/* A worker of another zone: redirected to a node of its own; 0: none, or none that answers it. */
+int tw_redirect_home(tw_core *core, uint64_t conn, const tw_wire_report *report);
+/* A worker of this node's zone, at a node whose end would cost it its lease if the zone is cut off:
+ * redirected to another one of the zone where that is not so; 0: there is none, or it is answered
+ * here. */
+int tw_redirect_safer(tw_core *core, uint64_t conn, const tw_wire_report *report);
+void tw_redirect_end(tw_core *core);
+
+/* deputy.c: renews leases for a leader that can't be reached */
+/* How long a deputy's entitlement lasts from the sending of its write. */
+double tw_deputy_s(const tw_core *core);
+/* Cancelled jobs, as the leader says: their tasks are stopped by whoever answers their machines. */
+void tw_aborted_note(tw_core *core, uint64_t token, const char *body, size_t len);
+/* The leader's answer to a heartbeat: should we lose it, we may answer our zone's workers for a
+ * while. With it come the cancelled jobs that may still run. */
+void tw_deputy_granted(tw_core *core, double sent, uint64_t token, const char *body, size_t len);
+/* The state service answered the write of this node's key. */
+void tw_deputy_response(tw_core *core, call *sent, int status);
+/* The state service answered with a page of jobs. */
+void tw_deputy_jobs(tw_core *core, int status, const char *body, size_t len);
+void tw_deputy_tick(tw_core *core);
+void tw_deputy_end(tw_core *core);
+
+/* relay.c: reports handed to the leader and its answers back, held reports */
+/* A report at a node that does not lead. */
+void tw_relay_hello(tw_core *core, uint64_t conn, const tw_wire_report *report, const char *body,
                     size_t len);
-void tw_relay_response(tw_core *c, call *k, int status, const char *body, size_t len);
-void tw_deputy_response(tw_core *c, call *k, int status);
-peer *tw_home_of(tw_core *c, const char *yard);
-int tw_zone_reached(const tw_core *c, const char *yard);
-int tw_send_home(tw_core *c, uint64_t conn, const tw_wire_report *r);
-int tw_send_safer(tw_core *c, uint64_t conn, const tw_wire_report *r);
-double tw_deputy_s(const tw_core *c);
-double tw_deputies_until(const tw_core *c, const char *yard);
-void tw_aborted_note(tw_core *c, uint64_t token, const char *body, size_t len);
-void tw_deputy_granted(tw_core *c, double sent, uint64_t token, const char *body, size_t len);
-int tw_deputy_conds(const tw_core *c, tw_wire_cond *conds, char (*keys)[TW_NAME + 8]);
-void tw_deputies_read(tw_core *c);
-void tw_deputies_page(tw_core *c, call *k, int status, const char *body, size_t len);
-void tw_deputies_tick(tw_core *c);
-void tw_deputy_tick(tw_core *c);
-void tw_deputy_jobs(tw_core *c, call *k, int status, const char *body, size_t len);
-void tw_deputy_end(tw_core *c);
+/* The leader answered a report that was handed to it. */
+void tw_relay_response(tw_core *core, call *sent, int status, const char *body, size_t len);
+void tw_relay_tick(tw_core *core);
+void tw_relay_end(tw_core *core);
+
+/* deputies_seen.c: deputies, at the leader */
+/* Until when some deputy of the zone (empty: of any) may have answered workers. */
+double tw_deputies_until(const tw_core *core, const char *zone);
+/* Conditions that the deputies' keys are as they are known; returns how many. */
+int tw_deputy_conds(const tw_core *core, tw_wire_cond *conds, char (*keys)[TW_NAME + 8]);
+/* Reads the deputies' keys, unless that is under way. */
+void tw_deputies_read(tw_core *core);
+/* The state service answered with the keys. */
+void tw_deputies_page(tw_core *core, call *sent, int status, const char *body, size_t len);
+void tw_deputies_tick(tw_core *core);
 
 /* plan.c */
 void tw_plan(tw_core *c);
--- /dev/null
+++ b/src/core/deputy.c
@@ -0,0 +1,230 @@
+/* A node that renews its zone's leases for a leader that it can't reach: a deputy.
+ *
+ * It answers under the leader's token and without launches. It is entitled by the leader's answer
+ * to a heartbeat, or by a key in the state service, written under the condition that the leader's
+ * key is still the one with this token; both for a bounded time from the request's sending.
+ *
+ * The tasks of a job cancelled meanwhile must be gone cancel_s after its user was told, lapsing
+ * included. So a deputy reads, as often as it can, which jobs are cancelled, and stops their tasks;
+ * by its key it answers a worker only for tw_blind_s after the leader last did through it, or after
+ * it began such a reading. */
+#include "core/relay.h"
+
+#define MAX_KILLS 500 /* in an answer, which stays under 64 KiB; the rest in the next one */
+#define PAGE_SIZE 500 /* records a request; the service may send fewer */
+#define JOB_KEY "job/"
+#define PATH_SIZE 400
+#define DATA_SIZE 96
+
+/* Times in leases: between two attempts to become a deputy, between two readings of the cancelled
+ * jobs, and until a refused request of such a reading is made again. */
+#define ATTEMPT_LEASES 0.1
+#define READ_LEASES 0.4
+#define REFUSED_LEASES 0.05
+
+double tw_deputy_s(const tw_core *core) { return 0.5 * core->cf->lease_s; }
+
+void tw_deputy_key(char *key, const char *node) {
+    snprintf(key, TW_DEPUTY_KEY_SIZE, TW_DEPUTY_KEY "%s", node);
+}
+
+/* Whether this node may answer the worker in the leader's place. */
+static int entitled(tw_core *core, const char *worker, const char *zone) {
+    /* The leader counts on it that only nodes of its own zone renew a machine's lease without it.
+     */
+    if (core->role != R_FOLLOWER || strcmp(zone, core->cf->location) != 0) return 0;
+    if (core->grant_token && core->grant_token == core->seen_token && core->now < core->grant_until)
+        return 1;
+    gone *relayed;
+    HASH_FIND_STR(core->relayed, worker, relayed);
+    const double answered_at = relayed ? relayed->at : -INFINITY;
+    const double read_at = core->dep_read_at > 0 ? core->dep_read_at : -INFINITY;
+    return core->now < fmax(answered_at, read_at) + tw_blind_s(core) && core->dep_token &&
+           core->dep_token == core->seen_token && core->now < core->dep_until;
+}
+
+/* ---- sets of names, each with a time ---- */
+
+static void forget_all(gone **set) {
+    gone *member, *next;
+    HASH_ITER(hh, *set, member, next) {
+        HASH_DEL(*set, member);
+        free(member);
+    }
+}
+
+static void forget_older(tw_core *core, gone **set, double age_s) {
+    gone *member, *next;
+    HASH_ITER(hh, *set, member, next) {
+        if (core->now < member->at + age_s) continue;
+        HASH_DEL(*set, member);
+        free(member);
+    }
+}
+
+static void remember(gone **set, const char *name, double at) {
+    gone *member;
+    HASH_FIND_STR(*set, name, member);
+    if (!member) {
+        member = tw_zalloc(sizeof *member);
+        snprintf(member->name, sizeof member->name, "%s", name);
+        HASH_ADD_STR(*set, name, member);
+    }
+    member->at = at;
+}
+
+static int has(gone *set, const char *name) {
+    gone *member;
+    HASH_FIND_STR(set, name, member);
+    return member != NULL;
+}
+
+/* ---- what the leader says ---- */
+
+void tw_aborted_note(tw_core *core, uint64_t token, const char *body, size_t len) {
+    char(*ids)[TW_WIRE_ID];
+    int count;
+    if (token != core->seen_token || core->role != R_FOLLOWER) return;
+    /* An id is kept for as long as a grant and a lease may last: an answer may be older than a
+     * heartbeat that came before it. */
+    forget_older(core, &core->grant_aborted, tw_alone_s(core) + 2 * core->cf->lease_s);
+    if (tw_wire_aborted_parse(&ids, &count, body, len)) return;
+    for (int i = 0; i < count; i++) remember(&core->grant_aborted, ids[i], core->now);
+    free(ids);
+}
+
+void tw_deputy_granted(tw_core *core, double sent, uint64_t token, const char *body, size_t len) {
+    if (token != core->seen_token || core->role != R_FOLLOWER) return;
+    tw_aborted_note(core, token, body, len);
+    core->grant_token = token;
+    core->grant_until = sent + tw_alone_s(core) * (1 - 2 * core->cf->tune.drift);
+}
+
+void tw_deputy_relayed(tw_core *core, const char *worker, double at) {
+    remember(&core->relayed, worker, at);
+    if (core->now < core->relayed_tidy) return;
+    core->relayed_tidy = core->now + core->cf->lease_s;
+    forget_older(core, &core->relayed, tw_blind_s(core));
+}
+
+/* ---- cancelled jobs, from the state service ---- */
+
+static void list_jobs(tw_core *core) {
+    char path[PATH_SIZE];
+    const int length = snprintf(path, sizeof path, "/kv?starts=" JOB_KEY "&most=%d", PAGE_SIZE);
+    if (*core->dep_list_after)
+        snprintf(path + length, sizeof path - (size_t)length, "&since=%s", core->dep_list_after);
+    else
+        core->dep_list_from = core->now;
+    core->dep_listing = 1;
+    tw_call(core, K_DEP_JOBS, TW_TO_STATE, core->cf->state, "GET", path, NULL, 1);
+}
+
+void tw_deputy_jobs(tw_core *core, int status, const char *body, size_t len) {
+    tw_wire_entry *entries;
+    int count, more;
+    core->dep_listing = 0;
+    if (status != TW_HTTP_OK || tw_wire_entries_parse(&entries, &count, &more, body, len)) {
+        /* Goes on where it stopped: under load some request is always refused. */
+        core->dep_list_next = core->now + REFUSED_LEASES * core->cf->lease_s;
+        return;
+    }
+    const size_t prefix = sizeof JOB_KEY - 1;
+    for (int i = 0; i < count; i++) {
+        const tw_wire_entry *entry = &entries[i];
+        if (strlen(entry->key) > prefix &&
+            tw_wire_record_stage(entry->data, strlen(entry->data)) == TW_STAGE_ABORTED)
+            remember(&core->dep_aborted, entry->key + prefix, core->now);
+    }
+    *core->dep_list_after = 0;
+    if (more && count) {
+        snprintf(core->dep_list_after, sizeof core->dep_list_after, "%s", entries[count - 1].key);
+        list_jobs(core);
+    } else {
+        core->dep_read_at = fmax(core->dep_read_at, core->dep_list_from);
+    }
+    tw_wire_entries_free(entries, count);
+}
+
+void tw_deputy_tick(tw_core *core) {
+    if (core->role != R_FOLLOWER || core->now >= core->dep_until) {
+        if (core->dep_aborted && !core->dep_listing) forget_all(&core->dep_aborted);
+        return;
+    }
+    if (core->dep_listing || core->now < core->dep_list_next) return;
+    core->dep_list_next = core->now + READ_LEASES * core->cf->lease_s;
+    list_jobs(core);
+}
+
+/* ---- the key, and answers by it ---- */
+
+/* Writes this node's key as a deputy. */
+static void become_deputy(tw_core *core) {
+    /* Every report that waits asks for it: the state service's limit is shared with the leader. */
+    if (core->dep_busy || core->now < core->dep_try || !core->leader_token ||
+        core->leader_token != core->seen_token || core->role != R_FOLLOWER)
+        return;
+    char key[TW_DEPUTY_KEY_SIZE];
+    char data[DATA_SIZE];
+    tw_deputy_key(key, core->cf->host_name);
+    snprintf(data, sizeof data, "{\"token\":%llu,\"n\":%llu}",
+             (unsigned long long)core->leader_token, (unsigned long long)++core->dep_seq);
+    tw_wire_cond condition = {TW_LEADER_KEY, core->leader_token};
+    tw_wire_write written = {key, data, 0};
+    call *sent = tw_call(core, K_DEPUTY, TW_TO_STATE, core->cf->state, "POST", "/txn",
+                         tw_wire_txn_text(&condition, 1, &written, 1), 1);
+    sent->vers = tw_zalloc(sizeof *sent->vers);
+    sent->vers[0] = core->leader_token;
+    core->dep_busy = 1;
+    core->dep_try = core->now + ATTEMPT_LEASES * core->cf->lease_s;
+}
+
+void tw_deputy_response(tw_core *core, call *sent, int status) {
+    core->dep_busy = 0;
+    if (status == TW_HTTP_OK || status == TW_HTTP_CONFLICT) core->state_ok_at = core->now;
+    if (status != TW_HTTP_OK) return;
+    if (core->now >= core->dep_until)
+        tw_log_info("event=deputy token=%llu", (unsigned long long)sent->vers[0]);
+    core->dep_token = sent->vers[0];
+    core->dep_until = sent->sent + tw_deputy_s(core) * (1 - 2 * core->cf->tune.drift);
+    tw_relay_retry(core);
+    tw_deputy_tick(core);
+}
+
+/* Renews the worker's lease and stops its tasks of cancelled jobs. */
+static void answer(tw_core *core, uint64_t conn, const tw_wire_report *report) {
+    if (core->now > core->dep_last + core->cf->lease_s)
+        tw_log_info("event=deputising token=%llu", (unsigned long long)core->seen_token);
+    core->dep_last = core->now;
+    tw_wire_order *orders = tw_zalloc((size_t)report->npieces * sizeof *orders);
+    int count = 0;
+    for (int i = 0; i < report->npieces && count < MAX_KILLS; i++) {
+        const tw_wire_piece *task = &report->pieces[i];
+        if (task->stage == TW_PIECE_EXITED) continue;
+        if (!has(core->dep_aborted, task->job) && !has(core->grant_aborted, task->job)) continue;
+        tw_wire_order *order = &orders[count++];
+        *order =
+            (tw_wire_order){.verb = TW_VERB_KILL, .index = task->index, .attempt = task->attempt};
+        snprintf(order->job, sizeof order->job, "%s", task->job);
+    }
+    tw_reply(core, conn, TW_HTTP_OK, 0,
+             tw_wire_orders_text(core->seen_token, 0, orders, (size_t)count));
+    free(orders);
+}
+
+int tw_deputy_answers(tw_core *core, uint64_t conn, const tw_wire_report *report) {
+    if (!entitled(core, report->tray, report->yard)) {
+        if (!strcmp(report->yard, core->cf->location)) become_deputy(core);
+        return 0;
+    }
+    /* The grant ends; a key, where the state service can be reached, goes on. */
+    if (core->now > core->dep_until - 0.5 * tw_deputy_s(core)) become_deputy(core);
+    answer(core, conn, report);
+    return 1;
+}
+
+void tw_deputy_end(tw_core *core) {
+    forget_all(&core->dep_aborted);
+    forget_all(&core->grant_aborted);
+    forget_all(&core->relayed);
+}
--- /dev/null
+++ b/src/core/redirect.c
@@ -0,0 +1,105 @@
+/* Which node a worker is told to report to.
+ *
+ * Workers report to a node of their own zone, so that a cut between zones costs no lease. One that
+ * reports elsewhere is redirected, unless it comes back from the node that it was sent to: a node
+ * that answers other nodes need not answer its workers. Where several come back within a lease, no
+ * more are sent there for a while. */
+#include "core/relay.h"
+
+/* Workers that came back from a node within a lease, from which on none is sent there. */
+#define SHUN_AFTER 3
+
+static int live_in_zone(const tw_core *core, const peer *node, const char *zone) {
+    return !strcmp(node->cf.zone, zone) && node->ok_at > core->now - 1 - 0.5 * core->ttl;
+}
+
+int tw_zone_reached(const tw_core *core, const char *zone) {
+    for (size_t i = 0; i < core->npeers; i++)
+        if (live_in_zone(core, &core->peers[i], zone)) return 1;
+    return 0;
+}
+
+peer *tw_home_of(tw_core *core, const char *zone) {
+    peer *any = NULL;
+    for (size_t i = 0; i < core->npeers; i++) {
+        peer *node = &core->peers[i];
+        if (!live_in_zone(core, node, zone) || core->now < node->shun_until) continue;
+        if (tw_failover_in_time(core, node->cf.name)) return node;
+        if (!any) any = node;
+    }
+    return any;
+}
+
+/* A worker came back from the node. */
+static void note_came_back(tw_core *core, peer *node) {
+    if (core->now > node->shun_from + core->cf->lease_s) {
+        node->shun_from = core->now;
+        node->came_back = 0;
+    }
+    if (++node->came_back < SHUN_AFTER) return;
+    if (core->now >= node->shun_until) tw_log_info("event=shunned peer=%s", node->cf.name);
+    node->shun_until = core->now + core->cf->lease_s;
+}
+
+/* Forgets redirects that are older than a lease, once a lease. */
+static void tidy(tw_core *core) {
+    redirect *known, *next;
+    if (core->now < core->redirects_tidy) return;
+    core->redirects_tidy = core->now + core->cf->lease_s;
+    HASH_ITER(hh, core->redirects, known, next) {
+        if (core->now < known->at + core->cf->lease_s) continue;
+        HASH_DEL(core->redirects, known);
+        free(known);
+    }
+}
+
+int tw_redirect(tw_core *core, uint64_t conn, const char *worker, peer *to) {
+    redirect *last;
+    HASH_FIND_STR(core->redirects, worker, last);
+    /* A worker that is sent between two nodes, each of which names the other, loses its lease. */
+    if (last && last->to == to && core->now < last->at + core->cf->lease_s) {
+        if (!last->back) note_came_back(core, to);
+        last->back = 1;
+        return 0;
+    }
+    tidy(core);
+    HASH_FIND_STR(core->redirects, worker, last);
+    if (!last) {
+        last = tw_zalloc(sizeof *last);
+        snprintf(last->name, sizeof last->name, "%s", worker);
+        HASH_ADD_STR(core->redirects, name, last);
+    }
+    last->to = to;
+    last->at = core->now;
+    last->back = 0;
+    tw_log_debug("event=sent_off tray=%s to=%s", worker, to->cf.name);
+    tw_reply(core, conn, TW_HTTP_MISDIRECTED, 0, tw_wire_foreman_text(to->cf.name));
+    return 1;
+}
+
+int tw_redirect_home(tw_core *core, uint64_t conn, const tw_wire_report *report) {
+    peer *home = tw_home_of(core, report->yard);
+    return home && tw_redirect(core, conn, report->tray, home);
+}
+
+/* Whether all other nodes answer: no time to redirect workers otherwise. */
+static int all_live(const tw_core *core) {
+    for (size_t i = 0; i < core->npeers; i++)
+        if (!live_in_zone(core, &core->peers[i], core->peers[i].cf.zone)) return 0;
+    return 1;
+}
+
+int tw_redirect_safer(tw_core *core, uint64_t conn, const tw_wire_report *report) {
+    if (tw_failover_in_time(core, core->cf->host_name) || !all_live(core)) return 0;
+    peer *safer = tw_home_of(core, report->yard);
+    return safer && tw_failover_in_time(core, safer->cf.name) &&
+           tw_redirect(core, conn, report->tray, safer);
+}
+
+void tw_redirect_end(tw_core *core) {
+    redirect *known, *next;
+    HASH_ITER(hh, core->redirects, known, next) {
+        HASH_DEL(core->redirects, known);
+        free(known);
+    }
+}
--- /dev/null
+++ b/src/core/relay.h
@@ -0,0 +1,31 @@
+/* What the modules of reports at a node that does not lead share: redirects (redirect.c), deputies
+ * (deputy.c), reports handed to the leader (relay.c), deputies as the leader knows them
+ * (deputies_seen.c). Not for the rest of the core. */
+#ifndef TW_CORE_RELAY_H
+#define TW_CORE_RELAY_H
+#include "core/core_int.h"
+
+/* Prefix of the key that a deputy has in the state service, before its node's name. */
+#define TW_DEPUTY_KEY "dep/"
+/* Room for such a key. */
+#define TW_DEPUTY_KEY_SIZE (TW_NAME + 8)
+
+/* redirect.c */
+/* Names the node that a worker should report to, unless it comes back from there: 0, it is to be
+ * answered here. */
+int tw_redirect(tw_core *core, uint64_t conn, const char *worker, peer *to);
+
+/* deputy.c */
+/* Writes the key of the node as a deputy. */
+void tw_deputy_key(char *key, const char *node);
+/* The leader answered the worker through this node, to a report sent to it at that time. */
+void tw_deputy_relayed(tw_core *core, const char *worker, double at);
+/* Answers a report in the leader's place, if this node is entitled to; 0: it is not, and asks to be
+ * where the worker is of its zone. */
+int tw_deputy_answers(tw_core *core, uint64_t conn, const tw_wire_report *report);
+
+/* relay.c */
+/* Tries all held reports again at once. */
+void tw_relay_retry(tw_core *core);
+
+#endif
--- a/src/core/report.c
+++ b/src/core/report.c
@@ -172,7 +172,7 @@
     /* Sent to its own zone, where it is answered even if that is cut off from ours. */
     const int is_ours = !strcmp(report->yard, core->cf->location);
     if (!from_peer &&
-        (is_ours ? tw_send_safer(core, conn, report) : tw_send_home(core, conn, report)))
+        (is_ours ? tw_redirect_safer(core, conn, report) : tw_redirect_home(core, conn, report)))
         return;
     if (core->phase == PH_LOADING) {
         /* Renewed, nothing more: what should run there is not known yet. */
