Taking over and the end of a term are modules of their own, in whole words

Change, behaviour as before: recover.c reads the records and adopts jobs; term.c forgets what belongs to a term. Times and sizes have names, statuses come from status.h. Two conditions that always held are gone: a job that is adopted is unfinished or may run, and has its tasks' states.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -304,7 +304,7 @@
         else if (k->kind == K_NEWS_LIST || k->kind == K_NEWS || k->kind == K_NEWS_DEL)
             tw_news_response(c, k, status, body, len);
         else if (k->kind == K_LOAD)
-            tw_recover_page(c, k, status, body, len);
+            tw_recover_page(c, status, body, len);
         else if (k->kind == K_ORDERS)
             tw_fleet_response(c, k, status, body, len);
         else
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -513,11 +513,18 @@
 int tw_isolated(const tw_core *c);
 
 /* recover.c */
-void tw_recover_begin(tw_core *c);
-void tw_recover_tick(tw_core *c);
-void tw_recover_page(tw_core *c, call *k, int status, const char *body, size_t len);
-void tw_term_clear(tw_core *c);
-void tw_adopt(tw_core *c, const char *id, tw_wire_record *r, uint64_t stamp);
+/* A term begins: the records are read. */
+void tw_recover_begin(tw_core *core);
+void tw_recover_tick(tw_core *core);
+/* The state service answered with a page of records. */
+void tw_recover_page(tw_core *core, int status, const char *body, size_t len);
+/* A job as its record has it, among the jobs or, if it is over and nothing of it may run, among the
+ * finished ones. Takes what the job was submitted with out of the record. */
+void tw_adopt(tw_core *core, const char *id, tw_wire_record *record, uint64_t stamp);
+
+/* term.c */
+/* Everything that belongs to a term is forgotten with it. */
+void tw_term_clear(tw_core *core);
 
 /* job.c, job_class.c, job_store.c, turned_away.c, user_requests.c, accepted_elsewhere.c */
 job *tw_job_find(tw_core *c, const char *id);
--- /dev/null
+++ b/src/core/term.c
@@ -0,0 +1,69 @@
+/* The end of a term: everything that belongs to it is forgotten. */
+#include "core/jobs.h"
+
+static void forget_set(gone **set) {
+    gone *member, *next;
+    HASH_ITER(hh, *set, member, next) {
+        HASH_DEL(*set, member);
+        free(member);
+    }
+}
+
+/* Turns away all users who wait for the job. */
+static void turn_waiters_away(tw_core *core, job *job) {
+    for (waiter *user = job->waiters, *next; user; user = next) {
+        next = user->next;
+        tw_reply_error(core, user->conn, TW_HTTP_UNAVAILABLE, 1, "no leader");
+        free(user);
+    }
+    job->waiters = NULL;
+}
+
+static void forget_jobs_and_machines(tw_core *core) {
+    machine *machine, *next_machine;
+    job *job, *next_job;
+    HASH_ITER(hh, core->jobs, job, next_job) turn_waiters_away(core, job);
+    HASH_ITER(hh, core->machines, machine, next_machine) {
+        placement *placed, *next;
+        DL_FOREACH_SAFE(machine->pls, placed, next) tw_placement_free(core, placed);
+        tw_machine_drop(core, machine, NULL);
+    }
+    HASH_ITER(hh, core->jobs, job, next_job) tw_job_free(core, job);
+    tw_finished_free(core->finished);
+    core->finished = NULL;
+    core->active = NULL;
+    core->dirty = NULL;
+    core->cancelled = NULL;
+    core->nyards = 0;
+}
+
+static void forget_rentals(tw_core *core) {
+    wish *wish, *next_wish;
+    HASH_ITER(hh, core->wishes, wish, next_wish) tw_wish_drop(core, wish);
+    ask *ask, *next_ask;
+    DL_FOREACH_SAFE(core->asks, ask, next_ask) {
+        DL_DELETE(core->asks, ask);
+        free(ask);
+    }
+    core->next_ask = 0;
+    core->list_busy = 0;
+    core->release_busy = 0;
+    core->lists = 0;
+    *core->list_after = 0;
+}
+
+void tw_term_clear(tw_core *core) {
+    forget_jobs_and_machines(core);
+    forget_set(&core->released);
+    forget_rentals(core);
+    forget_set(&core->untaken);
+    core->nquiet = 0;
+    core->news_busy = 0;
+    core->news_since = 0;
+    core->news_next = 0;
+    core->ntxns = 0;
+    core->ndirty_new = 0;
+    core->load_busy = 0;
+    memset(core->team_c, 0, (core->cf->nteams + 1) * sizeof *core->team_c);
+    memset(core->team_g, 0, (core->cf->nteams + 1) * sizeof *core->team_g);
+}
