Whether a node's workers find another in time is worked out once, not at each report

Read over once more: failover.c sorted all nodes at each report of a worker of its own zone, though the result follows from names, zones and settings alone. It is now kept for each node from the start. The prefix of a deputy's key and the room for one stood in two places each; they stand in core_int.h.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -157,6 +157,7 @@
         c->peers[i].cf = cf->peers[i];
         c->peers[i].ok_at = c->peers[i].vouched_at = LONG_AGO;
     }
+    tw_failover_init(c);
     for (size_t i = 0; i < cf->nobjectives; i++) {
         const tw_conf_objective *o = &cf->objectives[i];
         if (!*o->cls) continue;
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -14,6 +14,9 @@
 #include <utlist.h>
 
 #define TW_LEADER_KEY "leader"
+/* Key of a deputy: this and the node's name; and room for one. */
+#define TW_DEPUTY_KEY "dep/"
+#define TW_DEPUTY_KEY_SIZE (TW_NAME + sizeof TW_DEPUTY_KEY)
 #define TW_MAX_ZONES 16
 #define TW_RENT_NUMBER 50 /* machines a request to the cloud, by the protocol */
 /* By the protocol, once troubles are over: the largest jobs begin within this, too. */
@@ -304,10 +307,11 @@
 
 typedef struct peer {
     tw_conf_peer cf;
-    uint64_t token;    /* what it said it had seen */
-    double ok_at;      /* when a ping was last answered (send time) */
-    double back_at;    /* when it answered again after a silence */
-    double vouched_at; /* the same, and it can't have led since the time before */
+    int failover_in_time; /* see tw_core */
+    uint64_t token;       /* what it said it had seen */
+    double ok_at;         /* when a ping was last answered (send time) */
+    double back_at;       /* when it answered again after a silence */
+    double vouched_at;    /* the same, and it can't have led since the time before */
     double next;
     int busy, state_ok;
     uint64_t dep_stamp;            /* of its key as a deputy, 0: none */
@@ -382,6 +386,9 @@
     double all_confirmed_at; /* 0: not all peers have said that they know our token */
     peer *peers;
     size_t npeers;
+    /* A worker of this node's zone that reports to it finds another node within its lease when it
+     * ends, also where no other zone can be reached; see failover.c. */
+    int failover_in_time;
 
     /* as a deputy, see deputy.c; reports handed on, see relay.c; redirects, see redirect.c */
     uint64_t dep_token, dep_seq;
@@ -626,9 +633,8 @@
 int tw_job_pending(const tw_core *c, const job *j);
 
 /* failover.c */
-/* Whether a worker of this node's zone that reports to it finds another node within its lease when
- * it ends, also where no other zone can be reached. */
-int tw_failover_in_time(const tw_core *core, const char *name);
+/* Works out failover_in_time of this node and its peers, from their names and zones alone. */
+void tw_failover_init(tw_core *core);
 
 /* redirect.c: which node a worker is told to report to */
 /* A live node of that zone, for workers to report to, rather one whose end they survive; NULL: none
@@ -672,7 +678,7 @@
 /* Until when some deputy of the zone (empty: of any) may have answered workers. */
 double tw_deputies_until(const tw_core *core, const char *zone);
 /* Conditions that the deputies' keys are as they are known; returns how many. */
-int tw_deputy_conds(const tw_core *core, tw_wire_cond *conds, char (*keys)[TW_NAME + 8]);
+int tw_deputy_conds(const tw_core *core, tw_wire_cond *conds, char (*keys)[TW_DEPUTY_KEY_SIZE]);
 /* Reads the deputies' keys, unless that is under way. */
 void tw_deputies_read(tw_core *core);
 /* The state service answered with the keys. */
--- a/src/core/deputies_seen.c
+++ b/src/core/deputies_seen.c
@@ -17,7 +17,7 @@
     return until;
 }
 
-int tw_deputy_conds(const tw_core *core, tw_wire_cond *conds, char (*keys)[TW_NAME + 8]) {
+int tw_deputy_conds(const tw_core *core, tw_wire_cond *conds, char (*keys)[TW_DEPUTY_KEY_SIZE]) {
     int count = 0;
     for (size_t i = 0; i < core->npeers; i++) {
         tw_deputy_key(keys[count], core->peers[i].cf.name);
--- a/src/core/failover.c
+++ b/src/core/failover.c
@@ -15,6 +15,7 @@
 typedef struct {
     const char *name;
     const char *zone;
+    int *in_time; /* where the result is kept */
 } node;
 
 /* Nodes are numbered, so that a longer name comes after a shorter one. */
@@ -27,23 +28,10 @@
     return strcmp(first, second);
 }
 
-/* All nodes in their order; returns where the named one stands. */
-static size_t order_nodes(const tw_core *core, node *nodes, const char *name) {
+/* Whether a worker that reports to the node at this position is answered by another one of its zone
+ * before its lease ends. */
+static int is_in_time(const tw_core *core, const node *nodes, size_t position) {
     const size_t count = core->npeers + 1;
-    size_t position = 0;
-    for (size_t i = 0; i < core->npeers; i++)
-        nodes[i] = (node){core->peers[i].cf.name, core->peers[i].cf.zone};
-    nodes[core->npeers] = (node){core->cf->host_name, core->cf->location};
-    qsort(nodes, count, sizeof *nodes, by_number);
-    for (size_t i = 0; i < count; i++)
-        if (!strcmp(nodes[i].name, name)) position = i;
-    return position;
-}
-
-int tw_failover_in_time(const tw_core *core, const char *name) {
-    const size_t count = core->npeers + 1;
-    node nodes[count];
-    const size_t position = order_nodes(core, nodes, name);
     double unanswered_s = LONGEST_REPORT * core->cf->report_s + NEXT_NODE_S;
     for (size_t step = 1; step < count; step++) {
         const node *next = &nodes[(position + step) % count];
@@ -52,3 +40,14 @@
     }
     return 0;
 }
+
+void tw_failover_init(tw_core *core) {
+    const size_t count = core->npeers + 1;
+    node nodes[count];
+    for (size_t i = 0; i < core->npeers; i++)
+        nodes[i] = (node){core->peers[i].cf.name, core->peers[i].cf.zone,
+                          &core->peers[i].failover_in_time};
+    nodes[core->npeers] = (node){core->cf->host_name, core->cf->location, &core->failover_in_time};
+    qsort(nodes, count, sizeof *nodes, by_number);
+    for (size_t i = 0; i < count; i++) *nodes[i].in_time = is_in_time(core, nodes, i);
+}
--- a/src/core/job_store.c
+++ b/src/core/job_store.c
@@ -19,7 +19,6 @@
 /* Until a write whose fate is unknown, or a read that failed, is repeated. */
 #define WRITE_RETRY_S 0.15
 #define READ_RETRY_S 0.2
-#define DEPUTY_KEY "dep/"
 
 /* Records on their way into one transaction. */
 typedef struct {
@@ -137,7 +136,7 @@
         conds[i] = (tw_wire_cond){batch->keys[i], batch->jobs[i]->stamp};
         writes[i] = (tw_wire_write){batch->keys[i], batch->texts[i], 0};
     }
-    char deputy_keys[core->npeers + 1][TW_NAME + 8];
+    char deputy_keys[core->npeers + 1][TW_DEPUTY_KEY_SIZE];
     conds[count] = (tw_wire_cond){TW_LEADER_KEY, core->token};
     int nconds = count + 1 + tw_deputy_conds(core, conds + count + 1, deputy_keys);
     call *call = tw_call(core, K_TXN, TW_TO_STATE, core->cf->state, "POST", "/txn",
@@ -292,7 +291,8 @@
 /* Whether our key is still there, by what a transaction was refused for. */
 static int key_kept(tw_core *core, const refusal *refusal) {
     for (int i = 0; i < refusal->count; i++) {
-        if (!strncmp(refusal->keys[i], DEPUTY_KEY, sizeof DEPUTY_KEY - 1)) tw_deputies_read(core);
+        if (!strncmp(refusal->keys[i], TW_DEPUTY_KEY, sizeof TW_DEPUTY_KEY - 1))
+            tw_deputies_read(core);
         if (!strcmp(refusal->keys[i], TW_LEADER_KEY)) return 0;
     }
     return 1;
--- a/src/core/redirect.c
+++ b/src/core/redirect.c
@@ -24,7 +24,7 @@
     for (size_t i = 0; i < core->npeers; i++) {
         peer *node = &core->peers[i];
         if (!live_in_zone(core, node, zone) || core->now < node->shun_until) continue;
-        if (tw_failover_in_time(core, node->cf.name)) return node;
+        if (node->failover_in_time) return node;
         if (!any) any = node;
     }
     return any;
@@ -90,10 +90,9 @@
 }
 
 int tw_redirect_safer(tw_core *core, uint64_t conn, const tw_wire_report *report) {
-    if (tw_failover_in_time(core, core->cf->host_name) || !all_live(core)) return 0;
+    if (core->failover_in_time || !all_live(core)) return 0;
     peer *safer = tw_home_of(core, report->yard);
-    return safer && tw_failover_in_time(core, safer->cf.name) &&
-           tw_redirect(core, conn, report->tray, safer);
+    return safer && safer->failover_in_time && tw_redirect(core, conn, report->tray, safer);
 }
 
 void tw_redirect_end(tw_core *core) {
--- a/src/core/relay.h
+++ b/src/core/relay.h
@@ -5,11 +5,6 @@
 #define TW_CORE_RELAY_H
 #include "core/core_int.h"
 
-/* Prefix of the key that a deputy has in the state service, before its node's name. */
-#define TW_DEPUTY_KEY "dep/"
-/* Room for such a key. */
-#define TW_DEPUTY_KEY_SIZE (TW_NAME + 8)
-
 /* redirect.c */
 /* Names the node that a worker should report to, unless it comes back from there: 0, it is to be
  * answered here. */
