--- a/bench/cases/change.c
+++ b/bench/cases/change.c
@@ -1,5 +1,6 @@
 /* Reports that say that a task is done: alone, and with the scheduling pass that the room it frees
  * brings about, with jobs waiting that still find none. */
+#include "cases/waiting.h"
 #include "fleet.h"
 
 #define ROUNDS 5
@@ -7,9 +8,6 @@
 #define TASKS 8
 #define PAUSE_S 0.2 /* longer than the shortest time between passes */
 
-static const int usual_waiting[] = {0, 100, 1000};
-#define WAITING_SIZES ((int)(sizeof usual_waiting / sizeof *usual_waiting))
-
 /* The machine's next report says that a task is done. */
 static void report_done(tw_bench_fleet *fleet, int machine, tw_bench_meter *meter) {
     tw_bench_fleet_end_task(fleet, machine);
@@ -70,13 +68,5 @@
 }
 
 int tw_bench_case_pass(const tw_bench_sizes *sizes, tw_bench_results *results) {
-    int waiting;
-    for (int i = 0; (waiting = tw_bench_size_of(sizes->jobs, usual_waiting, WAITING_SIZES, i)) >= 0;
-         i++) {
-        const tw_bench_load load = {.machines = sizes->machines,
-                                    .tasks = tw_bench_size(sizes->tasks, TASKS),
-                                    .waiting = waiting};
-        if (run_pass(&load, results)) return -1;
-    }
-    return 0;
+    return tw_bench_run_waiting(sizes, run_pass, results);
 }
--- a/bench/cases/idle.c
+++ b/bench/cases/idle.c
@@ -1,4 +1,5 @@
 /* What time alone costs: ticks with nothing to do, and the plan. */
+#include "cases/waiting.h"
 #include "fleet.h"
 
 #define ROUNDS 3
@@ -8,9 +9,6 @@
 #define PLANS 10 /* in a round */
 #define PLAN_EVERY_S 0.5
 
-static const int usual_waiting[] = {0, 100, 1000};
-#define WAITING_SIZES ((int)(sizeof usual_waiting / sizeof *usual_waiting))
-
 /* All inputs but reports, over rounds of so many simulated seconds. */
 static int run_idle(const tw_bench_load *load, int seconds, double units, tw_bench_result *result,
                     tw_bench_results *results) {
@@ -64,13 +62,5 @@
 }
 
 int tw_bench_case_plan(const tw_bench_sizes *sizes, tw_bench_results *results) {
-    int waiting;
-    for (int i = 0; (waiting = tw_bench_size_of(sizes->jobs, usual_waiting, WAITING_SIZES, i)) >= 0;
-         i++) {
-        const tw_bench_load load = {.machines = sizes->machines,
-                                    .tasks = tw_bench_size(sizes->tasks, TASKS),
-                                    .waiting = waiting};
-        if (run_plan(&load, results)) return -1;
-    }
-    return 0;
+    return tw_bench_run_waiting(sizes, run_plan, results);
 }
