--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -9,6 +9,8 @@
 #define LARGEST_FILE (1 << 20)
 #define LONGEST_PARSER_ERROR 200
 #define LEAST_REPORTS_A_LEASE 2
+#define GANG_WAIT_LEASES 1.5
+#define GANG_PEER_LEASES 0.25
 
 /* Rows: a needed name, address or number; one with a default. */
 #define NAME(key, struct_name, member, text)                                                       \
@@ -76,15 +78,34 @@
            "lease of a worker; at least twice `report_s`"),
     NEEDED(TW_SETTING_NUMBER, "cancel_s", tw_conf, cancel_s, 0.1, 86400,
            "time in which a cancelled job's tasks must be gone"),
+    OPTIONAL("gang_wait_s", tw_conf, gang_wait_s, 0.01, 86400, 0,
+             "a gang's task waits so long for the others; 0: 1.5 times `lease_s`"),
+    OPTIONAL("gang_peer_s", tw_conf, gang_peer_s, 0.01, 86400, 0,
+             "a gang's tasks notice within this that one is gone; 0: a quarter of `lease_s`"),
 };
 static const tw_setting state_rows[] = {
-    NEEDED(TW_SETTING_NUMBER, "rps", tw_conf, state_rps, 1, 1e6, "requests per second"),
-    NEEDED(TW_SETTING_NUMBER, "write_rps", tw_conf, state_write_rps, 1, 1e6,
+    NEEDED(TW_SETTING_NUMBER, "rps", tw_conf_state_limits, rps, 1, 1e6, "requests per second"),
+    NEEDED(TW_SETTING_NUMBER, "write_rps", tw_conf_state_limits, write_rps, 1, 1e6,
            "puts and deletes per second"),
-    NEEDED(TW_SETTING_NUMBER, "value_kb", tw_conf, state_value_kb, 1, 1e6, "largest value, in KiB"),
-    NEEDED(TW_SETTING_INTEGER, "txn_ops", tw_conf, state_txn_ops, 1, 10000,
+    NEEDED(TW_SETTING_NUMBER, "value_kb", tw_conf_state_limits, value_kb, 1, 1e6,
+           "largest value, in KiB"),
+    NEEDED(TW_SETTING_INTEGER, "txn_ops", tw_conf_state_limits, txn_ops, 1, 10000,
            "puts and deletes in a transaction"),
 };
+static const tw_setting state_next_rows[] = {
+    OPTIONAL("rps", tw_conf_state_limits, rps, 1, 1e6, 0,
+             "the limit that will hold from some moment on; 0: as it is"),
+    OPTIONAL("write_rps", tw_conf_state_limits, write_rps, 1, 1e6, 0, "the same"),
+    OPTIONAL("value_kb", tw_conf_state_limits, value_kb, 1, 1e6, 0, "the same"),
+    {
+        .name = "txn_ops",
+        .type = TW_SETTING_INTEGER,
+        .offset = offsetof(tw_conf_state_limits, txn_ops),
+        .min = 1,
+        .max = 10000,
+        .meaning = "the same",
+    },
+};
 static const tw_setting cloud_rows[] = {
     NEEDED(TW_SETTING_NUMBER, "rps", tw_conf, cloud_rps, 0.01, 1e6, "requests per second"),
     NEEDED(TW_SETTING_NUMBER, "list_lag_s", tw_conf, list_lag_s, 0, 86400,
@@ -105,15 +126,15 @@
 static const tw_section objective_section = TW_SECTION("settings.objectives.", objective_rows);
 static const tw_section worker_section = TW_SECTION("settings.workers.", worker_rows);
 static const tw_section state_section = TW_SECTION("settings.state.", state_rows);
+static const tw_section state_next_section = TW_SECTION("settings.state.next.", state_next_rows);
 static const tw_section cloud_section = TW_SECTION("settings.cloud.", cloud_rows);
 static const tw_section limit_section = TW_SECTION("settings.limits.", limit_rows);
 
 void tw_conf_describe(FILE *out) {
     const tw_section *const sections[] = {
-        &node_section,   &peer_section,  &external_section,
-        &clock_section,  &team_section,  &objective_section,
-        &worker_section, &state_section, &cloud_section,
-        &limit_section,  NULL,
+        &node_section,       &peer_section,      &external_section, &clock_section,
+        &team_section,       &objective_section, &worker_section,   &state_section,
+        &state_next_section, &cloud_section,     &limit_section,    NULL,
     };
     for (size_t i = 0; sections[i]; i++) tw_section_describe(sections[i], out);
 }
@@ -192,6 +213,33 @@
     tw_section_read(complaint, section, table, conf);
 }
 
+static double smaller(double now, double next) { return next > 0 && next < now ? next : now; }
+
+/* The limits that hold, those that are announced (any of them may be missing), and of each pair the
+ * smaller one. */
+static void read_state(tw_complaint *complaint, tw_conf *conf, const cJSON *settings) {
+    const cJSON *table = tw_setting_table(complaint, settings, "settings.", "state");
+    const cJSON *announced = cJSON_GetObjectItemCaseSensitive(table, "next");
+    tw_section_read(complaint, &state_section, table, &conf->state_now);
+    tw_section_defaults(&state_next_section, &conf->state_next);
+    if (announced) {
+        const cJSON *next = tw_setting_table(complaint, table, "settings.state.", "next");
+        tw_section_read(complaint, &state_next_section, next, &conf->state_next);
+    }
+    const tw_conf_state_limits *now = &conf->state_now;
+    const tw_conf_state_limits *next = &conf->state_next;
+    conf->state_rps = smaller(now->rps, next->rps);
+    conf->state_write_rps = smaller(now->write_rps, next->write_rps);
+    conf->state_value_kb = smaller(now->value_kb, next->value_kb);
+    conf->state_txn_ops = (int)smaller(now->txn_ops, next->txn_ops);
+}
+
+/* Where the platform's file doesn't say how long the tasks of a gang wait for each other. */
+static void derive_gang_times(tw_conf *conf) {
+    if (conf->gang_wait_s <= 0) conf->gang_wait_s = GANG_WAIT_LEASES * conf->lease_s;
+    if (conf->gang_peer_s <= 0) conf->gang_peer_s = GANG_PEER_LEASES * conf->lease_s;
+}
+
 static void read_settings(tw_complaint *complaint, tw_conf *conf, const cJSON *settings) {
     read_zones(complaint, conf, settings);
     tw_section_read(complaint, &clock_section, settings, conf);
@@ -200,7 +248,8 @@
     read_table(complaint, &worker_section, conf, settings, "workers");
     if (conf->lease_s < LEAST_REPORTS_A_LEASE * conf->report_s)
         tw_complain(complaint, "setting settings.workers.lease_s must be at least twice report_s");
-    read_table(complaint, &state_section, conf, settings, "state");
+    derive_gang_times(conf);
+    read_state(complaint, conf, settings);
     read_table(complaint, &cloud_section, conf, settings, "cloud");
     read_table(complaint, &limit_section, conf, settings, "limits");
 }
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -39,6 +39,13 @@
     double write_share;    /* of the state service's limits that we use */
 } tw_conf_tuning;
 
+/* Limits of the state service. */
+typedef struct {
+    double rps, write_rps; /* requests; puts and deletes, a second */
+    double value_kb;       /* largest value, in KiB */
+    int txn_ops;           /* puts and deletes in a transaction */
+} tw_conf_state_limits;
+
 /* All settings. */
 typedef struct {
     char host_name[TW_NAME], location[TW_NAME], api_addr[TW_NAME], peer_bind[TW_NAME];
@@ -53,8 +60,14 @@
     size_t nobjectives;
     double time_bound_ms;
     double report_s, lease_s, cancel_s;
+    double gang_wait_s; /* a task of a gang waits so long for the others of its attempt */
+    double gang_peer_s; /* and notices within this that another one is gone */
+    /* What the service keeps within: the smaller one of each limit that holds now and of the one
+     * that is announced, for it begins to hold without notice. */
     double state_rps, state_write_rps, state_value_kb;
     int state_txn_ops;
+    tw_conf_state_limits state_now;  /* as they are when the service is started */
+    tw_conf_state_limits state_next; /* as they will be; 0: not announced */
     double cloud_rps, list_lag_s;
     double cpu_share, mem_mb;
     int sockets;
--- a/tests/unit/conf_test.c
+++ b/tests/unit/conf_test.c
@@ -51,11 +51,18 @@
     "report_s = 1.0",
     "lease_s = 8.0",
     "cancel_s = 20.0",
+    "gang_wait_s = 30.0",
+    "gang_peer_s = 3.0",
     "[settings.state]",
     "rps = 60.0",
     "write_rps = 20.0",
     "value_kb = 8.0",
     "txn_ops = 12",
+    "[settings.state.next]",
+    "rps = 50.0",
+    "write_rps = 15.0",
+    "value_kb = 2.0",
+    "txn_ops = 4",
     "[settings.cloud]",
     "rps = 5.0",
     "list_lag_s = 2.0",
@@ -155,13 +162,20 @@
     }
 }
 
+static void dump_limits(FILE *out, const char *name, const tw_conf_state_limits *limits) {
+    fprintf(out, " %s=%g,%g,%g,%d", name, limits->rps, limits->write_rps, limits->value_kb,
+            limits->txn_ops);
+}
+
 static void dump(FILE *out, const tw_conf *conf) {
     const tw_conf_tuning *tune = &conf->tune;
     fprintf(out, "%s %s %s %s %s %s", conf->host_name, conf->location, conf->api_addr,
             conf->peer_bind, conf->cloud, conf->state);
     dump_lists(out, conf);
-    fprintf(out, " bound=%g report=%g lease=%g cancel=%g", conf->time_bound_ms, conf->report_s,
-            conf->lease_s, conf->cancel_s);
+    fprintf(out, " bound=%g report=%g lease=%g cancel=%g gang=%g,%g", conf->time_bound_ms,
+            conf->report_s, conf->lease_s, conf->cancel_s, conf->gang_wait_s, conf->gang_peer_s);
+    dump_limits(out, "now", &conf->state_now);
+    dump_limits(out, "next", &conf->state_next);
     fprintf(out, " state=%g,%g,%g,%d cloud=%g,%g limits=%g,%g,%d", conf->state_rps,
             conf->state_write_rps, conf->state_value_kb, conf->state_txn_ops, conf->cloud_rps,
             conf->list_lag_s, conf->cpu_share, conf->mem_mb, conf->sockets);
