Gangs: an attempt's states, replacement under the same attempt, orderly stops

Cause: the first guess at group jobs was written before the protocol had them: it took any end of a task for a reason to start anew, learned delays from tasks that waited for others, never stopped work of lower rank for a gang, and treated one task done as one task done. Change: gang.c holds the states of an attempt (idle, gathering, running, stopping), their transitions and invariants; gang_room.c says where all tasks have room, so that a gang is not placed and taken back in each pass; preemption counts what the whole gang loses; renting and spare room are for the whole gang in one zone; peers and alone blame nobody; one task done means that all are.

--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -20,13 +20,13 @@
     return !job->s.apart || here < max;
 }
 
-int tw_quota_allows(const tw_core *core, const job *job) {
+int tw_quota_allows(const tw_core *core, const job *job, int tasks) {
     if (job->team < 0) return 0;
     const tw_conf_team *team = &core->cf->teams[job->team];
     return (team->cpus_max <= 0 ||
-            core->team_c[job->team] + job->s.cores <= team->cpus_max + ROUNDING) &&
+            core->team_c[job->team] + tasks * job->s.cores <= team->cpus_max + ROUNDING) &&
            (team->gpus_max <= 0 ||
-            core->team_g[job->team] + job->s.gpus <= team->gpus_max + ROUNDING);
+            core->team_g[job->team] + tasks * job->s.gpus <= team->gpus_max + ROUNDING);
 }
 
 /* Cores that a GPU's user takes along with it, at the most; the same for memory. */
@@ -66,6 +66,7 @@
 tw_demand tw_demand_of(const tw_core *core, job *job) {
     return (tw_demand){.job = job,
                        .due = tw_job_due(core, job),
+                       .start_due = tw_job_start_due(job),
                        .estimate_s = tw_estimate(job),
                        .zones = zones_of(core, job)};
 }
@@ -77,7 +78,7 @@
 
 int tw_constraints_machine(const tw_core *core, const job *job, const machine *machine) {
     if (!(job->rackmask & (1U << machine->rack)) || (machine->loaner && !job->s.loaner)) return 0;
-    if (!tw_sick_allows(machine)) return 0;
+    if (!tw_sick_allows(machine) || tw_gang_has_left(job, machine)) return 0;
     for (int i = 0; i < job->nbad; i++)
         if (job->bad[i] == machine && core->now < job->bad_until) return 0;
     return 1;
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -163,6 +163,7 @@
         if (!*o->cls) continue;
         lane *l = tw_lane(c, o->cls);
         if (!strcmp(o->kind, "wait")) l->within_s = o->within_s;
+        if (!strcmp(o->kind, "finished")) l->finish_s = o->within_s;
         if (!strcmp(o->kind, "deadline")) l->deadline = 1;
     }
     return c;
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -49,6 +49,7 @@
     int preempted; /* counts as running until it is gone, but its room is promised */
     double mercy_s;
     double made_at, run_at, kill_at; /* run_at 0: not yet */
+    double launch_after;             /* a gang's task: not launched before, see gang.c */
     uint64_t mark;                   /* scratch: seen in the report in hand */
     int on_job;                      /* still in the job's list (not exited, not lost) */
     struct placement *jprev, *jnext; /* job's list */
@@ -57,6 +58,28 @@
 
 /* ---- jobs ---- */
 
+/* How far an attempt of a gang has come; see gang.c. */
+typedef enum {
+    GANG_IDLE,      /* no task of it may run */
+    GANG_GATHERING, /* placed whole; not known to have started */
+    GANG_RUNNING,   /* has started */
+    GANG_STOPPING   /* every task is told to stop */
+} gang_state;
+
+/* Machines that one attempt may lose before it starts, and be completed elsewhere. */
+#define GANG_MOST_REPLACED 4
+
+typedef struct gang {
+    gang_state state;
+    uint64_t attempt;
+    double grace_s;      /* that the tasks get when it is stopped */
+    int saved;           /* while it stops: a task has told that its progress is saved */
+    double waits_from;   /* when a task was first seen to wait for the others; 0: none yet */
+    double missing_from; /* since when a task is to be replaced; 0: none is */
+    struct machine *left[GANG_MOST_REPLACED]; /* where tasks of this attempt were, and are gone */
+    int nleft;
+} gang;
+
 enum { T_FREE, T_LIVE, T_DONE };
 typedef struct waiter {
     uint64_t conn;
@@ -67,11 +90,13 @@
 
 typedef struct lane {
     char name[TW_NAME];
-    double within_s;    /* start objective, 0: none */
-    int deadline;       /* has a deadline objective */
-    double ratio, dev;  /* EMA of actual over estimated run time, and of its deviation */
-    double rate;        /* EMA of tasks asked per second */
-    double batch_tasks; /* EMA of tasks per job */
+    double within_s;     /* start objective, 0: none */
+    double finish_s;     /* objective for the end, from the submission; 0: none */
+    int deadline;        /* has a deadline objective */
+    double ratio, dev;   /* EMA of actual over estimated run time, and of its deviation */
+    double rate;         /* EMA of tasks asked per second */
+    double batch_tasks;  /* EMA of tasks per job */
+    double largest_gang; /* tasks of the largest gang so far */
     double last_arrival;
     tw_wire_job sample; /* shape of its latest job (no racks) */
     int has_sample;
@@ -121,6 +146,7 @@
     int cramped;               /* nothing can be rented for it */
     int any_machine;           /* without GPUs, but only GPU machines are to be had */
     int resumed;               /* a task's run time is no longer the whole */
+    gang gang;                 /* of a job whose tasks start together */
     struct job *prev, *next;   /* c->active */
     struct job *wprev, *wnext; /* c->dirty */
     int in_cancelled;
@@ -604,16 +630,40 @@
 int tw_place_new(tw_core *c, job *j);
 int tw_max_live(const tw_core *c);
 
+/* gang.c: jobs whose tasks run together or not at all */
+/* All tasks that are to run were placed under one attempt, or the missing ones were replaced. */
+void tw_gang_placed(tw_core *core, job *job);
+/* A predecessor's placements were taken from the job's record. */
+void tw_gang_adopted(job *job);
+/* A report tells a task's state that was not known. */
+void tw_gang_reported(tw_core *core, placement *placed);
+/* A task is no longer on its machine, and not done. */
+void tw_gang_left(tw_core *core, placement *placed);
+/* One task is done: they complete together, so all are. */
+void tw_gang_done(tw_core *core, job *job);
+/* The whole gang is to be stopped; its tasks save if they can all be told in time. */
+void tw_gang_stop(tw_core *core, job *job, double grace_s);
+/* Whether an orderly stop would reach every task in time, and keep its progress. */
+int tw_gang_can_save(const tw_core *core, const job *job);
+/* Whether it waits to be placed, or for the replacement of a task. */
+int tw_gang_pending(const job *job);
+/* Whether a task of this attempt was on the machine and is gone: it is not started there again. */
+int tw_gang_has_left(const job *job, const machine *machine);
+void tw_gang_tick(tw_core *core, job *job);
+const char *tw_gang_state_name(const job *job);
+
 /* recheck.c */
 void tw_recheck(tw_core *c);
 
 /* estimate.c */
 double tw_job_due(const tw_core *c, const job *j); /* steady time; INFINITY: none */
-double tw_estimate(const job *j);                  /* run time on a machine of slowness 1 */
+double tw_job_start_due(const job *j); /* of a gang: its start objective; INFINITY: none */
+double tw_estimate(const job *j);      /* run time on a machine of slowness 1 */
 
 /* constraints.c */
 int tw_zone_allows(const tw_core *c, const job *j, const char *yard);
-int tw_quota_allows(const tw_core *c, const job *j);
+/* Whether the team's limit allows so many more tasks of the job. */
+int tw_quota_allows(const tw_core *c, const job *j, int tasks);
 void tw_per_gpu_note(tw_core *c);
 
 /* reserve.c */
--- a/src/core/estimate.c
+++ b/src/core/estimate.c
@@ -5,15 +5,33 @@
 
 #define MARGIN_DEVIATIONS 2 /* of a fetch, that a service has to spare before its deadline */
 
+/* When its class's start objective is missed, counted anew after a loss; INFINITY: it has none. */
+static double start_due(const job *job) {
+    if (!job->lane || job->lane->within_s <= 0) return INFINITY;
+    return fmax(job->submitted, job->pending_since) + job->lane->within_s;
+}
+
+/* A gang has its owner's deadline, else its class's objective for the end; and its start objective,
+ * with the run that follows. */
+static double gang_due(const job *job) {
+    double due = start_due(job) + tw_estimate(job);
+    if (job->s.due_s >= 0)
+        due = fmin(due, job->submitted + job->s.due_s);
+    else if (job->lane && job->lane->finish_s > 0)
+        due = fmin(due, job->submitted + job->lane->finish_s);
+    return due;
+}
+
 double tw_job_due(const tw_core *core, const job *job) {
     (void)core;
+    if (job->s.gang) return gang_due(job);
     if (!job->s.service && job->s.due_s >= 0) return job->submitted + job->s.due_s;
-    /* A service's deadline is its class's start objective, counted anew after a loss. */
-    if (job->lane && job->lane->within_s > 0)
-        return fmax(job->submitted, job->pending_since) + job->lane->within_s;
-    return INFINITY;
+    /* A service's deadline is its class's start objective. */
+    return start_due(job);
 }
 
+double tw_job_start_due(const job *job) { return job->s.gang ? start_due(job) : INFINITY; }
+
 double tw_estimate(const job *job) {
     if (job->s.service) return 0;
     return job->s.expect_s * (job->lane ? job->lane->ratio : 1);
@@ -48,6 +66,11 @@
 
 /* A service has no run time to make up in: a fetch that is expected to end just before its start
  * objective is late half of the time. */
-double tw_predict_end(const tw_core *core, const tw_prediction *prediction) {
-    return core->now + prediction->total_s + prediction->margin_s;
+double tw_predict_end(const tw_core *core, const tw_demand *demand,
+                      const tw_prediction *prediction) {
+    const double end = core->now + prediction->total_s + prediction->margin_s;
+    if (!demand->job->s.gang || !isfinite(demand->start_due)) return end;
+    /* A gang that starts late for its start objective is as late at its end. */
+    const double start = core->now + prediction->total_s - prediction->run_s;
+    return fmax(end, start + demand->due - demand->start_due);
 }
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -28,6 +28,14 @@
     if (!each->sent && !each->inherited) tw_placement_lost(core, each, "released");
 }
 
+/* A gang's progress is lost if it is stopped while one of its machines can't be told: as long as
+ * the notice leaves time for it, that is waited for. */
+static int waits_to_save(const tw_core *core, const placement *placed, double left_s) {
+    const job *job = placed->job;
+    return job->s.gang && job->s.snapshot_s > 0 && job->gang.state == GANG_RUNNING &&
+           !tw_gang_can_save(core, job) && left_s > job->s.flush_s + core->cf->gang_peer_s;
+}
+
 /* A spot machine will be taken: tasks that won't be done by then save and go elsewhere. */
 static void on_notice(tw_core *core, machine *machine) {
     placement *each, *next;
@@ -39,6 +47,7 @@
         const double run_s = tw_estimate(each->job) * slowness;
         const double rest_s = each->run_at > 0 ? run_s - (core->now - each->run_at) : run_s;
         if (!s->service && rest_s > 0 && rest_s < DONE_WITHIN_NOTICE * left_s) continue;
+        if (waits_to_save(core, each, left_s)) continue;
         tw_placement_kill(core, each, s->snapshot_s > 0 ? s->flush_s : 0, 0);
     }
 }
--- /dev/null
+++ b/src/core/gang.c
@@ -0,0 +1,226 @@
+/* Gangs: jobs whose tasks run at the same time or not at all. The tasks of one start find each
+ * other by their common attempt; they start when the last one has its image, and complete together.
+ *
+ * States of an attempt, and what leads from one to the next:
+ *
+ *   idle       no task may run. Placed whole under a new attempt -> gathering.
+ *   gathering  tasks are launched, fetch their image, wait for each other. One tells that it runs
+ *              -> running. One that is gone is replaced elsewhere under the same attempt, if room
+ *              is found in time; else -> stopping. So is one that shows that the gang had begun.
+ *   running    one task is done -> all are, the job is over. One is gone without being done: what
+ *              was not saved is lost, the others end by themselves -> stopping, without a grace
+ *              period, since that is sooner.
+ *   stopping   every task is told to stop, at once and directly, so that all hear it within the
+ *              time in which they notice a missing one. The last one gone -> idle.
+ *
+ * Invariants: all tasks that may run have the attempt of the gang, or it is stopped. A new attempt
+ * begins only when no task of the last one may be on a machine; a task is replaced under the same
+ * attempt only when it is certainly gone, and never on a machine where it was: a late command for
+ * the first try could not be told from one for the second. An orderly stop begins only if every
+ * machine of the gang has reported lately; else tasks are stopped without a grace period. That a
+ * task tells that it runs proves only that the gang had started, for it goes on telling so until it
+ * notices that another is gone. */
+#include "core/fleet.h"
+
+/* Of the time that a task waits for the others, what the launches of tasks that are ready sooner
+ * than the last one leave of it. */
+#define STAGGER 0.5
+
+const char *tw_gang_state_name(const job *job) {
+    static const char *const names[] = {"idle", "gathering", "running", "stopping"};
+    return names[job->gang.state];
+}
+
+static void enter(tw_core *core, job *job, gang_state state, const char *why) {
+    job->gang.state = state;
+    core->next_tidy = core->now;
+    tw_log_debug("event=gang id=%s try=%llu state=%s live=%d of=%d why=%s", job->id,
+                 (unsigned long long)job->gang.attempt, tw_gang_state_name(job), job->nlive,
+                 job->pieces, why);
+}
+
+static int is_under_way(const job *job) {
+    return job->has_spec && job->s.gang && job->stage == TW_STAGE_PENDING && job->nlive > 0;
+}
+
+/* Tasks that are neither placed nor done. */
+static int missing(const job *job) { return job->pieces - job->ndone - job->nlive; }
+
+/* ---- start ---- */
+
+/* When a task that was just placed should have its image. */
+static double ready_at(const tw_core *core, const placement *placed) {
+    const machine *machine = placed->m;
+    const image *image = tw_image(machine, placed->job);
+    if (image) return fmax(core->now, image->ready_at);
+    const double s_per_gb = machine->p < 0 ? core->flavors[machine->rack].p : machine->p;
+    return core->now + s_per_gb * placed->job->s.image_gb;
+}
+
+/* Those that would be ready so much sooner than the last one that they would give up waiting for it
+ * are launched later. */
+static void stagger(const tw_core *core, job *job) {
+    const double spare_s = STAGGER * core->cf->gang_wait_s;
+    double last = 0;
+    placement *task;
+    DL_FOREACH2(job->live, task, jnext) last = fmax(last, ready_at(core, task));
+    DL_FOREACH2(job->live, task, jnext)
+    task->launch_after = last - spare_s - (ready_at(core, task) - core->now);
+}
+
+void tw_gang_placed(tw_core *core, job *job) {
+    job->gang.missing_from = 0;
+    if (job->gang.state != GANG_IDLE) return; /* a task was replaced */
+    job->gang = (gang){.attempt = job->live->attempt};
+    stagger(core, job);
+    enter(core, job, GANG_GATHERING, "placed");
+}
+
+void tw_gang_adopted(job *job) {
+    job->gang = (gang){.state = GANG_IDLE};
+    if (!job->nlive) return;
+    job->gang.attempt = job->live->attempt;
+    job->gang.state = GANG_GATHERING; /* a report may tell that it has started */
+}
+
+int tw_gang_pending(const job *job) {
+    const gang *gang = &job->gang;
+    if (gang->state == GANG_IDLE) return job->nlive == 0;
+    return gang->state == GANG_GATHERING && missing(job) > 0 && gang->nleft < GANG_MOST_REPLACED;
+}
+
+int tw_gang_has_left(const job *job, const machine *machine) {
+    for (int i = 0; i < job->gang.nleft; i++)
+        if (job->gang.left[i] == machine) return 1;
+    return 0;
+}
+
+/* ---- what reports tell ---- */
+
+void tw_gang_reported(tw_core *core, placement *placed) {
+    job *job = placed->job;
+    gang *gang = &job->gang;
+    if (!is_under_way(job) || placed->attempt != gang->attempt || gang->state != GANG_GATHERING)
+        return;
+    if (placed->stage == TW_PIECE_WAITING && gang->waits_from <= 0) gang->waits_from = core->now;
+    if (placed->stage == TW_PIECE_RUNNING || placed->stage == TW_PIECE_FLUSHING)
+        enter(core, job, GANG_RUNNING, "started");
+}
+
+/* Whether the way in which a task ended shows that its gang had started. */
+static int ended_after_start(const placement *placed) {
+    return placed->stage == TW_PIECE_EXITED &&
+           (placed->cause == TW_CAUSE_ERROR || placed->cause == TW_CAUSE_PEERS);
+}
+
+static void left_before_start(tw_core *core, job *job, const placement *placed) {
+    gang *gang = &job->gang;
+    const int was_there = placed->sent || placed->direct || placed->inherited;
+    if (gang->missing_from <= 0) gang->missing_from = core->now;
+    if (was_there && gang->nleft < GANG_MOST_REPLACED) gang->left[gang->nleft++] = placed->m;
+}
+
+void tw_gang_left(tw_core *core, placement *placed) {
+    job *job = placed->job;
+    gang *gang = &job->gang;
+    if (gang->state == GANG_IDLE || job->stage != TW_STAGE_PENDING) return;
+    const int had_started = gang->state == GANG_RUNNING || ended_after_start(placed);
+    if (had_started) job->resumed |= job->s.snapshot_s > 0;
+    if (!job->nlive) {
+        enter(core, job, GANG_IDLE, "gone");
+        gang->nleft = 0;
+    } else if (gang->state == GANG_STOPPING) {
+        if (!gang->saved) gang->grace_s = 0; /* what the others still save is lost */
+        core->next_tidy = core->now;
+    } else if (had_started) {
+        tw_gang_stop(core, job, 0);
+    } else {
+        left_before_start(core, job, placed);
+    }
+}
+
+void tw_gang_done(tw_core *core, job *job) {
+    placement *task;
+    placement *next;
+    DL_FOREACH_SAFE2(job->live, task, next, jnext) tw_placement_leave(core, task, T_DONE);
+    memset(job->st, T_DONE, (size_t)job->pieces);
+    job->ndone = job->pieces;
+    enter(core, job, GANG_IDLE, "done");
+}
+
+/* ---- stop ---- */
+
+int tw_gang_can_save(const tw_core *core, const job *job) {
+    const placement *task;
+    if (job->s.snapshot_s <= 0 || missing(job) > 0) return 0;
+    if (job->gang.state != GANG_RUNNING && job->gang.state != GANG_STOPPING) return 0;
+    DL_FOREACH2(job->live, task, jnext) {
+        const machine *machine = task->m;
+        if (!machine->confirmed || machine->lapsed || machine->release || machine->unreached ||
+            core->now - machine->contact > TW_IN_TOUCH_REPORTS * core->cf->report_s)
+            return 0;
+    }
+    return 1;
+}
+
+void tw_gang_stop(tw_core *core, job *job, double grace_s) {
+    gang *gang = &job->gang;
+    if (!is_under_way(job)) return;
+    if (gang->state == GANG_STOPPING) {
+        gang->grace_s = fmin(gang->grace_s, grace_s);
+        return;
+    }
+    gang->grace_s = grace_s;
+    gang->saved = 0;
+    enter(core, job, GANG_STOPPING, grace_s > 0 ? "saves" : "at once");
+}
+
+static void stop_tasks(tw_core *core, job *job) {
+    placement *task;
+    placement *next;
+    DL_FOREACH_SAFE2(job->live, task, next, jnext)
+    if (!task->kill || task->mercy_s > job->gang.grace_s)
+        tw_placement_kill(core, task, job->gang.grace_s, task->preempted);
+}
+
+/* ---- time ---- */
+
+/* Whether all that may run belongs to the attempt, and none of it is to stop. */
+static int is_one_attempt(const job *job) {
+    const placement *task;
+    DL_FOREACH2(job->live, task, jnext)
+    if (task->attempt != job->gang.attempt || task->kill) return 0;
+    return 1;
+}
+
+/* Whether a task that is gone can't be replaced before the others give up waiting. */
+static int is_hopeless(const tw_core *core, const job *job) {
+    const gang *gang = &job->gang;
+    if (gang->missing_from <= 0 || !missing(job)) return 0;
+    if (gang->nleft >= GANG_MOST_REPLACED) return 1;
+    if (gang->waits_from <= 0) return core->now > gang->missing_from + core->cf->gang_wait_s;
+    /* Meanwhile the others hold their room for nothing. */
+    return core->now > gang->missing_from + core->cf->gang_peer_s ||
+           core->now > gang->waits_from + core->cf->gang_wait_s;
+}
+
+/* Launches that were put off are due. */
+static void launch_due(tw_core *core, const job *job) {
+    const placement *task;
+    DL_FOREACH2(job->live, task, jnext)
+    if (!task->sent && !task->direct && core->now >= task->launch_after &&
+        task->ver <= job->durable_ver)
+        tw_want_direct(core, task->m);
+}
+
+void tw_gang_tick(tw_core *core, job *job) {
+    gang *gang = &job->gang;
+    if (!is_under_way(job) || job->aborting) return;
+    if (gang->state == GANG_GATHERING) {
+        launch_due(core, job);
+        if (is_hopeless(core, job)) tw_gang_stop(core, job, 0);
+    }
+    if (!is_one_attempt(job)) tw_gang_stop(core, job, 0);
+    if (gang->state == GANG_RUNNING && missing(job) > 0) tw_gang_stop(core, job, 0);
+    if (gang->state == GANG_STOPPING) stop_tasks(core, job);
+}
--- /dev/null
+++ b/src/core/gang_room.c
@@ -0,0 +1,84 @@
+/* Where a gang has room for all its tasks. Sums over the machines of a zone, so that a gang that
+ * doesn't fit is not placed task by task and taken back in each pass. */
+#include "core/scheduler_int.h"
+
+#define ROUNDING 1e-6
+
+/* How many tasks a zone has room for. */
+typedef struct {
+    int free;    /* without stopping anything */
+    int vacated; /* if work of lower rank is stopped */
+} zone_room;
+
+typedef zone_room zone_rooms[TW_MAX_ZONES + 1]; /* the last one: machines of no known zone */
+
+static int tasks_in(double cores, double gpus, double memory_gb, const tw_wire_job *spec,
+                    int most) {
+    double count = most;
+    if (spec->cores > 0) count = fmin(count, floor(cores / spec->cores + ROUNDING));
+    if (spec->gpus > 0) count = fmin(count, floor(gpus / spec->gpus + ROUNDING));
+    if (spec->memory_gb > 0) count = fmin(count, floor(memory_gb / spec->memory_gb + ROUNDING));
+    return count > 0 ? (int)count : 0;
+}
+
+static int free_on(const tw_core *core, const machine *machine, const job *job, int most) {
+    const tw_wire_flavor *type = &core->flavors[machine->rack].f;
+    return tasks_in(type->cores - machine->used_c, type->gpus - machine->used_g,
+                    type->memory_gb - machine->used_m, &job->s, most);
+}
+
+/* Room of tasks that are told to stop is promised to others already. */
+static int vacated_on(const tw_core *core, const machine *machine, const job *job, int most) {
+    const tw_wire_flavor *type = &core->flavors[machine->rack].f;
+    double cores = type->cores - machine->used_c + machine->kill_c;
+    double gpus = type->gpus - machine->used_g + machine->kill_g;
+    double memory_gb = type->memory_gb - machine->used_m + machine->kill_m;
+    for (int rank = 0; rank < job->s.rank; rank++) {
+        cores += machine->held[rank].c;
+        gpus += machine->held[rank].g;
+        memory_gb += machine->held[rank].m;
+    }
+    return tasks_in(cores, gpus, memory_gb, &job->s, most);
+}
+
+static void add_machine(tw_core *core, const tw_demand *demand, const machine *machine, int tasks,
+                        zone_room *zone) {
+    const job *job = demand->job;
+    core->steps++;
+    if (!tw_constraints_machine(core, job, machine) ||
+        !tw_constraints_zone(core, demand, machine) || !tw_leaves_gpus(core, machine, job))
+        return;
+    zone->free += free_on(core, machine, job, tasks);
+    zone->vacated += vacated_on(core, machine, job, tasks);
+}
+
+static uint32_t zones_with(const tw_core *core, const zone_rooms rooms, int tasks, int vacated) {
+    uint32_t zones = 0;
+    for (int zone = 0; zone < core->nyards; zone++)
+        if ((vacated ? rooms[zone].vacated : rooms[zone].free) >= tasks) zones |= 1U << zone;
+    return zones;
+}
+
+static int sum(const tw_core *core, const zone_rooms rooms, int vacated) {
+    int total = vacated ? rooms[TW_MAX_ZONES].vacated : rooms[TW_MAX_ZONES].free;
+    for (int zone = 0; zone < core->nyards; zone++)
+        total += vacated ? rooms[zone].vacated : rooms[zone].free;
+    return total;
+}
+
+uint32_t tw_gang_zones(tw_core *core, job *job, int tasks) {
+    zone_rooms rooms = {0};
+    const tw_demand demand = tw_demand_of(core, job);
+    for (int i = 0; i < core->ncandidates; i++) {
+        const machine *machine = core->candidates[i].machine;
+        const int zone = machine->zone < 0 ? TW_MAX_ZONES : machine->zone;
+        add_machine(core, &demand, machine, tasks, &rooms[zone]);
+    }
+    const int may_vacate = job->s.rank > TW_RANK_IDLE;
+    for (int vacated = 0; vacated <= may_vacate; vacated++) {
+        const uint32_t zones = zones_with(core, rooms, tasks, vacated);
+        if (job->s.same_place && zones) return zones;
+        if (!job->s.same_place && sum(core, rooms, vacated) >= tasks) return UINT32_MAX;
+    }
+    return 0;
+}
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -204,18 +204,6 @@
 
 /* ---- time ---- */
 
-/* A gang runs whole or not at all: when a part of it is gone, the rest is stopped (saving what can
- * be saved) and all is placed again together. */
-static void gang_tick(tw_core *core, job *job) {
-    if (!job->has_spec || !job->s.gang || job->aborting || job->stage != TW_STAGE_PENDING ||
-        !job->nlive || job->nlive + job->ndone >= job->pieces)
-        return;
-    placement *task;
-    placement *next;
-    DL_FOREACH_SAFE2(job->live, task, next, jnext)
-    if (!task->kill) tw_placement_kill(core, task, job->s.snapshot_s > 0 ? job->s.flush_s : 0, 0);
-}
-
 static void abort_tick(tw_core *core, job *job) {
     if (job->aborting && job->stage == TW_STAGE_PENDING && tw_authority(core) &&
         core->phase == PH_ACTIVE && tw_abort_safe(core, job, 1) > 0)
@@ -244,7 +232,7 @@
     DL_FOREACH_SAFE(core->active, job, next) {
         waiters_tick(core, job);
         abort_tick(core, job);
-        gang_tick(core, job);
+        tw_gang_tick(core, job);
         tw_job_retire(core, job);
     }
 }
--- a/src/core/job_class.c
+++ b/src/core/job_class.c
@@ -34,6 +34,7 @@
     if (gap_s < SHORTEST_GAP_S) gap_s = SHORTEST_GAP_S;
     lane->rate += weight * (tasks / gap_s - lane->rate);
     lane->batch_tasks += SIZE_WEIGHT * (tasks - lane->batch_tasks);
+    if (job->s.gang) lane->largest_gang = fmax(lane->largest_gang, tasks);
     lane->last_arrival = core->now;
     lane->sample = job->s;
     lane->sample.racks = NULL;
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -39,9 +39,12 @@
 
 static void forget_failures(tw_core *core, const machine *gone) {
     job *each;
-    DL_FOREACH(core->active, each)
-    for (int i = 0; i < each->nbad; i++)
-        if (each->bad[i] == gone) each->bad[i] = NULL;
+    DL_FOREACH(core->active, each) {
+        for (int i = 0; i < each->nbad; i++)
+            if (each->bad[i] == gone) each->bad[i] = NULL;
+        for (int i = 0; i < each->gang.nleft; i++)
+            if (each->gang.left[i] == gone) each->gang.left[i] = NULL;
+    }
 }
 
 void tw_machine_drop(tw_core *core, machine *machine, const char *why) {
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -93,7 +93,7 @@
     const tw_wire_flavor *f = &c->flavors[m->rack].f;
     const job *j;
     DL_FOREACH(c->active, j) {
-        if (!tw_job_pending(c, j) || !tw_quota_allows(c, j)) continue;
+        if (!tw_job_pending(c, j) || !tw_quota_allows(c, j, 1)) continue;
         const tw_wire_job *s = &j->s;
         const bin whole = {.rack = m->rack,
                            .loaner = m->loaner,
@@ -133,6 +133,7 @@
  * there is no such room. Stopped for nothing, it would wait, and a machine be rented for it. */
 static void move_batch(tw_core *c, bins *bs, placement *p, int *moves) {
     if (p->job->s.snapshot_s <= 0 || p->stage != TW_PIECE_RUNNING) return;
+    if (p->job->s.gang) return; /* it would stop on all its machines */
     bin *b = new_home(c, bs, p);
     if (!b) return;
     tw_bin_take(b, &p->job->s);
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -50,6 +50,11 @@
            placed->ver <= placed->job->durable_ver;
 }
 
+/* A gang's task whose image is there long before the last one's is launched later. */
+static int is_early(const tw_core *core, const placement *placed) {
+    return core->now < placed->launch_after;
+}
+
 /* Takes off `room` what tasks that still save hold, though they count as gone. */
 static void stops(const machine *machine, tw_orders *orders, uint64_t tick, amounts *room) {
     const placement *each;
@@ -69,7 +74,8 @@
 }
 
 /* room: all of the machine's, less what still saves. */
-static void launches(machine *machine, tw_orders *orders, uint64_t tick, amounts room) {
+static void launches(const tw_core *core, machine *machine, tw_orders *orders, uint64_t tick,
+                     amounts room) {
     placement *each;
     DL_FOREACH(machine->pls, each) {
         if (!each->on_job || each->preempted) continue;
@@ -77,7 +83,7 @@
         take(&room, &each->job->s);
     }
     DL_FOREACH(machine->pls, each) {
-        if (!may_launch(each)) continue;
+        if (!may_launch(each) || is_early(core, each)) continue;
         const tw_wire_job *s = &each->job->s;
         if (each->sent && !tick) continue; /* its first launch is on the way */
         if (!each->sent) {
@@ -121,7 +127,7 @@
     }
     stops(machine, orders, tick, &room);
     if (!tw_authority(core) || machine->rack < 0) return;
-    launches(machine, orders, tick, room);
+    launches(core, machine, orders, tick, room);
     if (tick) forgets(machine, orders);
 }
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -37,7 +37,7 @@
 /* Places one task on the best machine of the zones given, as bits. 0: no room, or not for its
  * team. */
 static int place_task(tw_core *core, job *job, int index, uint64_t attempt, uint32_t among) {
-    if (!tw_quota_allows(core, job)) return 0;
+    if (!tw_quota_allows(core, job, 1)) return 0;
     tw_demand demand = tw_demand_of(core, job);
     demand.zones &= among;
     const tw_futile kind = tw_futile_kind(&demand);
@@ -45,7 +45,7 @@
     tw_choice choice = tw_choose(core, &demand);
     if (choice.machine)
         core->candidates[choice.candidate].changes++; /* or none is placed there, to no harm */
-    else if (!job->s.gang)
+    else
         choice.machine = tw_preempt(core, &demand, 0, &choice.kept);
     if (choice.machine && !choice.meets && job->s.service && job->s.rank == TW_RANK_PROD) {
         /* Its start objective would be missed there: rather at a batch task's cost. */
@@ -77,28 +77,40 @@
     return placed;
 }
 
-static void take_back(tw_core *core, job *job) {
+/* Undoes what was placed of a gang since its record last changed. */
+static void take_back(tw_core *core, job *job, uint64_t next_try) {
     placement *placed;
     placement *next;
-    DL_FOREACH_SAFE2(job->live, placed, next, jnext) tw_placement_free(core, placed);
+    DL_FOREACH_SAFE2(job->live, placed, next, jnext)
+    if (placed->ver > job->ver) tw_placement_free(core, placed);
+    job->next_try = next_try;
     tw_futile_forget(core);
     tw_scores_forget(core);
 }
 
-/* Places a gang whole or not at all; its tasks find each other by their common attempt. One that
- * must stand in one zone goes where its first task fits best. Where that zone has room for a part
- * of it only, the other zones are tried: else it would be placed there and taken back for ever. */
+/* Places a gang whole or not at all, or all that is missing of one that has not started. One that
+ * must stand in one zone goes where its first task fits best, among the zones with room for all of
+ * it. */
 static int place_gang(tw_core *core, job *job) {
-    uint32_t among = UINT32_MAX;
-    if (job->nlive) return 0; /* until the rest of the last attempt is gone */
-    for (;;) {
-        const int placed = place_tasks(core, job, tw_max_live(core), job->next_try, among);
-        if (!placed || job->nlive + job->ndone == job->pieces) return placed;
-        const int zone = job->live->m->zone;
-        take_back(core, job);
+    const int count = job->pieces - job->ndone - job->nlive;
+    const uint64_t next_try = job->next_try;
+    const uint64_t attempt = job->nlive ? job->gang.attempt : next_try;
+    if (!tw_gang_pending(job) || !tw_quota_allows(core, job, count)) return 0;
+    uint32_t among = tw_gang_zones(core, job, count);
+    while (among) {
+        if (place_tasks(core, job, count, attempt, among) == count) {
+            tw_gang_placed(core, job);
+            return count;
+        }
+        /* Less room than the amounts had it: perhaps another zone. */
+        const placement *first = job->live;
+        while (first && first->ver <= job->ver) first = first->jnext;
+        const int zone = first ? first->m->zone : -1;
+        take_back(core, job, next_try);
         if (!job->s.same_place || zone < 0) return 0;
         among &= ~(1U << zone);
     }
+    return 0;
 }
 
 /* Places what it can of a job; the number of tasks placed. */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -61,6 +61,7 @@
     if (to == T_FREE) {
         if (placed->index < job->cursor) job->cursor = placed->index;
         job->pending_since = core->now;
+        if (job->s.gang) tw_gang_left(core, placed);
     }
     core->sched_dirty = 1;
 }
@@ -85,6 +86,11 @@
 
 void tw_placement_kill(tw_core *core, placement *placed, double grace_s, int preempted) {
     if (!placed->on_job) return;
+    if (placed->job->s.gang) {
+        /* Before anything changes: whether all of it can be told. */
+        if (grace_s > 0 && !tw_gang_can_save(core, placed->job)) grace_s = 0;
+        tw_gang_stop(core, placed->job, grace_s);
+    }
     if (!placed->sent && !placed->direct) {
         tw_placement_lost(core, placed, "not_sent");
         return;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -93,12 +93,27 @@
     return count > most ? most : count;
 }
 
-/* How many of them to find or rent room for: of a batch, those that had better not wait. */
+/* When a gang would start on room that is given back: with the last of its tasks. */
+static double gang_start(tw_core *core, bins *bins, const job *job, tw_drain *drain, int count) {
+    int *from = tw_bins_first_drained(bins, job);
+    double start = core->now;
+    for (int i = 0; i < count && isfinite(start); i++)
+        start = fmax(start, tw_drain_start(core, drain, job, from));
+    return start;
+}
+
+/* How many of them to find or rent room for: of a batch, those that had better not wait; of a gang,
+ * all or none. */
 static int needed(tw_core *core, bins *bins, const job *job, tw_drain *drain) {
     const int count = placeable(core, job);
     int need = 0;
     if (job->s.service) return count;
     if (count > 0 && !drain->v) tw_drain_init(core, drain); /* mostly no batch waits */
+    if (job->s.gang) {
+        if (count < job->pieces - job->ndone - job->nlive) return 0; /* its team's limit */
+        const double start = gang_start(core, bins, job, drain, count);
+        return worth_renting(core, job, start) ? count : 0;
+    }
     int *from = tw_bins_first_drained(bins, job);
     for (int i = 0; i < count; i++)
         need += worth_renting(core, job, tw_drain_start(core, drain, job, from));
@@ -129,13 +144,54 @@
     }
 }
 
+/* How many tasks of the job the zone's bins hold, at most `most`. */
+static int zone_holds(tw_core *core, bins *bins, const job *job, const char *zone, int most) {
+    int count = 0;
+    for (int i = 0; i < bins->n && count < most; i++) {
+        bin room = bins->v[i];
+        core->steps++;
+        if (strcmp(room.yard, zone) != 0 || !tw_bin_allowed(&room, &job->s, job->rackmask))
+            continue;
+        while (count < most && tw_bin_fits(&room, &job->s) &&
+               tw_bin_leaves_gpus(core, &room, &job->s, job->any_machine)) {
+            tw_bin_take(&room, &job->s);
+            count++;
+        }
+    }
+    return count;
+}
+
+/* The zone for a gang that must stand in one: with room for all of it, else the one with the most
+ * of those where the rest can be rented. NULL: none. */
+static const char *gang_zone(tw_core *core, bins *bins, const job *job, int need) {
+    const char *best = NULL;
+    int most = -1;
+    for (int zone = 0; zone < core->nyards; zone++) {
+        const char *name = core->yards[zone];
+        const tw_offer_filter filter = {.only_zone = name};
+        if (!tw_zone_allows(core, job, name)) continue;
+        const int count = zone_holds(core, bins, job, name, need);
+        if (count <= most) continue;
+        if (count < need && !tw_offer_best(core, &job->s, job->rackmask, &filter)) continue;
+        most = count;
+        best = name;
+    }
+    return best;
+}
+
 static void plan_job(tw_core *core, bins *bins, job *job, tw_drain *drain) {
     int need = needed(core, bins, job, drain);
     if (need <= 0) return;
     spread tasks = spread_of(job);
-    for (int i = tw_bins_first(bins, job); i < bins->n && need > 0; i++) {
+    if (job->s.gang && job->s.same_place && !tasks.used) {
+        const char *zone = gang_zone(core, bins, job, need);
+        if (zone) spread_slot(&tasks, zone);
+    }
+    /* Room that placing has tried is of no use to a task, but may be a part of a gang's. */
+    const int first = job->s.gang ? 0 : tw_bins_first(bins, job);
+    for (int i = first; i < bins->n && need > 0; i++) {
         core->steps++;
-        if (!bins->v[i].tried) need -= fill(core, &bins->v[i], job, &tasks, need);
+        if (!bins->v[i].tried || job->s.gang) need -= fill(core, &bins->v[i], job, &tasks, need);
     }
     rent_for(core, bins, job, &tasks, need);
 }
@@ -146,7 +202,7 @@
  */
 static int spare_tasks(const tw_core *core, const lane *class, double fleet_price) {
     const tw_wire_job *sample = &class->sample;
-    if (!class->has_sample || class->within_s <= 0 || !sample->service) return 0;
+    if (!class->has_sample || class->within_s <= 0 || !(sample->service || sample->gang)) return 0;
     const double lead_s =
         fmax(0, soonest_s(core, class->sample_racks, sample->image_gb) - class->within_s);
     const double quiet_s = core->now - class->last_arrival;
@@ -164,6 +220,7 @@
             price = fmin(price, type->hourly / tw_offer_holds(type, sample));
     }
     if (2 * tasks * price < NEARLY_FREE * fleet_price) tasks *= 2;
+    if (sample->gang) tasks = fmax(tasks, class->largest_gang);
     return (int)ceil(tasks - ROUND_DOWN);
 }
 
@@ -175,11 +232,12 @@
     return bin->busy ? BIN_IN_USE : BIN_IDLE;
 }
 
-/* How many of `want` tasks of the class the bin has spare room for. */
-static int keep(const tw_core *core, bin *bin, const lane *class, int want) {
+/* How many of `want` tasks of the class the bin has spare room for. zone: NULL: any. */
+static int keep(const tw_core *core, bin *bin, const lane *class, int want, const char *zone) {
     const tw_wire_job *sample = &class->sample;
     int kept = 0;
     if (!tw_bin_allowed(bin, sample, class->sample_racks)) return 0;
+    if (zone && strcmp(zone, bin->yard) != 0) return 0;
     /* Room that placing would not give is no spare room. */
     if (sample->gpus <= 0 && core->flavors[bin->rack].f.gpus > 0 && !bin->busy) return 0;
     while (kept < want && tw_bin_fits(bin, sample) && tw_bin_leaves_gpus(core, bin, sample, 0)) {
@@ -190,11 +248,31 @@
     return kept;
 }
 
+/* Where to keep room for gangs that stand in one zone: where most of it is. NULL: anywhere. */
+static const char *spare_zone(tw_core *core, const bins *bins, const lane *class, int want) {
+    const char *best = NULL;
+    int most = 0;
+    if (!class->sample.gang || !class->sample.same_place) return NULL;
+    for (int zone = 0; zone < core->nyards; zone++) {
+        int count = 0;
+        for (int i = 0; i < bins->n && count < want; i++) {
+            bin room = bins->v[i];
+            room.m = NULL; /* nothing is kept there yet */
+            count += keep(core, &room, class, want - count, core->yards[zone]);
+        }
+        if (count <= most) continue;
+        most = count;
+        best = core->yards[zone];
+    }
+    return best;
+}
+
 static void plan_spare(tw_core *core, bins *bins, const lane *class, int want) {
+    const char *zone = spare_zone(core, bins, class, want);
     for (bin_state state = BIN_IN_USE; state < BIN_STATES && want > 0; state++)
         for (int i = 0; i < bins->n && want > 0; i++)
-            if (state_of(&bins->v[i]) == state) want -= keep(core, &bins->v[i], class, want);
-    const tw_offer_filter filter = {.spare = 1};
+            if (state_of(&bins->v[i]) == state) want -= keep(core, &bins->v[i], class, want, zone);
+    const tw_offer_filter filter = {.spare = 1, .only_zone = zone};
     while (want > 0) {
         offer *offer = tw_offer_best(core, &class->sample, class->sample_racks, &filter);
         if (!offer) return;
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -29,11 +29,21 @@
            placed->job->s.rank < job->s.rank;
 }
 
-/* Work lost when it is stopped, in task seconds. */
+/* Run time of a task that is lost when it is stopped. */
+static double unsaved_s(const tw_core *core, const placement *placed) {
+    const job *job = placed->job;
+    const double ran_s = placed->run_at > 0 ? core->now - placed->run_at : 0;
+    if (job->s.snapshot_s <= 0) return ran_s;
+    /* A gang that can't be told at once falls back to its last checkpoint. */
+    if (job->s.gang && !tw_gang_can_save(core, job)) return fmin(ran_s, job->s.snapshot_s);
+    return fmin(ran_s, job->s.flush_s);
+}
+
+/* Work lost when it is stopped, in task seconds. One task of a gang takes all the others with it.
+ */
 static double cost_of(const tw_core *core, const placement *placed) {
     const job *job = placed->job;
-    double ran_s = placed->run_at > 0 ? core->now - placed->run_at : 0;
-    if (job->s.snapshot_s > 0) ran_s = fmin(ran_s, job->s.flush_s);
+    double ran_s = unsaved_s(core, placed) * (job->s.gang ? job->nlive : 1);
     /* Rather one that can start over and still make its deadline. */
     const double estimate_s = tw_estimate(job);
     const double due = tw_job_due(core, job);
@@ -52,6 +62,15 @@
     return is_enough(&room, &job->s, SUM_DRIFT);
 }
 
+/* Whether a task of the same gang is chosen on the machine: this one costs nothing more. */
+static int gang_is_chosen(const machine *machine, const placement *placed) {
+    const placement *other;
+    if (!placed->job->s.gang) return 0;
+    DL_FOREACH(machine->pls, other)
+    if (other->mark == CHOSEN && other->job == placed->job) return 1;
+    return 0;
+}
+
 /* The one that costs least of those not chosen yet; NULL: none is left. */
 static placement *cheapest(const tw_core *core, const machine *machine, const job *job,
                            const amounts *room, double *least) {
@@ -62,7 +81,7 @@
         if (!may_stop(job, placed) || placed->mark == CHOSEN) continue;
         if (job->s.gpus > 0 && placed->job->s.gpus <= 0 && room->gpus + ROUNDING < job->s.gpus)
             continue;
-        const double cost = cost_of(core, placed);
+        const double cost = gang_is_chosen(machine, placed) ? 0 : cost_of(core, placed);
         if (cost < *least) {
             *least = cost;
             best = placed;
@@ -128,7 +147,7 @@
             continue;
         }
         const tw_prediction prediction = tw_predict(core, demand, machine);
-        const int late = !(tw_predict_end(core, &prediction) <= demand->due);
+        const int late = !(tw_predict_end(core, demand, &prediction) <= demand->due);
         if (late && in_time) continue;
         const cost_limit limit = {late ? COST_OF_LATE : 0, least};
         const int enough = vacate(core, job, machine, &limit, &cost);
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -21,7 +21,8 @@
 
 int tw_job_pending(const tw_core *c, const job *j) {
     return j->has_spec && j->st && j->stage == TW_STAGE_PENDING && !j->aborting && j->team >= 0 &&
-           j->ndone + j->nlive < j->pieces && c->now >= j->retry_at;
+           j->ndone + j->nlive < j->pieces && c->now >= j->retry_at &&
+           (!j->s.gang || tw_gang_pending(j));
 }
 
 /* Whether a job fits into its team's guarantee together with the team's earlier ones: for all at
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -100,6 +100,7 @@
         placed->ver = 0;
         if (cancelled) placed->kill = 1;
     }
+    if (job->s.gang) tw_gang_adopted(job);
     if (cancelled) tw_job_cancelled(core, job);
 }
 
--- a/src/core/report.c
+++ b/src/core/report.c
@@ -94,6 +94,8 @@
     } else if (placed->inherited || placed->seen) {
         /* Gone, and nothing on the way could still start it: older tokens are refused. */
         if (placed->m->confirmed && !placed->direct) tw_placement_lost(core, placed, "absent");
+    } else if (proper && !placed->direct && placed->sent_tick < report->tick && !placed->on_job) {
+        tw_placement_free(core, placed); /* done with its gang, and never seen */
     } else if (proper && !placed->direct && placed->sent_tick < report->tick) {
         /* Only the next report proper tells: an answer to direct orders may have overtaken the
          * answer that holds the launch. */
--- a/src/core/scheduler_int.h
+++ b/src/core/scheduler_int.h
@@ -8,6 +8,7 @@
 typedef struct tw_demand {
     struct job *job;
     double due;        /* steady time, INFINITY: none */
+    double start_due;  /* of a gang: when it should have started; INFINITY: no such objective */
     double estimate_s; /* run time on a machine of slowness 1 */
     uint32_t zones;    /* that it may go to, as bits over the core's zones */
 } tw_demand;
@@ -25,7 +26,8 @@
 tw_prediction tw_predict(const tw_core *core, const tw_demand *demand,
                          const struct machine *machine);
 /* T and its margin from now: the deadline is met if it is not before that. */
-double tw_predict_end(const tw_core *core, const tw_prediction *prediction);
+double tw_predict_end(const tw_core *core, const tw_demand *demand,
+                      const tw_prediction *prediction);
 double tw_slowness(const tw_core *core, const struct machine *machine);
 
 /* constraints.c */
@@ -98,6 +100,12 @@
 /* choose.c */
 tw_choice tw_choose(tw_core *core, const tw_demand *demand);
 
+/* gang_room.c */
+/* The zones, as bits, in which so many tasks of a gang may be placed: free room is enough, or else
+ * room with what work of lower rank holds. Where its tasks may stand in different zones, all that
+ * together have the room. 0: none. */
+uint32_t tw_gang_zones(tw_core *core, struct job *job, int tasks);
+
 /* preempt.c */
 /* A machine where stopping work of lower rank makes room, at the least loss; the work is told to
  * stop. in_time: only one where the deadline is met. *kept is set as in tw_choice. */
--- a/src/core/scores.c
+++ b/src/core/scores.c
@@ -14,7 +14,7 @@
     char image[TW_WIRE_NAME];
     int spot, service, any_machine;
     const lane *class;
-    const job *own; /* a job that failed on some machines shares its scores with none */
+    const job *own; /* a job that passes some machines over shares its scores with none */
 } kind;
 
 struct tw_score_table {
@@ -23,6 +23,9 @@
     int count, capacity;
 };
 
+/* The job, if it has to pass over machines that it failed on, or was on under the same attempt. */
+static const job *own_scores(const job *job) { return job->nbad || job->gang.nleft ? job : NULL; }
+
 static int same_kind(const kind *known, const tw_demand *demand) {
     const job *job = demand->job;
     const tw_wire_job *spec = &job->s;
@@ -32,7 +35,7 @@
         return 0;
     if (known->types != job->rackmask || known->spot != spec->loaner ||
         known->service != spec->service || known->any_machine != job->any_machine ||
-        known->class != job->lane || known->own != (job->nbad ? job : NULL))
+        known->class != job->lane || known->own != own_scores(job))
         return 0;
     return known->image_sum == job->bundle && !strcmp(known->image, spec->bundle);
 }
@@ -50,7 +53,7 @@
                    .service = job->s.service,
                    .any_machine = job->any_machine,
                    .class = job->lane,
-                   .own = job->nbad ? job : NULL};
+                   .own = own_scores(job)};
     snprintf(result.image, sizeof result.image, "%s", job->s.bundle);
     return result;
 }
@@ -66,7 +69,7 @@
     score->possible = score->fits && tw_leaves_gpus(core, machine, job);
     if (!score->possible) return;
     const tw_prediction prediction = tw_predict(core, demand, machine);
-    score->end = tw_predict_end(core, &prediction);
+    score->end = tw_predict_end(core, demand, &prediction);
     score->total_s = prediction.total_s;
     score->points = tw_preference(core, demand, machine, &prediction);
 }
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -46,9 +46,14 @@
         job->errors = 0;
         if (placed->run_at > placed->m->failed_at) tw_sick_well(core, placed->m);
         tw_placement_leave(core, placed, T_DONE);
+        if (job->s.gang) tw_gang_done(core, job);
         break;
     case TW_CAUSE_STOPPED:
-        if (told->saved) job->resumed = 1;
+        if (told->saved) job->resumed = job->gang.saved = 1;
+        tw_placement_leave(core, placed, T_FREE);
+        break;
+    case TW_CAUSE_PEERS: /* no fault of the machine, nor of the job */
+    case TW_CAUSE_ALONE:
         tw_placement_leave(core, placed, T_FREE);
         break;
     case TW_CAUSE_ERROR:
@@ -71,7 +76,9 @@
 
 static void started(tw_core *core, placement *placed) {
     const job *job = placed->job;
-    tw_learn_start(core, placed);
+    /* A gang's task that was not seen waiting may have waited for the others: that is no delay of
+     * its machine. */
+    if (!job->s.gang) tw_learn_start(core, placed);
     placed->run_at = core->now;
     tw_log_debug("event=running piece=%s/%d lane=%s rack=%s start_s=%.2f waited_s=%.2f", job->id,
                  placed->index, job->s.lane, placed->m->rack_name, core->now - placed->made_at,
@@ -92,13 +99,20 @@
         exited(core, placed, told);
         return;
     }
+    const int waits = told->stage == TW_PIECE_WAITING && placed->stage != TW_PIECE_WAITING;
     placed->stage = told->stage;
     if (!job->has_spec) return;
+    if (waits) { /* its image is there */
+        tw_learn_start(core, placed);
+        tw_image_note(core, machine, job, 1);
+    }
+    if (job->s.gang) tw_gang_reported(core, placed);
     if (told->stage == TW_PIECE_RUNNING && placed->run_at <= 0)
         started(core, placed);
     else if (told->stage == TW_PIECE_PULLING && !tw_image(machine, job))
         tw_image_note(core, machine, job, 0);
-    if (placed->run_at <= 0) return;
+    /* A task of a broken gang tells that it runs until it ends: that shows nothing. */
+    if (placed->run_at <= 0 || (job->s.gang && job->gang.state != GANG_RUNNING)) return;
     const double ran_s = core->now - placed->run_at;
     if (ran_s > 2 * core->cf->lease_s) job->errors = 0;
     tw_sick_running(core, placed);
@@ -112,6 +126,7 @@
     if (job && done && job->st[told->index] == T_FREE) {
         job->st[told->index] = T_DONE;
         job->ndone++;
+        if (job->s.gang) tw_gang_done(core, job);
         if (job->ndone == job->pieces)
             tw_job_finish(core, job, TW_STAGE_DONE);
         else
@@ -135,10 +150,11 @@
         return;
     }
     if (job && job->st[told->index] == T_FREE && tw_zone_allows(core, job, machine->yard) &&
-        tw_quota_allows(core, job)) {
+        tw_quota_allows(core, job, 1)) {
         placement *placed = tw_place(core, job, told->index, machine, told->attempt);
         placed->inherited = 1;
         placed->mark = core->mark;
+        if (job->s.gang && job->nlive == 1) tw_gang_adopted(job);
         tw_task_reported(core, placed, told);
         tw_job_changed(core, job, 0);
         tw_log_info("event=adopted piece=%s/%d tray=%s", told->job, told->index, machine->name);
