--- a/sim/node.c
+++ b/sim/node.c
@@ -147,11 +147,12 @@
     snprintf(to + n, size - (size_t)n,
              "[external]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[settings]\n%s%s"
              "[settings.workers]\nreport_s = %g\nlease_s = %g\ncancel_s = %g\n"
+             "gang_wait_s = %g\ngang_peer_s = %g\n"
              "[settings.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = 8.0\ntxn_ops = 12\n"
              "[settings.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n"
              "[settings.limits]\ncpu_share = 0.1\nmem_mb = 56.0\nsockets = 600\n",
              sim->teams ? sim->teams : "", sim->objectives ? sim->objectives : "", w->report_s,
-             w->lease_s, w->cancel_s, sim->rps > 1e6 ? 60 : sim->rps,
+             w->lease_s, w->cancel_s, tw_sim_gang_wait_s(w), tw_sim_gang_peer_s(w), sim->rps > 1e6 ? 60 : sim->rps,
              w->state.write_rps > 1e6 ? 100 : w->state.write_rps);
 }
 
--- a/sim/report.c
+++ b/sim/report.c
@@ -151,6 +151,7 @@
 
 static void step(tw_sim *sim, tw_sim_event *e) {
     tw_sim_world *w = &sim->world;
+    tw_sim_gangs_tick(w);
     for (int i = 0; i < w->nworkers; i++) {
         tw_sim_worker_tick(w, w->workers[i]);
         if (tw_sim_worker_due(w, w->workers[i])) send_report(sim, i);
--- a/sim/script.c
+++ b/sim/script.c
@@ -128,6 +128,8 @@
     } values[] = {{"lease", &world->lease_s},
                   {"report", &world->report_s},
                   {"cancel", &world->cancel_s},
+                  {"gang_wait", &world->gang_wait_s},
+                  {"gang_peer", &world->gang_peer_s},
                   {"boot", &world->boot_s},
                   {"mem", &world->mem_mb},
                   {"rps", &sim->rps},
--- a/sim/worker.c
+++ b/sim/worker.c
@@ -13,10 +13,11 @@
 #define EPSILON 1e-6
 
 static const char *const stages[] = {"pulling", "running", "flushing", "exited", "waiting"};
-static const char *const causes[] = {"", "done", "stopped", "error", "no_room", "busy", "no_such"};
+static const char *const causes[] = {"", "done", "stopped", "error", "no_room", "busy", "no_such", "peers", "alone"};
 
 int tw_sim_task_active(const tw_sim_task *t) {
-    return t->stage == TW_PIECE_RUNNING || t->stage == TW_PIECE_FLUSHING;
+    return t->stage == TW_PIECE_RUNNING || t->stage == TW_PIECE_FLUSHING ||
+           t->stage == TW_PIECE_WAITING;
 }
 
 static cJSON *task_json(const tw_sim_task *t) {
@@ -55,7 +56,7 @@
 
 /* ---- commands ---- */
 
-static void task_exit(tw_sim_worker *x, tw_sim_task *t, int cause) {
+void tw_sim_task_exit(tw_sim_worker *x, tw_sim_task *t, int cause) {
     t->stage = TW_PIECE_EXITED;
     t->cause = cause;
     x->changed = 1;
@@ -106,7 +107,7 @@
     x->changed = 1;
     int cause = refusal(w, x, t);
     if (cause != TW_CAUSE_NONE) {
-        task_exit(x, t, cause);
+        tw_sim_task_exit(x, t, cause);
         return;
     }
     double fetch_s = t->job->spec.image_gb / w->types[x->type_index].fetch_gb_s;
@@ -121,12 +122,14 @@
 
 static void stop(tw_sim_world *w, tw_sim_worker *x, tw_sim_task *t, double grace_s) {
     const tw_wire_job *spec = &t->job->spec;
-    if (t->stage == TW_PIECE_RUNNING && spec->snapshot_s > 0 && grace_s >= spec->flush_s) {
+    if (spec->gang) {
+        tw_sim_gang_stop(w, x, t, grace_s);
+    } else if (t->stage == TW_PIECE_RUNNING && spec->snapshot_s > 0 && grace_s >= spec->flush_s) {
         t->stage = TW_PIECE_FLUSHING;
         t->stopped_at_s = progress(w, x, t);
         t->end_at = w->now + spec->flush_s;
     } else if (t->stage != TW_PIECE_FLUSHING || grace_s <= 0) {
-        task_exit(x, t, TW_CAUSE_STOPPED);
+        tw_sim_task_exit(x, t, TW_CAUSE_STOPPED);
     }
 }
 
@@ -228,22 +231,7 @@
     tw_sim_judge_start(w, x, t);
 }
 
-/* All tasks of a gang that aren't done have come to their machines, under one attempt. */
-static int gang_there(const tw_sim_world *w, const tw_sim_task *t) {
-    int n = t->job->ndone;
-    for (int i = 0; i < w->nworkers; i++) {
-        const tw_sim_worker *x = w->workers[i];
-        for (int k = 0; k < x->ntasks && !x->gone; k++) {
-            const tw_sim_task *other = &x->tasks[k];
-            n += other->job == t->job && other->attempt == t->attempt &&
-                 !t->job->done[other->index] &&
-                 (other->stage == TW_PIECE_WAITING || other->stage == TW_PIECE_RUNNING);
-        }
-    }
-    return n >= t->job->spec.pieces;
-}
-
-static void task_done(tw_sim_world *w, tw_sim_job *job, int index) {
+void tw_sim_task_done(tw_sim_world *w, tw_sim_job *job, int index) {
     if (job->done[index]) return;
     job->done[index] = 1;
     if (++job->ndone == job->spec.pieces && w->job_ended) w->job_ended(w->context, job);
@@ -255,21 +243,24 @@
         if (!has_image(x, job->spec.bundle) && x->nimages < TW_SIM_MAX_IMAGES)
             snprintf(x->images[x->nimages++], TW_SIM_NAME, "%s", job->spec.bundle);
         if (job->spec.gang)
-            t->stage = TW_PIECE_WAITING;
+            tw_sim_gang_image_there(w, x, t);
         else
             task_start(w, x, t);
     }
-    if (t->stage == TW_PIECE_WAITING && gang_there(w, t)) task_start(w, x, t);
+    if (job && job->spec.gang) {
+        tw_sim_gang_task_tick(w, x, t);
+        return;
+    }
     if (t->stage == TW_PIECE_RUNNING) save_by_itself(w, x, t);
     if (t->stage == TW_PIECE_FLUSHING && w->now >= t->end_at) {
         t->saved = 1;
         save(job, t->index, fmin(t->stopped_at_s, job->run_s));
-        task_exit(x, t, TW_CAUSE_STOPPED);
+        tw_sim_task_exit(x, t, TW_CAUSE_STOPPED);
     }
     if (t->stage == TW_PIECE_RUNNING && w->now >= t->end_at) {
         int fails = x->faulty || job->fails;
-        task_exit(x, t, fails ? TW_CAUSE_ERROR : TW_CAUSE_DONE);
-        if (!fails) task_done(w, job, t->index);
+        tw_sim_task_exit(x, t, fails ? TW_CAUSE_ERROR : TW_CAUSE_DONE);
+        if (!fails) tw_sim_task_done(w, job, t->index);
     }
 }
 
--- a/sim/world.c
+++ b/sim/world.c
@@ -74,6 +74,7 @@
         tw_wire_job_free(&w->jobs[i]->spec);
         free(w->jobs[i]->done);
         free(w->jobs[i]->saved);
+        free(w->jobs[i]->gangs);
         free(w->jobs[i]);
     }
     free(w->jobs);
--- a/sim/world.h
+++ b/sim/world.h
@@ -61,6 +61,26 @@
 
 /* ---- machines and jobs ---- */
 
+/* An attempt of a gang; see gang.c. */
+enum {
+    TW_SIM_GANG_GATHERING,
+    TW_SIM_GANG_RUNNING,
+    TW_SIM_GANG_STOPPING,
+    TW_SIM_GANG_SAVED,
+    TW_SIM_GANG_BROKEN,
+    TW_SIM_GANG_DONE
+};
+typedef struct {
+    uint64_t attempt;
+    int state;
+    double progress_s, advanced_at; /* of the job, up to that moment */
+    double slow;                    /* of its slowest machine */
+    double first_stop_at;           /* when the first task was told to save */
+    /* Counted anew all the time: tasks that wait; that run or save; that save; and the slowest. */
+    int nwaiting, nmembers, nsaving;
+    double slowest;
+} tw_sim_gang;
+
 typedef struct {
     tw_wire_job spec;
     double run_s;                       /* what a task really takes */
@@ -70,6 +90,10 @@
     uint8_t *done; /* by task */
     double *saved; /* run time in checkpoints, by task; NULL: none yet */
     int ndone;
+    tw_sim_gang *gangs; /* of a gang: its attempts */
+    int ngangs, gangs_cap;
+    double gang_saved_s; /* run time in checkpoints */
+    int gang_starts;     /* times that all tasks began together */
     int started;
     int last_status;    /* of the last submission */
     int cancel_status;  /* of the last cancellation */
@@ -88,6 +112,7 @@
     double ready_at, started_at, end_at;
     double from_s;       /* run time saved before it started */
     double stopped_at_s; /* run time reached when it was told to stop */
+    double peers_at;     /* > 0: finds out then that its gang is broken */
 } tw_sim_task;
 
 typedef struct {
@@ -131,6 +156,7 @@
     TW_SIM_DRAW_LOOKS,
     TW_SIM_DRAW_CANCELS,
     TW_SIM_DRAW_ODD,
+    TW_SIM_DRAW_GANGS,
     TW_SIM_DRAWS
 };
 
@@ -139,6 +165,7 @@
     unsigned seed;
     gsl_rng *draws[TW_SIM_DRAWS]; /* made when first used */
     double report_s, lease_s, cancel_s;
+    double gang_wait_s, gang_peer_s; /* 0: in proportion to the lease */
     double mem_mb; /* memory of a node, 0: as in its settings */
     int nnodes;
     char nodes[TW_SIM_MAX_NODES][TW_SIM_NAME], node_zone[TW_SIM_MAX_NODES][TW_SIM_NAME];
@@ -226,9 +253,23 @@
 void tw_sim_worker_tick(tw_sim_world *w, tw_sim_worker *x);
 /* Whether a report is due now. */
 int tw_sim_worker_due(const tw_sim_world *w, const tw_sim_worker *x);
-/* Running or saving. */
+/* On its machine: waiting for its gang, running or saving. */
 int tw_sim_task_active(const tw_sim_task *t);
 
+void tw_sim_task_exit(tw_sim_worker *x, tw_sim_task *t, int cause);
+void tw_sim_task_done(tw_sim_world *w, tw_sim_job *job, int index);
+
+/* ---- gang.c ---- */
+
+double tw_sim_gang_wait_s(const tw_sim_world *w);
+double tw_sim_gang_peer_s(const tw_sim_world *w);
+/* A task of a gang has its image; is told to stop (it hasn't exited); lives on. */
+void tw_sim_gang_image_there(tw_sim_world *w, tw_sim_worker *x, tw_sim_task *t);
+void tw_sim_gang_stop(tw_sim_world *w, tw_sim_worker *x, tw_sim_task *t, double grace_s);
+void tw_sim_gang_task_tick(tw_sim_world *w, tw_sim_worker *x, tw_sim_task *t);
+/* Time passes for all gangs; call it before the workers' turns. */
+void tw_sim_gangs_tick(tw_sim_world *w);
+
 /* ---- jobs ---- */
 
 tw_sim_job *tw_sim_job_find(const tw_sim_world *w, const char *id);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -68,6 +68,8 @@
     TW_CAUSE_NO_ROOM,
     TW_CAUSE_BUSY,
     TW_CAUSE_NO_SUCH,
+    TW_CAUSE_PEERS, /* another task of its gang is gone */
+    TW_CAUSE_ALONE, /* its gang was not complete in time */
     TW_CAUSE_OTHER
 };
 
--- a/tests/runner/e2e.c
+++ b/tests/runner/e2e.c
@@ -211,6 +211,7 @@
     (void)ev;
     W.now = now();
     if (W.now > limit_s) finish(1, "no progress");
+    tw_sim_gangs_tick(&W);
     for (int i = 0; i < W.nworkers; i++) {
         tw_sim_worker *x = W.workers[i];
         tw_sim_worker_tick(&W, x);
