Sim: one more stream of draws doesn't change what the others draw

The seeds of streams were multiplied by their number, so that the stream for gangs changed all others: late_writes (a counted share) and ten_leaders (closelooks cancels a drawn fifth of the jobs, among them one that it expects done) failed. With the number of before both pass as they did.

--- a/sim/draw.c
+++ b/sim/draw.c
@@ -4,11 +4,13 @@
 #include <gsl/gsl_rng.h>
 #include <stdlib.h>
 
+#define SEED_STEP 8 /* not the number of streams: one more must not change the others */
+
 double tw_sim_draw(tw_sim_world *w, int kind, double from, double to) {
     if (!w->draws[kind]) {
         w->draws[kind] = gsl_rng_alloc(gsl_rng_taus2);
         if (!w->draws[kind]) abort();
-        gsl_rng_set(w->draws[kind], (unsigned long)w->seed * TW_SIM_DRAWS + (unsigned)kind + 1);
+        gsl_rng_set(w->draws[kind], (unsigned long)w->seed * SEED_STEP + (unsigned)kind + 1);
     }
     return from + (to - from) * gsl_rng_uniform(w->draws[kind]);
 }
