A job's live tasks are bounded by what its record's text really takes

Cause: the bound took 1,500 bytes for a job and 40 for a task, of 0.8 of the limit; at 2 KiB only 3 tasks of an array could be live, whatever its size. Change: record_size.c computes it per job: the job's own text (kept), the frame, each live task with the digits of index and attempt and the longest machine name known, and the done ranges, of which there are at most one more than tasks may be live. A sixteenth of the limit stays free. The stand-in state service refuses values, transactions and conditions beyond its limits (400); scenarios: set value, set ops, set next, statelimits, expect toolarge, expect keys.

--- a/sim/expect.c
+++ b/sim/expect.c
@@ -78,6 +78,20 @@
     return 0;
 }
 
+/* Transactions that the state service refused for their size. */
+static int too_large(expectation *x) {
+    return in_range(x, x->sim->world.state.too_large, x->arg[0], x->arg[1]);
+}
+
+/* Keys with this prefix in the state service. */
+static int keys(expectation *x) {
+    const tw_sim_state *state = &x->sim->world.state;
+    int count = 0;
+    for (size_t i = 0; i < state->nkeys; i++)
+        count += !strncmp(state->keys[i].key, x->arg[0], strlen(x->arg[0]));
+    return in_range(x, count, x->arg[1], x->arg[2]);
+}
+
 static const struct {
     const char *name;
     int (*holds)(expectation *x);
@@ -85,7 +99,7 @@
              {"refused", is_refused},    {"starts", starts},        {"running", running},
              {"machines", machines},     {"gone", is_gone},         {"shift", in_session},
              {"leader", has_leader},     {"steps", steps},          {"struck", struck},
-             {"cancel", cancel_answered}};
+             {"cancel", cancel_answered}, {"toolarge", too_large},   {"keys", keys}};
 
 void tw_sim_expect(tw_sim *sim, const tw_sim_words *w) {
     expectation x = {.sim = sim, .arg = {"", "", ""}};
--- a/sim/node.c
+++ b/sim/node.c
@@ -134,6 +134,7 @@
 
 static void settings_text(const tw_sim *sim, int node, char *to, size_t size) {
     const tw_sim_world *w = &sim->world;
+    const tw_sim_limits *limits = &w->state.told;
     int n = snprintf(to, size,
                      "host_name = \"%s\"\nlocation = \"%s\"\napi_addr = \"10.0.0.%d:8080\"\n"
                      "peer_bind = \"10.0.0.%d:8081\"\n",
@@ -147,12 +148,14 @@
     snprintf(to + n, size - (size_t)n,
              "[external]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[settings]\n%s%s"
              "[settings.workers]\nreport_s = %g\nlease_s = %g\ncancel_s = %g\n"
-             "[settings.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = 8.0\ntxn_ops = 12\n"
+             "[settings.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = %.1f\n"
+             "txn_ops = %.0f\n%s"
              "[settings.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n"
              "[settings.limits]\ncpu_share = 0.1\nmem_mb = 56.0\nsockets = 600\n",
              sim->teams ? sim->teams : "", sim->objectives ? sim->objectives : "", w->report_s,
              w->lease_s, w->cancel_s, sim->rps > 1e6 ? 60 : sim->rps,
-             w->state.write_rps > 1e6 ? 100 : w->state.write_rps);
+             limits->write_rps, limits->value_kb, limits->txn_ops,
+             sim->next_limits ? sim->next_limits : "");
 }
 
 static uint64_t node_seed(const tw_sim *sim, int node) {
--- a/sim/script.c
+++ b/sim/script.c
@@ -120,8 +120,28 @@
     return 0;
 }
 
+/* `set next value=KB ops=N write_rps=N rps=N`: the limits to come, as the nodes are told them. */
+static int set_next(tw_sim *sim, const tw_sim_words *w) {
+    static const struct {
+        const char *option, *setting, *format;
+    } limits[] = {{"value", "value_kb", "%s = %.1f\n"},
+                  {"ops", "txn_ops", "%s = %.0f\n"},
+                  {"write_rps", "write_rps", "%s = %.1f\n"},
+                  {"rps", "rps", "%s = %.1f\n"}};
+    append(&sim->next_limits, "[settings.state.next]\n");
+    for (size_t i = 0; i < COUNT(limits); i++) {
+        const double value = tw_sim_option_number(w, limits[i].option, 0);
+        char text[TW_SIM_MESSAGE];
+        if (value <= 0) continue;
+        snprintf(text, sizeof text, limits[i].format, limits[i].setting, value);
+        append(&sim->next_limits, text);
+    }
+    return 0;
+}
+
 static int set(tw_sim *sim, const tw_sim_words *w) {
     tw_sim_world *world = &sim->world;
+    tw_sim_limits *limits = &world->state.told;
     const struct {
         const char *name;
         double *value;
@@ -131,7 +151,10 @@
                   {"boot", &world->boot_s},
                   {"mem", &world->mem_mb},
                   {"rps", &sim->rps},
-                  {"write_rps", &world->state.write_rps}};
+                  {"write_rps", &limits->write_rps},
+                  {"value", &limits->value_kb},
+                  {"ops", &limits->txn_ops}};
+    if (!strcmp(w->word[1], "next")) return set_next(sim, w);
     double value = tw_sim_number(w->word[2]);
     if (!strcmp(w->word[1], "seed")) {
         sim->world.seed = (unsigned)value;
@@ -140,6 +163,7 @@
     for (size_t i = 0; i < COUNT(values); i++)
         if (!strcmp(w->word[1], values[i].name)) {
             *values[i].value = value;
+            world->state.limits = *limits;
             return 0;
         }
     return -1;
--- a/sim/sim.c
+++ b/sim/sim.c
@@ -82,6 +82,7 @@
     free(sim->trouble.kept);
     free(sim->teams);
     free(sim->objectives);
+    free(sim->next_limits);
     tw_sim_world_free(&sim->world);
     free(sim);
 }
--- a/sim/sim_int.h
+++ b/sim/sim_int.h
@@ -121,6 +121,7 @@
     tw_sim_troubles trouble;
     double rps, request_tokens, requests_at; /* the state service's limit of requests */
     char *objectives, *teams;                /* settings text */
+    char *next_limits;                       /* the same, of the state service's limits to come */
     double end_s;
     tw_sim_event **heap;
     size_t nheap, heap_cap;
--- a/sim/state.c
+++ b/sim/state.c
@@ -9,12 +9,20 @@
 #define DECIMAL 10
 #define NUMBER_SIZE 32
 #define DEFAULT_LIST 100
+#define NO_LIMIT 1e9
+#define DEFAULT_WRITE_RPS 100 /* as the nodes are told, where there is no limit */
+#define DEFAULT_VALUE_KB 8
+#define DEFAULT_TXN_OPS 12
+#define CONDITIONS_PER_OP 4
+#define KB 1024
+#define MOST_BYTES ((size_t)64 * KB) /* of a transaction */
 
 void tw_sim_state_init(tw_sim_state *s) {
     memset(s, 0, sizeof *s);
     s->down_since = -1;
     s->revision = FIRST_REVISION;
-    s->write_rps = 1e9;
+    s->limits = (tw_sim_limits){NO_LIMIT, DEFAULT_VALUE_KB, DEFAULT_TXN_OPS};
+    s->told = (tw_sim_limits){DEFAULT_WRITE_RPS, DEFAULT_VALUE_KB, DEFAULT_TXN_OPS};
 }
 
 void tw_sim_state_free(tw_sim_state *s) {
@@ -122,9 +130,9 @@
 /* ---- transactions ---- */
 
 static int allows_writes(tw_sim_state *s, double now, int n) {
-    s->write_tokens += (now - s->write_at) * s->write_rps;
+    s->write_tokens += (now - s->write_at) * s->limits.write_rps;
     s->write_at = now;
-    if (s->write_tokens > s->write_rps) s->write_tokens = s->write_rps;
+    if (s->write_tokens > s->limits.write_rps) s->write_tokens = s->limits.write_rps;
     if (s->write_tokens < n) return 0;
     s->write_tokens -= n;
     return 1;
@@ -166,10 +174,35 @@
     }
 }
 
+/* Whether the transaction, or a value in it, is larger than the limits allow. */
+static int too_large(const tw_sim_state *s, const char *body, const cJSON *txn) {
+    const cJSON *changes = cJSON_GetObjectItemCaseSensitive(txn, "apply");
+    const cJSON *conditions = cJSON_GetObjectItemCaseSensitive(txn, "if");
+    if (strlen(body) > MOST_BYTES || cJSON_GetArraySize(changes) > s->limits.txn_ops ||
+        cJSON_GetArraySize(conditions) > CONDITIONS_PER_OP * s->limits.txn_ops)
+        return 1;
+    const cJSON *change;
+    cJSON_ArrayForEach(change, changes) {
+        const cJSON *data = cJSON_GetObjectItemCaseSensitive(change, "data");
+        if (!data) continue;
+        char *text = cJSON_PrintUnformatted(data);
+        const size_t length = strlen(text);
+        free(text);
+        if ((double)length > s->limits.value_kb * KB) return 1;
+    }
+    return 0;
+}
+
 static int transaction(tw_sim_state *s, double now, const char *body, char **out) {
     cJSON *txn = cJSON_Parse(body);
     const cJSON *changes = cJSON_GetObjectItemCaseSensitive(txn, "apply");
     int status = TW_SIM_OK;
+    if (too_large(s, body, txn)) {
+        s->too_large++;
+        cJSON_Delete(txn);
+        *out = tw_sim_text("{\"error\":\"too large\"}");
+        return TW_SIM_MALFORMED;
+    }
     if (!allows_writes(s, now, cJSON_GetArraySize(changes))) {
         cJSON_Delete(txn);
         *out = tw_sim_text("{}");
--- a/sim/trouble.c
+++ b/sim/trouble.c
@@ -120,6 +120,14 @@
     sim->trouble.slow_state_until = sim->world.now + number(w, 2);
 }
 
+/* `statelimits [value=KB] [ops=N] [write_rps=N]`: they fall, or rise. The nodes aren't told. */
+static void state_limits(tw_sim *sim, const tw_sim_words *w) {
+    tw_sim_limits *limits = &sim->world.state.limits;
+    limits->value_kb = tw_sim_option_number(w, "value", limits->value_kb);
+    limits->txn_ops = tw_sim_option_number(w, "ops", limits->txn_ops);
+    limits->write_rps = tw_sim_option_number(w, "write_rps", limits->write_rps);
+}
+
 static void lose_txns(tw_sim *sim, const tw_sim_words *w) {
     sim->trouble.lose_txns = (int)number(w, 1);
 }
@@ -225,6 +233,7 @@
                                                   {"cut", 4, 3, cut},
                                                   {"outage", 2, 1, outage},
                                                   {"slowstate", 3, 2, slow_state},
+                                                  {"statelimits", 2, 0, state_limits},
                                                   {"losetxn", 2, 0, lose_txns},
                                                   {"latetxn", 2, 1, late_txn},
                                                   {"hang", 3, 2, hang},
--- a/sim/world.h
+++ b/sim/world.h
@@ -47,6 +47,10 @@
     uint64_t id;
     double ttl, until;
 } tw_sim_lease;
+typedef struct {
+    double write_rps;         /* puts and deletes a second */
+    double value_kb, txn_ops; /* largest value, in KiB; puts and deletes in a transaction */
+} tw_sim_limits;
 typedef struct {
     tw_sim_key *keys; /* in key order */
     size_t nkeys, keys_cap;
@@ -56,7 +60,10 @@
     tw_sim_lease *leases;
     int nleases, leases_cap;
     double down_since; /* < 0: up */
-    double write_tokens, write_at, write_rps;
+    double write_tokens, write_at;
+    tw_sim_limits limits; /* that hold now */
+    tw_sim_limits told;   /* as the nodes' settings have them */
+    int too_large;        /* transactions refused for what they hold */
 } tw_sim_state;
 
 /* ---- machines and jobs ---- */
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -84,7 +84,8 @@
     char id[TW_WIRE_ID];
     int has_spec;
     tw_wire_job s;
-    char *spec_text; /* s as in the record, made once; NULL: not yet */
+    char *spec_text;   /* s as in the record, made once; NULL: not yet */
+    size_t spec_bytes; /* the length of that text; 0: not measured yet */
     int team;        /* index, -1: unknown */
     lane *lane;
     uint32_t rackmask; /* over c->flavors */
@@ -440,6 +441,7 @@
     double next_flavors;
     int flavors_busy;
     machine *machines;
+    size_t longest_name;      /* of a machine that was known in this process */
     machine *direct;          /* those that may be due for direct orders */
     int ndirect;              /* direct orders on their way */
     double next_direct;       /* no look at all machines before it */
@@ -602,7 +604,12 @@
 /* place.c */
 void tw_schedule(tw_core *c);
 int tw_place_new(tw_core *c, job *j);
-int tw_max_live(const tw_core *c);
+
+/* record_size.c */
+/* Bytes that a record's text may have to be written as one value, under the smaller limit. */
+size_t tw_record_room(const tw_core *core);
+/* How many tasks of the job may be live at once for its record to fit into one value. */
+int tw_max_live(const tw_core *core, job *job);
 
 /* recheck.c */
 void tw_recheck(tw_core *c);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -51,6 +51,7 @@
     job->s = *spec;
     free(job->spec_text);
     job->spec_text = NULL;
+    job->spec_bytes = 0;
     memset(spec, 0, sizeof *spec);
     spec->nracks = -1;
     job->has_spec = 1;
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -20,6 +20,8 @@
     added->born = core->now;
     added->slowness = added->q = added->p = -1; /* the type's prior */
     added->zone = -1;
+    const size_t length = strlen(added->name);
+    if (length > core->longest_name) core->longest_name = length;
     HASH_ADD_STR(core->machines, name, added);
     return added;
 }
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -4,24 +4,12 @@
 
 #define MOST_IN_PASS 300 /* tasks; the rest in the next pass */
 #define BETWEEN_PASSES_S 0.1
-/* A record in the state service: what of the value limit is used, and what it is used for. */
-#define USED_OF_LIMIT 0.8
-#define KB 1024
-#define SPEC_BYTES 1500
-#define TASK_BYTES 40
-#define LEAST_LIVE 2
 
 static int next_free(job *job) {
     while (job->cursor < job->pieces && job->st[job->cursor] != T_FREE) job->cursor++;
     return job->cursor < job->pieces ? job->cursor : -1;
 }
 
-/* The record must stay under the state service's value limit. */
-int tw_max_live(const tw_core *core) {
-    const double room = core->cf->state_value_kb * KB * USED_OF_LIMIT - SPEC_BYTES;
-    return room < LEAST_LIVE * TASK_BYTES ? LEAST_LIVE : (int)(room / TASK_BYTES);
-}
-
 static void log_place(const tw_core *core, const tw_demand *demand, const placement *placed) {
     const job *job = demand->job;
     const machine *machine = placed->m;
@@ -66,7 +54,7 @@
 /* Places up to limit tasks, each under an attempt of its own, or all under the one given. */
 static int place_tasks(tw_core *core, job *job, int limit, uint64_t common_attempt,
                        uint32_t among) {
-    const int most_live = tw_max_live(core);
+    const int most_live = tw_max_live(core, job);
     int placed = 0;
     int index;
     while (placed < limit && job->nlive < most_live && (index = next_free(job)) >= 0) {
@@ -92,7 +80,7 @@
     uint32_t among = UINT32_MAX;
     if (job->nlive) return 0; /* until the rest of the last attempt is gone */
     for (;;) {
-        const int placed = place_tasks(core, job, tw_max_live(core), job->next_try, among);
+        const int placed = place_tasks(core, job, tw_max_live(core, job), job->next_try, among);
         if (!placed || job->nlive + job->ndone == job->pieces) return placed;
         const int zone = job->live->m->zone;
         take_back(core, job);
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -80,7 +80,7 @@
 }
 
 /* How many tasks of the job could be placed if there were room. */
-static int placeable(const tw_core *core, const job *job) {
+static int placeable(const tw_core *core, job *job) {
     const tw_conf_team *team = &core->cf->teams[job->team];
     int count = job->pieces - job->ndone - job->nlive;
     if (team->gpus_max > 0 && job->s.gpus > 0)
@@ -89,12 +89,12 @@
     if (team->cpus_max > 0 && job->s.cores > 0)
         count = (int)fmin(
             count, floor((team->cpus_max - core->team_c[job->team]) / job->s.cores + ROUNDING));
-    const int most = tw_max_live(core) - job->nlive;
+    const int most = tw_max_live(core, job) - job->nlive;
     return count > most ? most : count;
 }
 
 /* How many of them to find or rent room for: of a batch, those that had better not wait. */
-static int needed(tw_core *core, bins *bins, const job *job, tw_drain *drain) {
+static int needed(tw_core *core, bins *bins, job *job, tw_drain *drain) {
     const int count = placeable(core, job);
     int need = 0;
     if (job->s.service) return count;
--- /dev/null
+++ b/src/core/record_size.c
@@ -0,0 +1,58 @@
+/* How long the text of a job's record can become, so that no more tasks are placed at once than one
+ * value of the state service has room for.
+ *
+ * Beside the job as submitted, the text names every live task (index, attempt, machine) and the
+ * ranges of tasks that are done. Free tasks are placed lowest first, so below the highest task that
+ * was ever placed at most as many are not done as may be live: of `live` tasks the ranges have at
+ * most live + 1 parts. */
+#include "core/core_int.h"
+
+#define KB 1024
+/* Part of a value that is kept free: white space, if the state service counts some of its own. */
+#define SPARE_PART 16
+/* Everything but the job, the done ranges and the live tasks, with all numbers at their longest:
+ * {"s":0,"j":,"c":100000,"t":1764665749.1234567,"n":18446744073709551615,"f":"","l":""} */
+#define FRAME_BYTES 96
+/* "index:attempt:machine," beside the three of them; "first-last," beside the two of them. */
+#define TASK_SIGNS 3
+#define RANGE_SIGNS 2
+#define LEAST_LIVE 2
+#define DECIMAL 10
+
+size_t tw_record_room(const tw_core *core) {
+    const double bytes = core->cf->state_value_kb * KB;
+    return (size_t)(bytes - bytes / SPARE_PART);
+}
+
+static int digits(uint64_t number) {
+    int count = 1;
+    while (number >= DECIMAL) {
+        number /= DECIMAL;
+        count++;
+    }
+    return count;
+}
+
+/* Length of the job as it stands in its record. */
+static size_t spec_bytes(job *job) {
+    if (job->spec_bytes || !job->has_spec) return job->spec_bytes;
+    if (!job->spec_text) job->spec_text = tw_wire_job_text(&job->s); /* its record needs it, too */
+    job->spec_bytes = strlen(job->spec_text);
+    return job->spec_bytes;
+}
+
+int tw_max_live(const tw_core *core, job *job) {
+    const int index = digits((uint64_t)job->pieces);
+    const int attempt = digits(job->next_try + (uint64_t)job->pieces);
+    const double task = index + attempt + (double)core->longest_name + TASK_SIGNS;
+    const double range = 2 * index + RANGE_SIGNS;
+    const double single = index + 1; /* a range of one task */
+    const double room = (double)tw_record_room(core) - FRAME_BYTES - (double)spec_bytes(job);
+    /* Bytes of n live tasks: n * task, and of the others, all done, either n + 1 ranges or, where
+     * that is less, one for each. Both grow with n. */
+    const double by_ranges = (room - range) / (task + range);
+    const double by_tasks = (room - job->pieces * single) / (task - single);
+    const double most = floor(fmax(by_ranges, by_tasks));
+    if (most < LEAST_LIVE) return LEAST_LIVE;
+    return (int)fmin(most, job->pieces);
+}
--- a/src/core/turned_away.c
+++ b/src/core/turned_away.c
@@ -29,6 +29,7 @@
 void tw_wish_drop(tw_core *core, wish *wish) {
     HASH_DEL(core->wishes, wish);
     tw_wire_job_free(&wish->j.s);
+    free(wish->j.spec_text);
     free(wish);
 }
 
