--- a/sim/gang.c
+++ b/sim/gang.c
@@ -191,8 +191,8 @@
     if (gang->state == TW_SIM_GANG_GATHERING && gang->nwaiting >= all) {
         start(w, job, gang);
     } else if (gang->state == TW_SIM_GANG_RUNNING || gang->state == TW_SIM_GANG_STOPPING) {
-        int late = gang->state == TW_SIM_GANG_STOPPING && gang->nsaving < all &&
-                   !is_in_time(w, gang);
+        int late =
+            gang->state == TW_SIM_GANG_STOPPING && gang->nsaving < all && !is_in_time(w, gang);
         if (gang->nmembers < all || late) break_up(gang);
     }
 }
--- a/sim/worker.c
+++ b/sim/worker.c
@@ -13,7 +13,8 @@
 #define EPSILON 1e-6
 
 static const char *const stages[] = {"pulling", "running", "flushing", "exited", "waiting"};
-static const char *const causes[] = {"", "done", "stopped", "error", "no_room", "busy", "no_such", "peers", "alone"};
+static const char *const causes[] = {"",     "done",    "stopped", "error", "no_room",
+                                     "busy", "no_such", "peers",   "alone"};
 
 int tw_sim_task_active(const tw_sim_task *t) {
     return t->stage == TW_PIECE_RUNNING || t->stage == TW_PIECE_FLUSHING ||
