A gang's room counts what GPUs keep, task by task

Change: as many tasks count as leave the machine's GPUs their cores; stopping others gains nothing there unless the job may use any machine.

--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -40,7 +40,7 @@
     }
 }
 
-int tw_leaves_gpus(const tw_core *core, const machine *machine, const job *job) {
+int tw_leaves_gpus(const tw_core *core, const machine *machine, const job *job, int tasks) {
     const tw_wire_job *spec = &job->s;
     const tw_wire_flavor *type = &core->flavors[machine->rack].f;
     if (spec->gpus > 0 || type->gpus <= 0 || job->any_machine) return 1;
@@ -51,8 +51,9 @@
         cores = type->cores / type->gpus;
         memory_gb = type->memory_gb / type->gpus;
     }
-    return type->cores - machine->used_c - spec->cores + ROUNDING >= free_gpus * cores &&
-           type->memory_gb - machine->used_m - spec->memory_gb + ROUNDING >= free_gpus * memory_gb;
+    return type->cores - machine->used_c - tasks * spec->cores + ROUNDING >= free_gpus * cores &&
+           type->memory_gb - machine->used_m - tasks * spec->memory_gb + ROUNDING >=
+               free_gpus * memory_gb;
 }
 
 /* Zones that the job's next task may go to, as bits: the same for all machines. */
--- a/src/core/gang_room.c
+++ b/src/core/gang_room.c
@@ -23,8 +23,15 @@
 
 static int free_on(const tw_core *core, const machine *machine, const job *job, int most) {
     const tw_wire_flavor *type = &core->flavors[machine->rack].f;
-    return tasks_in(type->cores - machine->used_c, type->gpus - machine->used_g,
-                    type->memory_gb - machine->used_m, &job->s, most);
+    int count = tasks_in(type->cores - machine->used_c, type->gpus - machine->used_g,
+                         type->memory_gb - machine->used_m, &job->s, most);
+    while (count > 0 && !tw_leaves_gpus(core, machine, job, count)) count--;
+    return count;
+}
+
+/* Whether stopping others makes room there: GPUs that are given back need their cores again. */
+static int gains_by_stopping(const tw_core *core, const machine *machine, const job *job) {
+    return job->s.gpus > 0 || job->any_machine || core->flavors[machine->rack].f.gpus <= 0;
 }
 
 /* Room of tasks that are told to stop is promised to others already. */
@@ -45,11 +52,12 @@
                         zone_room *zone) {
     const job *job = demand->job;
     core->steps++;
-    if (!tw_constraints_machine(core, job, machine) ||
-        !tw_constraints_zone(core, demand, machine) || !tw_leaves_gpus(core, machine, job))
+    if (!tw_constraints_machine(core, job, machine) || !tw_constraints_zone(core, demand, machine))
         return;
-    zone->free += free_on(core, machine, job, tasks);
-    zone->vacated += vacated_on(core, machine, job, tasks);
+    const int free = free_on(core, machine, job, tasks);
+    zone->free += free;
+    zone->vacated +=
+        gains_by_stopping(core, machine, job) ? vacated_on(core, machine, job, tasks) : free;
 }
 
 static uint32_t zones_with(const tw_core *core, const zone_rooms rooms, int tasks, int vacated) {
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -140,7 +140,7 @@
         machine *machine = core->candidates[i].machine;
         core->steps++;
         if (!may_vacate(core, machine, job) || !tw_constraints_machine(core, job, machine) ||
-            !tw_constraints_zone(core, demand, machine) || !tw_leaves_gpus(core, machine, job))
+            !tw_constraints_zone(core, demand, machine) || !tw_leaves_gpus(core, machine, job, 1))
             continue;
         if (!tw_reserve_allows(core, machine, job)) {
             *kept = 1;
--- a/src/core/scheduler_int.h
+++ b/src/core/scheduler_int.h
@@ -38,8 +38,9 @@
 /* Whether the job's tasks may go to a machine that is usable, whatever its zone and room. */
 int tw_constraints_machine(const tw_core *core, const struct job *job,
                            const struct machine *machine);
-/* Whether a task without GPUs leaves the machine's GPUs their cores and memory. */
-int tw_leaves_gpus(const tw_core *core, const struct machine *machine, const struct job *job);
+/* Whether so many tasks without GPUs leave the machine's GPUs their cores and memory. */
+int tw_leaves_gpus(const tw_core *core, const struct machine *machine, const struct job *job,
+                   int tasks);
 
 /* futile.c: kinds of tasks for which a pass has found no room. */
 tw_futile tw_futile_kind(const tw_demand *demand);
--- a/src/core/scores.c
+++ b/src/core/scores.c
@@ -66,7 +66,7 @@
     score->changes = candidate->changes;
     score->fits = tw_fits(machine, &core->flavors[machine->rack], &job->s) &&
                   tw_constraints_machine(core, job, machine);
-    score->possible = score->fits && tw_leaves_gpus(core, machine, job);
+    score->possible = score->fits && tw_leaves_gpus(core, machine, job, 1);
     if (!score->possible) return;
     const tw_prediction prediction = tw_predict(core, demand, machine);
     score->end = tw_predict_end(core, demand, &prediction);
