Room that is kept for GPUs is not waited for by work without GPUs

The plan took room that GPU batch tasks give back there for room the gangs would get, so it neither rented nor let them use GPU machines; placing refused them that room, since it is kept for the GPUs beside it. Ruled out: renting (all machines without GPUs are rented), preemption, the gangs' own states. Change: given-back room counts for a job only if taking it leaves the free GPUs what they need, as in placing.

--- a/src/core/bins.c
+++ b/src/core/bins.c
@@ -52,7 +52,7 @@
 struct bin_start {
     double cores, gpus, memory_gb;
     uint32_t types;
-    int spot;
+    int spot, any_machine;
     const char *zone;
     int bin, drained; /* where to begin: in the bins, and in the room that is given back */
 };
@@ -61,7 +61,8 @@
     const tw_wire_job *spec = &job->s;
     return start->cores == spec->cores && start->gpus == spec->gpus &&
            start->memory_gb == spec->memory_gb && start->types == job->rackmask &&
-           start->spot == spec->loaner && !strcmp(start->zone, spec->yard);
+           start->spot == spec->loaner && start->any_machine == job->any_machine &&
+           !strcmp(start->zone, spec->yard);
 }
 
 /* Valid until the next call. */
@@ -79,6 +80,7 @@
                                 .memory_gb = job->s.memory_gb,
                                 .types = job->rackmask,
                                 .spot = job->s.loaner,
+                                .any_machine = job->any_machine,
                                 .zone = job->s.yard};
     return start;
 }
--- a/src/core/drain.c
+++ b/src/core/drain.c
@@ -49,6 +49,8 @@
         c->steps++;
         if (!tw_bin_allowed(&r->room, &j->s, j->rackmask) || !tw_bin_fits(&r->room, &j->s))
             continue;
+        /* What is given back beside GPUs that stay free is kept for them. */
+        if (!tw_bin_leaves_gpus(c, &r->room, &j->s, j->any_machine)) continue;
         tw_bin_take(&r->room, &j->s);
         return fmax(c->now, r->at);
     }
