--- a/tests/runner/e2e.c
+++ b/tests/runner/e2e.c
@@ -1,6 +1,7 @@
 /* End to end over loopback: three real processes against the stand-ins; a job is accepted, run and
  * told done; the leader is killed; what ran goes on; a cancel holds. The order of events is waited
  * for, no time is asserted; a generous limit ends a run that hangs. */
+#include "e2e_nodes.h"
 #include "net/net.h"
 #include "world.h"
 #include <cjson/cJSON.h>
@@ -8,242 +9,322 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
 
-enum { P_STATE, P_CLOUD, P_WORKER };
-enum {
-    STEP_ACCEPT,
-    STEP_DONE,
-    STEP_RUNS,
-    STEP_FAILOVER,
-    STEP_KNOWN,
-    STEP_CANCEL,
-    STEP_GONE,
+#define WORKERS 2
+#define MAX_CALLS 100000
+#define ADDRESS_SIZE 64
+#define REPORT_S 0.4
+#define LEASE_S 8
+#define LIMIT_S 120 /* of the whole run */
+#define TICK_S 0.05
+#define ACT_EVERY_S 0.2
+#define USER_TIMEOUT_S 5
+#define REPORT_TIMEOUT_S 4
+#define CONNECTIONS_PER_ADDRESS 4
+/* Ports of one run lie together: nodes, their peers' ports, then the stand-ins. */
+#define PORTS_PER_RUN 100
+#define FIRST_PORT 21000
+#define LAST_PORT 60000
+#define FIRST_CHOICES 300 /* by process id, so that runs at the same time rarely meet */
+
+#define BATCH_ID "run-000001"
+#define SERVICE_ID "run-000002"
+#define BATCH_TASKS 3
+#define SERVICE_REPLICAS 2
+#define SERVICE_SUBMISSIONS 3 /* times that it is sent: the same job once, told again */
+
+#define JOB(id, shape, pieces)                                                                     \
+    "{\"id\":\"" id "\",\"lane\":\"l\",\"crew\":\"crew\",\"shape\":\"" shape                       \
+    "\",\"rank\":\"prod\",\"pieces\":" pieces ",\"cores\":1,\"gpus\":0,\"memoryGb\":1,"            \
+    "\"bundle\":\"img\",\"imageGb\":0.1,\"samePlace\":false,\"apart\":false,\"loaner\":false,"     \
+    "\"expectS\":1,\"snapshotS\":0,\"flushS\":0}"
+
+static const char batch_text[] = JOB(BATCH_ID, "batch", "3");
+static const char service_text[] = JOB(SERVICE_ID, "service", "2");
+
+/* What is waited for, in this order. */
+enum step {
+    STEP_ACCEPT,   /* the batch job is accepted */
+    STEP_DONE,     /* and told done */
+    STEP_RUNS,     /* all replicas of the service run; then the leader is killed */
+    STEP_FAILOVER, /* another node leads */
+    STEP_KNOWN,    /* and knows the service */
+    STEP_CANCEL,   /* its cancellation is told */
+    STEP_GONE,     /* none of its replicas run */
     STEP_END
 };
 
-static tw_sim_world W;
+/* A request that was sent to a node, by its number. */
+struct sent_call {
+    int is_user; /* by a user; else by a worker, and the rest is set */
+    int worker;  /* index in the world */
+    double sent; /* seconds since the start */
+    uint64_t session;
+};
+
+static tw_sim_world world;
 static tw_net *net;
-static struct ev_loop *loop;
-static pid_t pid[3];
-static int base, step, waiting;
-static double t0, limit_s = 120;
-static char last_leader[32];
-static struct {
-    int worker, user; /* worker + 1; or what a user asked */
-    double sent;
-    uint64_t shift;
-} calls[100000];
-static uint64_t ncalls;
+static e2e_nodes nodes;
+static enum step step;
+static int user_waits; /* a user's request has no answer yet */
+static double started_at;
+static char killed_leader[TW_SIM_NAME];
+static struct sent_call calls[MAX_CALLS];
+static uint64_t call_count;
 
-static double now(void) {
-    struct timespec t;
-    clock_gettime(CLOCK_MONOTONIC, &t);
-    return (double)t.tv_sec + (double)t.tv_nsec / 1e9 - t0;
+static double clock_s(void) {
+    struct timespec time;
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    return (double)time.tv_sec + (double)time.tv_nsec / 1e9;
 }
 
-static void finish(int rc, const char *why) {
-    printf(rc ? "FAIL end_to_end: step %d: %s\n" : "ok end_to_end\n", step, why);
-    for (int i = 0; i < 3; i++)
-        if (pid[i] > 0) kill(pid[i], SIGTERM);
-    for (int i = 0; i < 3; i++) {
-        int st = 0;
-        if (pid[i] <= 0) continue;
-        waitpid(pid[i], &st, 0);
-        if (!rc && (!WIFEXITED(st) || WEXITSTATUS(st))) {
-            printf("FAIL end_to_end: node %d ended with status %d\n", i, st);
-            rc = 1;
-        }
-    }
-    exit(rc);
-}
+static double now(void) { return clock_s() - started_at; }
 
-static void start_node(int i) {
-    char path[64];
-    snprintf(path, sizeof path, "/tmp/tw_e2e_%d_%d.toml", (int)getpid(), i);
-    FILE *f = fopen(path, "w");
-    if (!f) finish(1, "can't write settings");
-    fprintf(f,
-            "host_name = \"tray-%d\"\nlocation = \"%s\"\napi_addr = \"127.0.0.1:%d\"\n"
-            "peer_bind = \"127.0.0.1:%d\"\n",
-            i, i == 1 ? "b" : "a", base + i, base + 10 + i);
-    for (int k = 0; k < 3; k++)
-        if (k != i)
-            fprintf(f,
-                    "[[known]]\nhost_name = \"tray-%d\"\nlocation = \"%s\"\nendpoint = "
-                    "\"127.0.0.1:%d\"\n",
-                    k, k == 1 ? "b" : "a", base + 10 + k);
-    fprintf(f,
-            "[external]\ncloud = \"127.0.0.1:%d\"\nstate = \"127.0.0.1:%d\"\n[settings]\n"
-            "[[settings.teams]]\nname = \"crew\"\n"
-            "[settings.workers]\nreport_s = 0.4\nlease_s = 8.0\ncancel_s = 20.0\n"
-            "[settings.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n"
-            "[settings.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n"
-            "[settings.limits]\ncpu_share = 1.0\nmem_mb = 512.0\nsockets = 200\n",
-            base + 21, base + 20);
-    fclose(f);
-    pid[i] = fork();
-    if (pid[i] == 0) {
-        extern char *program;
-        execl(program, program, "--config", path, (char *)NULL);
-        _exit(127);
-    }
+/* Stops the nodes and ends the program. A run without a failure fails if a node ends badly. */
+static _Noreturn void finish(const char *failure) {
+    const int ended_well = e2e_nodes_stop(&nodes);
+    if (failure) printf("FAIL end_to_end: step %d: %s\n", (int)step, failure);
+    if (failure || !ended_well) exit(EXIT_FAILURE);
+    printf("ok end_to_end\n");
+    exit(EXIT_SUCCESS);
 }
-char *program;
 
+/* A node asks a stand-in. */
 static void on_request(void *ctx, int port, uint64_t conn, const char *method, const char *path,
                        const char *body, size_t len) {
-    char *out = NULL;
+    char *answer = NULL;
     int status;
     (void)ctx;
     (void)len;
-    W.now = now();
-    if (port == P_STATE)
-        status = tw_sim_state_request(&W.state, W.now, method, path, body, &out);
-    else if (port == P_CLOUD)
-        status = tw_sim_cloud_request(&W, method, path, body, &out);
+    world.now = now();
+    if (port == E2E_STATE)
+        status = tw_sim_state_request(&world.state, world.now, method, path, body, &answer);
+    else if (port == E2E_CLOUD)
+        status = tw_sim_cloud_request(&world, method, path, body, &answer);
     else
-        status = tw_sim_worker_request(&W, W.workers[port - P_WORKER], method, path, body, &out);
-    tw_net_reply(net, conn, status, 0, out, strlen(out));
-    free(out);
+        status = tw_sim_worker_request(&world, world.workers[port - E2E_WORKER], method, path, body,
+                                       &answer);
+    tw_net_reply(net, conn, status, 0, answer, strlen(answer));
+    free(answer);
 }
 
-static uint64_t call_id(void) {
-    if (++ncalls >= 100000) finish(1, "too many calls");
-    return ncalls;
+/* Sends a request to a node; returns what is known of it, to be filled in. */
+static struct sent_call *call_node(int node, const char *method, const char *path, const char *body,
+                                   double timeout_s) {
+    char address[ADDRESS_SIZE];
+    if (++call_count >= MAX_CALLS) finish("too many calls");
+    snprintf(address, sizeof address, "127.0.0.1:%d", nodes.base_port + node);
+    tw_net_call(net, call_count, address, CONNECTIONS_PER_ADDRESS, method, path, body, timeout_s);
+    return &calls[call_count];
 }
 
-static void user(int node, const char *method, const char *path, const char *body) {
-    char addr[64];
-    uint64_t id = call_id();
-    calls[id].user = 1;
-    waiting = 1;
-    snprintf(addr, sizeof addr, "127.0.0.1:%d", base + node);
-    tw_net_call(net, id, addr, 4, method, path, body, 5);
+static void ask_as_user(int node, const char *method, const char *path, const char *body) {
+    user_waits = 1;
+    call_node(node, method, path, body, USER_TIMEOUT_S)->is_user = 1;
 }
 
-#define JOB(id, shape, pieces)                                                                     \
-    "{\"id\":\"" id "\",\"lane\":\"l\",\"crew\":\"crew\",\"shape\":\"" shape                       \
-    "\",\"rank\":\"prod\",\"pieces\":" pieces ",\"cores\":1,\"gpus\":0,\"memoryGb\":1,"            \
-    "\"bundle\":\"img\",\"imageGb\":0.1,\"samePlace\":false,\"apart\":false,\"loaner\":false,"     \
-    "\"expectS\":1,\"snapshotS\":0,\"flushS\":0}"
+/* The leader by its key in the state service; empty: there is none. */
+static void read_leader(char name[TW_SIM_NAME]) {
+    char *answer = NULL;
+    *name = 0;
+    if (tw_sim_state_request(&world.state, world.now, "GET", "/kv/leader", "", &answer) == 200) {
+        cJSON *key = cJSON_Parse(answer);
+        const cJSON *node = cJSON_GetObjectItem(cJSON_GetObjectItem(key, "data"), "node");
+        if (cJSON_IsString(node)) snprintf(name, TW_SIM_NAME, "%s", node->valuestring);
+        cJSON_Delete(key);
+    }
+    free(answer);
+}
 
-static void leader_name(char *to) {
-    char *out;
-    *to = 0;
-    if (tw_sim_state_request(&W.state, W.now, "GET", "/kv/leader", "", &out) == 200) {
-        cJSON *o = cJSON_Parse(out);
-        const cJSON *d = cJSON_GetObjectItem(cJSON_GetObjectItem(o, "data"), "node");
-        if (cJSON_IsString(d)) snprintf(to, 32, "%s", d->valuestring);
-        cJSON_Delete(o);
+/* Whether a user's answer is what the step waits for. */
+static int is_awaited(int status, const char *body) {
+    if (status != 200 && status != 201) return 0;
+    switch (step) {
+    case STEP_ACCEPT:
+        return 1;
+    case STEP_DONE:
+        return strstr(body, "\"done\"") && strstr(body, BATCH_ID);
+    case STEP_KNOWN:
+        return strstr(body, SERVICE_ID) != NULL;
+    case STEP_CANCEL:
+        return strstr(body, "\"aborted\"") != NULL;
+    default:
+        return 0;
     }
-    free(out);
 }
 
+/* A node answers a user or a worker. */
 static void on_response(void *ctx, uint64_t id, int status, const char *body, size_t len) {
+    const struct sent_call *call = &calls[id];
     (void)ctx;
     (void)len;
-    W.now = now();
-    if (!calls[id].user) {
-        tw_sim_worker *x = W.workers[calls[id].worker];
-        x->in_flight = 0;
-        tw_sim_worker_answer(&W, x, calls[id].sent, calls[id].shift, status, body);
+    world.now = now();
+    if (call->is_user) {
+        user_waits = 0;
+        if (is_awaited(status, body)) step++;
         return;
     }
-    waiting = 0;
-    int ok = status == 200 || status == 201;
-    if (step == STEP_ACCEPT && ok) step++;
-    if (step == STEP_DONE && ok && strstr(body, "\"done\"") && strstr(body, "run-000001")) step++;
-    if (step == STEP_KNOWN && ok && strstr(body, "run-000002")) step++;
-    if (step == STEP_CANCEL && ok && strstr(body, "\"aborted\"")) step++;
+    tw_sim_worker *worker = world.workers[call->worker];
+    worker->in_flight = 0;
+    tw_sim_worker_answer(&world, worker, call->sent, call->session, status, body);
+}
+
+/* The index of a node by its name; -1: none of them. */
+static int node_of(const char *name) {
+    for (int node = 0; node < E2E_NODES; node++)
+        if (strcmp(world.nodes[node], name) == 0) return node;
+    return -1;
+}
+
+static void kill_leader(void) {
+    read_leader(killed_leader);
+    const int node = node_of(killed_leader);
+    if (node < 0 || !e2e_node_kill(&nodes, node)) return;
+    step++;
+}
+
+/* Submits the service to several nodes; once all its replicas run, the leader is killed. */
+static void run_service(int node) {
+    static int submissions;
+    if (submissions++ < SERVICE_SUBMISSIONS) ask_as_user(node, "POST", "/v1/jobs", service_text);
+    if (tw_sim_job_running(&world, SERVICE_ID) == SERVICE_REPLICAS) kill_leader();
+}
+
+static void await_new_leader(void) {
+    char name[TW_SIM_NAME];
+    read_leader(name);
+    if (*name && strcmp(name, killed_leader) != 0) step++;
+}
+
+/* The node that is asked next: each one that runs in turn. */
+static int next_node(void) {
+    static int node;
+    node = (node + 1) % E2E_NODES;
+    if (!nodes.pid[node]) node = (node + 1) % E2E_NODES;
+    return node;
 }
 
 static void act(void) {
-    static int turn, submitted;
-    char name[32];
-    turn = (turn + 1) % 3;
-    if (pid[turn] <= 0) turn = (turn + 1) % 3;
+    const int node = next_node();
     switch (step) {
     case STEP_ACCEPT:
-        user(turn, "POST", "/v1/jobs", JOB("run-000001", "batch", "3"));
+        ask_as_user(node, "POST", "/v1/jobs", batch_text);
         break;
     case STEP_DONE:
-        user(turn, "GET", "/v1/jobs/run-000001", "");
+        ask_as_user(node, "GET", "/v1/jobs/" BATCH_ID, "");
         break;
     case STEP_RUNS:
-        if (submitted++ < 3) user(turn, "POST", "/v1/jobs", JOB("run-000002", "service", "2"));
-        if (tw_sim_job_running(&W, "run-000002") == 2) {
-            leader_name(last_leader);
-            int i = atoi(last_leader + 5);
-            if (!*last_leader || pid[i] <= 0) break;
-            kill(pid[i], SIGKILL);
-            waitpid(pid[i], NULL, 0);
-            pid[i] = 0;
-            step++;
-        }
+        run_service(node);
         break;
     case STEP_FAILOVER:
-        leader_name(name);
-        if (*name && strcmp(name, last_leader)) step++;
+        await_new_leader();
         break;
     case STEP_KNOWN:
-        user(turn, "GET", "/v1/jobs/run-000002", "");
+        ask_as_user(node, "GET", "/v1/jobs/" SERVICE_ID, "");
         break;
     case STEP_CANCEL:
-        user(turn, "POST", "/v1/jobs/run-000002/abort", "{}");
+        ask_as_user(node, "POST", "/v1/jobs/" SERVICE_ID "/abort", "{}");
         break;
     case STEP_GONE:
-        if (tw_sim_job_running(&W, "run-000002") == 0) step++;
+        if (tw_sim_job_running(&world, SERVICE_ID) == 0) step++;
         break;
-    default: {
-        const tw_sim_job *j = tw_sim_job_find(&W, "run-000002");
-        finish(j->started != 2, j->started != 2 ? "a replica was started again" : "");
+    case STEP_END: {
+        const tw_sim_job *service = tw_sim_job_find(&world, SERVICE_ID);
+        finish(service->started == SERVICE_REPLICAS ? NULL : "a replica was started again");
     }
     }
 }
 
-static void on_tick(struct ev_loop *l, ev_timer *t, int ev) {
+static void send_report(int index) {
+    tw_sim_worker *worker = world.workers[index];
+    char *body = tw_sim_worker_report(&world, worker);
+    struct sent_call *call = call_node(worker->node, "POST", "/hello", body, REPORT_TIMEOUT_S);
+    free(body);
+    call->worker = index;
+    call->sent = world.now;
+    call->session = worker->session;
+    worker->in_flight = 1;
+    worker->changed = 0;
+    worker->last_report = world.now;
+    worker->next_report = world.now + world.report_s;
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events) {
     static double next_act;
-    (void)l;
-    (void)t;
-    (void)ev;
-    W.now = now();
-    if (W.now > limit_s) finish(1, "no progress");
-    for (int i = 0; i < W.nworkers; i++) {
-        tw_sim_worker *x = W.workers[i];
-        tw_sim_worker_tick(&W, x);
-        if (!tw_sim_worker_due(&W, x)) continue;
-        char addr[64], *body = tw_sim_worker_report(&W, x);
-        uint64_t id = call_id();
-        calls[id].worker = i;
-        calls[id].sent = W.now;
-        calls[id].shift = x->session;
-        x->in_flight = 1;
-        x->changed = 0;
-        x->last_report = W.now;
-        x->next_report = W.now + W.report_s;
-        snprintf(addr, sizeof addr, "127.0.0.1:%d", base + x->node);
-        tw_net_call(net, id, addr, 4, "POST", "/hello", body, 4);
-        free(body);
+    (void)loop;
+    (void)timer;
+    (void)events;
+    world.now = now();
+    if (world.now > LIMIT_S) finish("no progress");
+    for (int i = 0; i < world.nworkers; i++) {
+        tw_sim_worker_tick(&world, world.workers[i]);
+        if (tw_sim_worker_due(&world, world.workers[i])) send_report(i);
     }
-    if (*W.rule) finish(1, W.detail);
-    if (!waiting && W.now >= next_act) {
-        next_act = W.now + 0.2;
+    if (*world.rule) finish(world.detail);
+    if (!user_waits && world.now >= next_act) {
+        next_act = world.now + ACT_EVERY_S;
         act();
     }
 }
 
-static void job(const char *id, int service, int pieces) {
+static void add_job(const char *id, const char *text, int tasks) {
     const char *why;
-    tw_sim_job *j = tw_sim_job_new(&W, id);
-    const char *text =
-        service ? JOB("run-000002", "service", "2") : JOB("run-000001", "batch", "3");
-    if (tw_wire_job_parse(&j->spec, text, strlen(text), &why)) finish(1, why);
-    j->run_s = 0.5;
-    j->submitted = 1;
-    j->done = tw_sim_zeroed((size_t)pieces);
+    tw_sim_job *job = tw_sim_job_new(&world, id);
+    if (tw_wire_job_parse(&job->spec, text, strlen(text), &why)) finish(why);
+    job->run_s = 0.5;
+    job->submitted = 1;
+    job->done = tw_sim_zeroed((size_t)tasks);
+}
+
+static void init_world(void) {
+    tw_sim_world_init(&world);
+    world.report_s = REPORT_S;
+    world.lease_s = LEASE_S;
+    world.nnodes = E2E_NODES;
+    for (int node = 0; node < E2E_NODES; node++)
+        snprintf(world.nodes[node], TW_SIM_NAME, "tray-%d", node);
+    world.ntypes = 1;
+    world.types[0] = (tw_wire_flavor){.label = "cpu",
+                                      .cores = 4,
+                                      .memory_gb = 16,
+                                      .cache_gb = 50,
+                                      .fetch_gb_s = 1,
+                                      .hourly = 1,
+                                      .low_price = 0.5,
+                                      .startup_s = 60,
+                                      .nyards = 2,
+                                      .yards = {"a", "b"}};
+    world.capacity[0] = WORKERS;
+    add_job(BATCH_ID, batch_text, BATCH_TASKS);
+    add_job(SERVICE_ID, service_text, SERVICE_REPLICAS);
+}
+
+/* Whether all stand-ins got their ports after the base. */
+static int listen_at(int base) {
+    for (int i = 0; i < E2E_WORKER + WORKERS; i++) {
+        char address[ADDRESS_SIZE];
+        snprintf(address, sizeof address, "127.0.0.1:%d", base + E2E_STAND_IN_PORTS + i);
+        if (tw_net_listen(net, address, i)) return 0;
+    }
+    return 1;
+}
+
+static void choose_ports(void) {
+    nodes.base_port = FIRST_PORT + (int)(getpid() % FIRST_CHOICES) * PORTS_PER_RUN;
+    while (!listen_at(nodes.base_port)) {
+        if (nodes.base_port > LAST_PORT) finish("no free ports");
+        nodes.base_port += PORTS_PER_RUN;
+    }
+}
+
+static void rent_workers(void) {
+    for (int i = 0; i < WORKERS; i++) {
+        tw_sim_worker *worker = tw_sim_rent(&world, 0, i ? "b" : "a", 0, 0);
+        snprintf(worker->endpoint, sizeof worker->endpoint, "127.0.0.1:%d",
+                 nodes.base_port + E2E_STAND_IN_PORTS + E2E_WORKER + i);
+    }
 }
 
 int main(int argc, char **argv) {
@@ -251,53 +332,22 @@
         fprintf(stderr, "usage: tw_e2e PROGRAM\n");
         return 2;
     }
-    program = argv[1];
+    nodes.program = argv[1];
     signal(SIGPIPE, SIG_IGN);
-    struct timespec t;
-    clock_gettime(CLOCK_MONOTONIC, &t);
-    t0 = (double)t.tv_sec + (double)t.tv_nsec / 1e9;
-    loop = ev_default_loop(0);
-    const tw_net_limits lim = {
+    started_at = clock_s();
+    struct ev_loop *loop = ev_default_loop(0);
+    const tw_net_limits limits = {
         .max_server = 200, .max_client = 200, .idle_s = 60, .max_response = 1 << 20};
-    const tw_net_handler h = {on_request, on_response};
-    net = tw_net_new(loop, &lim, &h, NULL);
-    tw_sim_world_init(&W);
-    W.report_s = 0.4;
-    W.lease_s = 8;
-    W.nnodes = 3;
-    for (int i = 0; i < 3; i++) snprintf(W.nodes[i], TW_SIM_NAME, "tray-%d", i);
-    W.ntypes = 1;
-    W.types[0] = (tw_wire_flavor){.label = "cpu",
-                                  .cores = 4,
-                                  .memory_gb = 16,
-                                  .cache_gb = 50,
-                                  .fetch_gb_s = 1,
-                                  .hourly = 1,
-                                  .low_price = 0.5,
-                                  .startup_s = 60,
-                                  .nyards = 2,
-                                  .yards = {"a", "b"}};
-    W.capacity[0] = 2;
-    for (base = 21000 + (int)(getpid() % 300) * 100;; base += 100) {
-        char addr[64];
-        int bad = 0;
-        for (int i = 0; i < 4 && !bad; i++) {
-            snprintf(addr, sizeof addr, "127.0.0.1:%d", base + 20 + i);
-            bad = tw_net_listen(net, addr, i);
-        }
-        if (!bad) break;
-        if (base > 60000) finish(1, "no free ports");
-    }
-    job("run-000001", 0, 3);
-    job("run-000002", 1, 2);
-    for (int i = 0; i < 2; i++) {
-        tw_sim_worker *x = tw_sim_rent(&W, 0, i ? "b" : "a", 0, 0);
-        snprintf(x->endpoint, sizeof x->endpoint, "127.0.0.1:%d", base + 20 + P_WORKER + i);
-    }
-    for (int i = 0; i < 3; i++) start_node(i);
+    const tw_net_handler handler = {on_request, on_response};
+    net = tw_net_new(loop, &limits, &handler, NULL);
+    init_world();
+    choose_ports();
+    rent_workers();
+    for (int node = 0; node < E2E_NODES; node++)
+        if (!e2e_node_start(&nodes, node)) finish("can't start a node");
     ev_timer tick;
-    ev_timer_init(&tick, on_tick, 0.05, 0.05);
+    ev_timer_init(&tick, on_tick, TICK_S, TICK_S);
     ev_timer_start(loop, &tick);
     ev_run(loop, 0);
-    return 1;
+    return EXIT_FAILURE;
 }
