Queue: whole names, short functions, levels and groups by name

src/core/queue.c had one-letter names in functions of forty lines, the number of its levels as a bare 8, pairs of arrays for what is one range, and two meanings of "old".

Marking guaranteed jobs, grouping, overdue jobs and turns are functions of their own. The order of serving is the same to the letter.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -621,16 +621,24 @@
 int tw_reserve_allows(const tw_core *c, const machine *m, const job *j);
 void tw_reserve_take(tw_core *c, const machine *m, const job *j);
 
-/* queue.c */
-/* Pending jobs, in the order in which they should be served. */
+/* queue.c: pending jobs, in the order in which they should be served */
 typedef struct tw_turns tw_turns;
-tw_turns *tw_turns_new(tw_core *c, int old_first);
-job *tw_turns_next(tw_core *c, tw_turns *t);
-void tw_turns_placed(tw_core *c, const tw_turns *t, const job *j, int n);
-void tw_turns_again(tw_turns *t);
-int tw_turns_contended(const tw_turns *t);
-void tw_turns_free(tw_turns *t);
-int tw_job_pending(const tw_core *c, const job *j);
+/* The jobs that are pending now, which have to outlive it. With overdue ones, the jobs that have
+ * waited too long for their first task are served between the others. Free it with tw_turns_free.
+ */
+tw_turns *tw_turns_new(tw_core *core, int with_overdue);
+/* The next job; NULL: all have been served. */
+job *tw_turns_next(tw_core *core, tw_turns *turns);
+/* That so many tasks of the job that was served last were placed. */
+void tw_turns_placed(tw_core *core, const tw_turns *turns, const job *job, int count);
+/* Puts the last job back at its team's head: it may get more when its team's turn comes again. */
+void tw_turns_again(tw_turns *turns);
+/* Whether another team waits at the same level as the job served last, or an overdue job of its
+ * priority, or the last one was overdue itself. */
+int tw_turns_contended(const tw_turns *turns);
+void tw_turns_free(tw_turns *turns);
+/* Whether a job has tasks that may be placed now. */
+int tw_job_pending(const tw_core *core, const job *job);
 
 /* failover.c */
 /* Works out failover_in_time of this node and its peers, from their names and zones alone. */
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -1,211 +1,264 @@
-/* Who is served next: by rank; then work within its team's guarantee; then the teams in turn, the
- * one with the least in use for its share first; within a team the earliest deadline first.
+/* Who is served next: by priority; then work within its team's guarantee; then the teams in turn,
+ * the one with the least in use for its share first; within a team the earliest deadline first.
  *
  * Where more waits than there is room for, that order alone may keep a job waiting without end:
  * behind deadlines that are earlier each time, behind teams whose services take less, behind the
- * many tasks of arrays that have begun. So of the room that a rank is given at most every second
- * piece goes to the job that has waited longest for its first task, whosever turn it is. */
+ * many tasks of arrays that have begun. So of the room that a priority is given at most every
+ * second placement goes to the job that has waited longest for its first task, whosever turn it is.
+ *
+ * A group is the jobs of one level and one team. Levels: first the highest priority's jobs within
+ * their team's guarantee, then the highest priority's other jobs, then the next priority's. */
 #include "core/core_int.h"
 
-#define OLD_AFTER (0.5 * TW_BEGIN_S) /* a job that waits longer for its first task is old */
-#define ROUNDING 1e-6                /* of sums of cores and GPUs */
+#define PRIORITIES (TW_RANK_PROD + 1)
+#define LEVELS (2 * PRIORITIES) /* within the guarantee or not, of each priority */
+#define OVERDUE_AFTER_S                                                                            \
+    (0.5 * TW_BEGIN_S)      /* a job that waits longer for its first task is overdue */
+#define GPU_IN_CORES 16     /* what a GPU counts in a team's use */
+#define ROUNDING 1e-6       /* of sums of cores and GPUs */
+#define SERVED_OVERDUE (-1) /* instead of a group: an overdue job was served last */
+
+/* The jobs of a group or a priority that are still to be served, as a range of an array. */
+typedef struct {
+    int start, end;
+} range;
 
 struct tw_turns {
-    job **v;
-    int n, nteams, ngroups;
-    int last;         /* group served last; -1: it was one of the old */
-    int *start, *end; /* of each group (rank, guaranteed, team) in v */
-    job **old;        /* by rank, then the longest wait first */
-    int old_start[TW_RANK_PROD + 1], old_end[TW_RANK_PROD + 1];
+    job **jobs; /* by group, then by deadline */
+    int count;
+    int team_count;
+    range *groups;                /* in jobs; the index is level * team_count + team */
+    int last;                     /* group served last, or SERVED_OVERDUE */
+    job **overdue;                /* by priority, then the longest weighed wait first */
+    range overdue_of[PRIORITIES]; /* in overdue, by priority */
 };
 
-int tw_job_pending(const tw_core *c, const job *j) {
-    return j->has_spec && j->st && j->stage == TW_STAGE_PENDING && !j->aborting && j->team >= 0 &&
-           j->ndone + j->nlive < j->pieces && c->now >= j->retry_at;
+static int is_empty(range of) { return of.start >= of.end; }
+
+/* The level of jobs of this priority that are within their team's guarantee or not. */
+static int level_of(int priority, int guaranteed) {
+    return (TW_RANK_PROD - priority) * 2 + !guaranteed;
 }
 
-/* Whether a job fits into its team's guarantee together with the team's earlier ones: for all at
- * once, in the order of their submission. */
-typedef struct {
-    job *j;
-    int team;
-} asked;
-
-static int by_submission(const void *a, const void *b) {
-    const asked *x = a, *y = b;
-    if (x->team != y->team) return x->team < y->team ? -1 : 1;
-    if (x->j->submitted != y->j->submitted) return x->j->submitted < y->j->submitted ? -1 : 1;
+static int priority_of(int level) { return TW_RANK_PROD - level / 2; }
+
+int tw_job_pending(const tw_core *core, const job *job) {
+    return job->has_spec && job->st && job->stage == TW_STAGE_PENDING && !job->aborting &&
+           job->team >= 0 && job->ndone + job->nlive < job->pieces && core->now >= job->retry_at;
+}
+
+/* ---- which jobs are within their team's guarantee ---- */
+
+static int by_submission(const void *left, const void *right) {
+    const job *a = *(job *const *)left, *b = *(job *const *)right;
+    if (a->team != b->team) return a->team < b->team ? -1 : 1;
+    if (a->submitted != b->submitted) return a->submitted < b->submitted ? -1 : 1;
     return 0;
 }
 
-static void note_guaranteed(tw_core *c) {
-    job *j;
-    int n = 0, cap = 0;
-    DL_FOREACH(c->active, j) cap++;
-    asked *v = tw_zalloc((size_t)cap * sizeof *v);
-    DL_FOREACH(c->active, j) {
-        j->guaranteed = 0;
-        if (j->team < 0 || !j->has_spec || j->stage != TW_STAGE_PENDING) continue;
-        const tw_conf_team *t = &c->cf->teams[j->team];
-        if (t->gpus > 0 || t->cpus > 0) v[n++] = (asked){j, j->team};
+static int submitted_together(const job *a, const job *b) {
+    return a->team == b->team && a->submitted == b->submitted;
+}
+
+/* The unfinished jobs of teams that have a guarantee; none of the others is guaranteed. */
+static int list_with_guarantee(const tw_core *core, job **jobs) {
+    int count = 0;
+    job *job;
+    DL_FOREACH(core->active, job) {
+        job->guaranteed = 0;
+        if (job->team < 0 || !job->has_spec || job->stage != TW_STAGE_PENDING) continue;
+        const tw_conf_team *team = &core->cf->teams[job->team];
+        if (team->gpus > 0 || team->cpus > 0) jobs[count++] = job;
     }
-    qsort(v, (size_t)n, sizeof *v, by_submission);
+    return count;
+}
+
+/* Marks the jobs that fit into their team's guarantee together with the team's earlier ones, in the
+ * order of their submission. Those of the same moment count for each other. */
+static void mark_guaranteed(const tw_core *core, job **jobs, int count) {
     double cpus = 0, gpus = 0;
-    for (int i = 0, k; i < n; i = k) {
-        const tw_conf_team *t = &c->cf->teams[v[i].team];
-        if (!i || v[i].team != v[i - 1].team) cpus = gpus = 0;
-        /* Those of the same moment count for each other. */
-        for (k = i; k < n && v[k].team == v[i].team && v[k].j->submitted == v[i].j->submitted;
-             k++) {
-            const job *x = v[k].j;
-            cpus += x->s.cores * (x->pieces - x->ndone);
-            gpus += x->s.gpus * (x->pieces - x->ndone);
+    for (int from = 0, to; from < count; from = to) {
+        const tw_conf_team *team = &core->cf->teams[jobs[from]->team];
+        if (!from || jobs[from]->team != jobs[from - 1]->team) cpus = gpus = 0;
+        for (to = from; to < count && submitted_together(jobs[to], jobs[from]); to++) {
+            const int tasks = jobs[to]->pieces - jobs[to]->ndone;
+            cpus += jobs[to]->s.cores * tasks;
+            gpus += jobs[to]->s.gpus * tasks;
         }
-        int fits = (t->gpus <= 0 || gpus <= t->gpus + ROUNDING) &&
-                   (t->cpus <= 0 || cpus <= t->cpus + ROUNDING);
-        for (int l = i; l < k; l++)
-            v[l].j->guaranteed = fits && (v[l].j->s.gpus > 0 ? t->gpus > 0 : t->cpus > 0);
+        const int fits = (team->gpus <= 0 || gpus <= team->gpus + ROUNDING) &&
+                         (team->cpus <= 0 || cpus <= team->cpus + ROUNDING);
+        for (int i = from; i < to; i++)
+            jobs[i]->guaranteed = fits && (jobs[i]->s.gpus > 0 ? team->gpus > 0 : team->cpus > 0);
     }
-    free(v);
 }
 
+static void note_guaranteed(tw_core *core) {
+    int capacity = 0;
+    const job *job;
+    DL_FOREACH(core->active, job) capacity++;
+    struct job **jobs = tw_zalloc((size_t)capacity * sizeof(struct job *));
+    const int count = list_with_guarantee(core, jobs);
+    qsort(jobs, (size_t)count, sizeof(struct job *), by_submission);
+    mark_guaranteed(core, jobs, count);
+    free(jobs);
+}
+
+/* ---- groups ---- */
+
 typedef struct {
-    job *j;
+    job *job;
     int group;
     double due;
-} item;
+} grouped_job;
+
+static int by_group(const void *left, const void *right) {
+    const grouped_job *a = left, *b = right;
+    if (a->group != b->group) return a->group < b->group ? -1 : 1;
+    if (a->due != b->due) return a->due < b->due ? -1 : 1;
+    return strcmp(a->job->id, b->job->id);
+}
 
-static int by_group(const void *a, const void *b) {
-    const item *x = a, *y = b;
-    if (x->group != y->group) return x->group < y->group ? -1 : 1;
-    if (x->due != y->due) return x->due < y->due ? -1 : 1;
-    return strcmp(x->j->id, y->j->id);
+static void group_jobs(const tw_core *core, tw_turns *turns, int capacity) {
+    grouped_job *sorted = tw_zalloc((size_t)capacity * sizeof *sorted);
+    job *job;
+    DL_FOREACH(core->active, job) {
+        if (!tw_job_pending(core, job)) continue;
+        const int level = level_of(job->s.rank, job->guaranteed);
+        sorted[turns->count++] =
+            (grouped_job){job, level * turns->team_count + job->team, tw_job_due(core, job)};
+    }
+    qsort(sorted, (size_t)turns->count, sizeof *sorted, by_group);
+    for (int i = 0; i < turns->count; i++) {
+        range *group = &turns->groups[sorted[i].group];
+        turns->jobs[i] = sorted[i].job;
+        if (!i || sorted[i].group != sorted[i - 1].group) group->start = i;
+        group->end = i + 1;
+    }
+    free(sorted);
 }
 
+/* ---- overdue jobs ---- */
+
 typedef struct {
-    job *j;
+    job *job;
     double weight;
-} waiting;
+} waiting_job;
 
-static int by_wait(const void *a, const void *b) {
-    const waiting *x = a, *y = b;
-    if (x->j->s.rank != y->j->s.rank) return x->j->s.rank < y->j->s.rank ? -1 : 1;
-    if (x->weight != y->weight) return x->weight > y->weight ? -1 : 1;
-    return strcmp(x->j->id, y->j->id);
+static int by_wait(const void *left, const void *right) {
+    const waiting_job *a = left, *b = right;
+    if (a->job->s.rank != b->job->s.rank) return a->job->s.rank < b->job->s.rank ? -1 : 1;
+    if (a->weight != b->weight) return a->weight > b->weight ? -1 : 1;
+    return strcmp(a->job->id, b->job->id);
 }
 
 /* More waits with a larger job: its time weighs more, by the root of its work. */
-static double weighed_wait(const tw_core *c, const job *j) {
-    return (c->now - j->submitted) * sqrt(j->pieces * fmax(j->s.expect_s, c->cf->lease_s));
-}
-
-static void note_old(const tw_core *c, tw_turns *t) {
-    int n = 0;
-    waiting *v = tw_zalloc((size_t)t->n * sizeof *v);
-    t->old = tw_zalloc((size_t)t->n * sizeof(job *));
-    for (int i = 0; i < t->n; i++) {
-        job *j = t->v[i];
-        if (j->begun || j->nlive || j->ndone) continue;
-        if (c->now - j->submitted > OLD_AFTER) v[n++] = (waiting){j, weighed_wait(c, j)};
-    }
-    qsort(v, (size_t)n, sizeof *v, by_wait);
-    for (int i = 0; i < n; i++) {
-        int rank = v[i].j->s.rank;
-        t->old[i] = v[i].j;
-        if (!i || v[i - 1].j->s.rank != rank) t->old_start[rank] = i;
-        t->old_end[rank] = i + 1;
-    }
-    free(v);
-}
-
-tw_turns *tw_turns_new(tw_core *c, int old_first) {
-    tw_turns *t = tw_zalloc(sizeof *t);
-    job *j;
-    int cap = 0;
-    DL_FOREACH(c->active, j) cap += tw_job_pending(c, j);
-    item *v = tw_zalloc((size_t)cap * sizeof *v);
-    int nt = (int)c->cf->nteams;
-    if (cap) note_guaranteed(c);
-    DL_FOREACH(c->active, j) {
-        if (!tw_job_pending(c, j)) continue;
-        int level = (TW_RANK_PROD - j->s.rank) * 2 + !j->guaranteed;
-        v[t->n++] = (item){j, level * nt + j->team, tw_job_due(c, j)};
+static double weighed_wait(const tw_core *core, const job *job) {
+    const double work = job->pieces * fmax(job->s.expect_s, core->cf->lease_s);
+    return (core->now - job->submitted) * sqrt(work);
+}
+
+static int is_overdue(const tw_core *core, const job *job) {
+    if (job->begun || job->nlive || job->ndone) return 0;
+    return core->now - job->submitted > OVERDUE_AFTER_S;
+}
+
+static void note_overdue(const tw_core *core, tw_turns *turns) {
+    int count = 0;
+    waiting_job *sorted = tw_zalloc((size_t)turns->count * sizeof *sorted);
+    turns->overdue = tw_zalloc((size_t)turns->count * sizeof(job *));
+    for (int i = 0; i < turns->count; i++) {
+        job *job = turns->jobs[i];
+        if (is_overdue(core, job)) sorted[count++] = (waiting_job){job, weighed_wait(core, job)};
     }
-    qsort(v, (size_t)t->n, sizeof *v, by_group);
-    t->nteams = nt;
-    t->ngroups = 8 * nt;
-    t->v = tw_zalloc((size_t)t->n * sizeof(job *));
-    t->start = tw_zalloc((size_t)t->ngroups * sizeof *t->start);
-    t->end = tw_zalloc((size_t)t->ngroups * sizeof *t->end);
-    for (int i = 0; i < t->n; i++) {
-        t->v[i] = v[i].j;
-        if (!i || v[i].group != v[i - 1].group) t->start[v[i].group] = i;
-        t->end[v[i].group] = i + 1;
+    qsort(sorted, (size_t)count, sizeof *sorted, by_wait);
+    for (int i = 0; i < count; i++) {
+        const int priority = sorted[i].job->s.rank;
+        turns->overdue[i] = sorted[i].job;
+        if (!i || sorted[i - 1].job->s.rank != priority) turns->overdue_of[priority].start = i;
+        turns->overdue_of[priority].end = i + 1;
     }
-    free(v);
-    if (old_first) note_old(c, t);
-    return t;
+    free(sorted);
 }
 
-/* The next of the old of a rank that may have room now; NULL: none. */
-static job *next_old(const tw_core *c, tw_turns *t, int rank) {
-    if (c->old_credit[rank] <= 0 || t->old_start[rank] >= t->old_end[rank]) return NULL;
-    t->last = -1;
-    return t->old[t->old_start[rank]++];
+/* ---- turns ---- */
+
+tw_turns *tw_turns_new(tw_core *core, int with_overdue) {
+    tw_turns *turns = tw_zalloc(sizeof *turns);
+    int capacity = 0;
+    const job *job;
+    DL_FOREACH(core->active, job) capacity += tw_job_pending(core, job);
+    if (capacity) note_guaranteed(core);
+    turns->team_count = (int)core->cf->nteams;
+    turns->jobs = tw_zalloc((size_t)capacity * sizeof(struct job *));
+    turns->groups = tw_zalloc((size_t)(LEVELS * turns->team_count) * sizeof *turns->groups);
+    group_jobs(core, turns, capacity);
+    if (with_overdue) note_overdue(core, turns);
+    return turns;
 }
 
-/* That n tasks of the job that was served last were placed. */
-void tw_turns_placed(tw_core *c, const tw_turns *t, const job *j, int n) {
-    int *credit = &c->old_credit[j->s.rank];
-    if (t->last < 0)
-        *credit -= n > 0;
-    else if (n > 0)
-        *credit = 1;
+/* The next overdue job of a priority that may have room now; NULL: none. */
+static job *next_overdue(const tw_core *core, tw_turns *turns, int priority) {
+    range *left = &turns->overdue_of[priority];
+    if (core->old_credit[priority] <= 0 || is_empty(*left)) return NULL;
+    turns->last = SERVED_OVERDUE;
+    return turns->overdue[left->start++];
 }
 
-job *tw_turns_next(tw_core *c, tw_turns *t) {
-    for (int level = 0; level < 8; level++) {
-        int best = -1;
-        double least = INFINITY;
-        job *old = level % 2 ? NULL : next_old(c, t, TW_RANK_PROD - level / 2);
-        if (old) return old;
-        for (int k = 0; k < t->nteams; k++) {
-            int g = level * t->nteams + k;
-            if (t->start[g] >= t->end[g]) continue;
-            double use = (c->team_g[k] * 16 + c->team_c[k]) / c->cf->teams[k].share;
-            if (use < least) {
-                least = use;
-                best = g;
-            }
-        }
-        if (best >= 0) {
-            t->last = best;
-            return t->v[t->start[best]++];
+/* The group of a level whose team has the least in use for its share; -1: none of it waits. */
+static int next_group(const tw_core *core, const tw_turns *turns, int level) {
+    int best = -1;
+    double least = INFINITY;
+    for (int team = 0; team < turns->team_count; team++) {
+        const int group = level * turns->team_count + team;
+        if (is_empty(turns->groups[group])) continue;
+        const double in_use = core->team_g[team] * GPU_IN_CORES + core->team_c[team];
+        const double use = in_use / core->cf->teams[team].share;
+        if (use < least) {
+            least = use;
+            best = group;
         }
     }
+    return best;
+}
+
+job *tw_turns_next(tw_core *core, tw_turns *turns) {
+    for (int level = 0; level < LEVELS; level++) {
+        /* Before the first level of each priority. */
+        job *overdue = level % 2 ? NULL : next_overdue(core, turns, priority_of(level));
+        if (overdue) return overdue;
+        const int group = next_group(core, turns, level);
+        if (group < 0) continue;
+        turns->last = group;
+        return turns->jobs[turns->groups[group].start++];
+    }
     return NULL;
 }
 
-/* Puts the last one back at its team's head: it may get more when its team's turn comes again. */
-void tw_turns_again(tw_turns *t) {
-    if (t->last >= 0) t->start[t->last]--;
+void tw_turns_placed(tw_core *core, const tw_turns *turns, const job *job, int count) {
+    int *credit = &core->old_credit[job->s.rank];
+    if (turns->last == SERVED_OVERDUE)
+        *credit -= count > 0;
+    else if (count > 0)
+        *credit = 1;
+}
+
+void tw_turns_again(tw_turns *turns) {
+    if (turns->last != SERVED_OVERDUE) turns->groups[turns->last].start--;
 }
 
-/* Whether another team waits at the same level as the one served last, or an old job of its rank.
- */
-int tw_turns_contended(const tw_turns *t) {
-    if (t->last < 0) return 1;
-    int level = t->last / t->nteams, rank = TW_RANK_PROD - level / 2;
-    if (t->old_start[rank] < t->old_end[rank]) return 1;
-    for (int g = level * t->nteams; g < (level + 1) * t->nteams; g++)
-        if (g != t->last && t->start[g] < t->end[g]) return 1;
+int tw_turns_contended(const tw_turns *turns) {
+    if (turns->last == SERVED_OVERDUE) return 1;
+    const int level = turns->last / turns->team_count;
+    if (!is_empty(turns->overdue_of[priority_of(level)])) return 1;
+    const int first = level * turns->team_count;
+    for (int group = first; group < first + turns->team_count; group++)
+        if (group != turns->last && !is_empty(turns->groups[group])) return 1;
     return 0;
 }
 
-void tw_turns_free(tw_turns *t) {
-    free(t->v);
-    free(t->old);
-    free(t->start);
-    free(t->end);
-    free(t);
+void tw_turns_free(tw_turns *turns) {
+    free(turns->jobs);
+    free(turns->overdue);
+    free(turns->groups);
+    free(turns);
 }
