Rate budgets have a file of their own

The token buckets, and the shares of the state service's and the cloud's limits that fill them, stood in src/core/core.c between effects and construction, under short names.

They are src/core/budget.c now, behind core/budget.h with units and meaning; a leader's and the other nodes' parts are set by a function each, and the cloud's burst has a name. The election's budget is made by the same function instead of by hand. The sums are the same to the bit.

--- /dev/null
+++ b/src/core/budget.c
@@ -0,0 +1,60 @@
+#include "core/core_int.h"
+
+/* The state service's limits hold for all nodes together: the leader gets most of them. */
+#define LEADER_CALLS 0.6
+#define LEADER_CALLS_BURST_S 0.5
+#define LEADER_WRITES_BURST_S 0.9
+/* Without a leader to ask, all nodes at once read jobs for users and write acceptances: together
+ * they leave the greater part to the leader's renewals and writes. */
+#define OTHERS 0.25
+#define OTHERS_WRITES_BURST_S 8
+#define OTHERS_LEAST_READS 2
+#define OTHERS_LEAST_WRITES 4
+#define CLOUD_BURST_S 2
+
+tw_budget tw_budget_of(double rate, double burst, double now) {
+    return (tw_budget){.tokens = burst, .rate = rate, .burst = burst, .updated_at = now};
+}
+
+double tw_peek(tw_core *core, tw_budget *budget) {
+    budget->tokens += (core->now - budget->updated_at) * budget->rate;
+    if (budget->tokens > budget->burst) budget->tokens = budget->burst;
+    budget->updated_at = core->now;
+    return budget->tokens;
+}
+
+int tw_take(tw_core *core, tw_budget *budget, double calls) {
+    if (tw_peek(core, budget) < calls) return 0;
+    budget->tokens -= calls;
+    return 1;
+}
+
+void tw_put_back(tw_budget *budget, double calls) { budget->tokens += calls; }
+
+/* The parts that a leader uses. */
+static void init_of_leader(tw_core *core) {
+    const tw_conf *conf = core->cf;
+    const double share = conf->tune.write_share;
+    const double writes = share * conf->state_write_rps;
+    core->writes = tw_budget_of(writes, writes * LEADER_WRITES_BURST_S, core->now);
+    core->reqs = tw_budget_of(share * conf->state_rps * LEADER_CALLS,
+                              share * conf->state_rps * LEADER_CALLS_BURST_S, core->now);
+    const double cloud = share * conf->cloud_rps;
+    core->cloud = tw_budget_of(cloud, fmax(1, cloud * CLOUD_BURST_S), core->now);
+}
+
+/* The parts that a node uses while it does not lead. */
+static void init_of_others(tw_core *core) {
+    const tw_conf *conf = core->cf;
+    const double share = conf->tune.write_share * OTHERS / (double)(conf->npeers + 1);
+    const double reads = share * conf->state_rps;
+    core->reads = tw_budget_of(reads, fmax(OTHERS_LEAST_READS, reads), core->now);
+    const double writes = share * conf->state_write_rps;
+    core->creates =
+        tw_budget_of(writes, fmax(OTHERS_LEAST_WRITES, writes * OTHERS_WRITES_BURST_S), core->now);
+}
+
+void tw_budgets_init(tw_core *core) {
+    init_of_leader(core);
+    init_of_others(core);
+}
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -1,19 +1,11 @@
 /* Dispatch: a request, a response or a tick goes to the file that handles it; then what follows
- * from it is decided, written and sent. Also the budgets and the effects that all of them use. */
+ * from it is decided, written and sent. Also the effects that all of them use. */
 #include "core/scheduler_int.h"
 
 #define LONG_AGO (-1e9)
 #define SHORTEST_TTL_S 0.2
 #define TEXT_SIZE 160
 #define PATH_SIZE 512
-/* Shares of the state service's limits, which hold for all nodes together. */
-#define LEADER_CALLS 0.6
-#define LEADER_CALLS_BURST 0.5
-#define LEADER_WRITES_BURST 0.9
-#define OTHERS 0.25 /* for all nodes that don't lead, when there is no leader to ask */
-#define OTHERS_WRITES_BURST_S 8
-#define OTHERS_LEAST_READS 2
-#define OTHERS_LEAST_WRITES 4
 /* Ticks: so many in a report's interval, within limits. */
 #define TICKS_PER_REPORT 20
 #define SHORTEST_TICK_S 0.05
@@ -25,21 +17,6 @@
     return p;
 }
 
-/* ---- rate budgets: token buckets in simulated or real time ---- */
-
-double tw_peek(tw_core *c, bucket *b) {
-    b->tokens += (c->now - b->at) * b->rate;
-    if (b->tokens > b->burst) b->tokens = b->burst;
-    b->at = c->now;
-    return b->tokens;
-}
-int tw_take(tw_core *c, bucket *b, double n) {
-    if (tw_peek(c, b) < n) return 0;
-    b->tokens -= n;
-    return 1;
-}
-void tw_put_back(bucket *b, double n) { b->tokens += n; }
-
 /* ---- effects ---- */
 
 static void push(tw_core *c, tw_fx *f) {
@@ -117,10 +94,6 @@
 
 /* ---- construction ---- */
 
-static bucket bucket_of(double rate, double burst, double now) {
-    return (bucket){.tokens = burst, .rate = rate, .burst = burst, .at = now};
-}
-
 tw_core *tw_core_new(const tw_conf *cf, uint64_t seed, double now, double wall) {
     tw_core *c = tw_zalloc(sizeof *c);
     c->cf = cf;
@@ -134,21 +107,7 @@
     c->ttl = cf->tune.election_ratio * cf->lease_s;
     if (c->ttl < SHORTEST_TTL_S) c->ttl = SHORTEST_TTL_S;
     tw_election_init(c);
-    double ws = cf->tune.write_share;
-    c->writes =
-        bucket_of(ws * cf->state_write_rps, ws * cf->state_write_rps * LEADER_WRITES_BURST, now);
-    /* The state service's limit is for all nodes together: the leader gets most of it. */
-    c->reqs =
-        bucket_of(ws * cf->state_rps * LEADER_CALLS, ws * cf->state_rps * LEADER_CALLS_BURST, now);
-    /* Without a leader to ask, all nodes at once read jobs for users and write acceptances:
-     * together they leave the greater part to the leader's renewals and writes. */
-    double others = ws * OTHERS / (double)(cf->npeers + 1);
-    c->reads =
-        bucket_of(others * cf->state_rps, fmax(OTHERS_LEAST_READS, others * cf->state_rps), now);
-    c->creates = bucket_of(
-        others * cf->state_write_rps,
-        fmax(OTHERS_LEAST_WRITES, others * cf->state_write_rps * OTHERS_WRITES_BURST_S), now);
-    c->cloud = bucket_of(ws * cf->cloud_rps, fmax(1, ws * cf->cloud_rps * 2), now);
+    tw_budgets_init(c);
     c->team_c = tw_zalloc((cf->nteams + 1) * sizeof(double));
     c->team_g = tw_zalloc((cf->nteams + 1) * sizeof(double));
     c->reports = tw_wire_reports_new();
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -1,6 +1,7 @@
 /* What the files of the core share. Not for other packages. */
 #ifndef TW_CORE_INT_H
 #define TW_CORE_INT_H
+#include "core/budget.h"
 #include "core/core.h"
 #include "core/status.h"
 #include "log/log.h"
@@ -250,10 +251,6 @@
     struct held_report *prev, *next;
 } held_report;
 
-typedef struct {
-    double tokens, rate, burst, at;
-} bucket;
-
 typedef struct flavor {
     tw_wire_flavor f;
     double slowness, q, p; /* priors pooled by type */
@@ -376,7 +373,7 @@
     int renew_busy, poll_busy, electing;
     uint64_t watch_since; /* revision to watch the leader key from; 0: read it first */
     double grant_sent, renew_sent;
-    bucket follows;      /* this node's part of the requests that elections may take */
+    tw_budget follows;   /* this node's part of the requests that elections may take */
     int follows_refused; /* of those, in a row */
     char leader[TW_NAME];
     uint64_t leader_token;
@@ -422,9 +419,9 @@
     wish *wishes;
     lane *lanes;
     int ntxns, ndirty_new;
-    bucket writes, reqs, cloud;
+    tw_budget writes, reqs, cloud;
     int old_credit[TW_RANK_PROD + 1]; /* by rank: the next room may go to the longest wait */
-    bucket reads, creates;            /* of a node that does not lead */
+    tw_budget reads, creates;         /* of a node that does not lead */
     double *team_c, *team_g;          /* in use, or may be */
     char load_after[256];
     double load_retry;
@@ -492,9 +489,6 @@
 void tw_reply_error(tw_core *c, uint64_t conn, int status, double retry_after, const char *what);
 call *tw_call(tw_core *c, int kind, int to, const char *addr, const char *method, const char *path,
               char *body /* owned */, double timeout_s);
-int tw_take(tw_core *c, bucket *b, double n);
-double tw_peek(tw_core *c, bucket *b);
-void tw_put_back(bucket *b, double n);
 void *tw_zalloc(size_t n);
 
 /* election.c */
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -59,7 +59,7 @@
 void tw_election_init(tw_core *core) {
     const double rate = core->cf->tune.write_share * FOLLOW_SHARE / round_s(core);
     const double burst = fmax(ELECTION_REQUESTS, rate);
-    core->follows = (bucket){.tokens = burst, .rate = rate, .burst = burst, .at = core->now};
+    core->follows = tw_budget_of(rate, burst, core->now);
 }
 
 double tw_refused_wait_s(tw_core *core, int status) {
