--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -1,6 +1,7 @@
 /* What the files of the core share. Not for other packages. */
 #ifndef TW_CORE_INT_H
 #define TW_CORE_INT_H
+#include "core/budget.h"
 #include "core/core.h"
 #include "core/status.h"
 #include "log/log.h"
@@ -277,10 +278,6 @@
     struct held_report *prev, *next;
 } held_report;
 
-typedef struct {
-    double tokens, rate, burst, at;
-} bucket;
-
 typedef struct flavor {
     tw_wire_flavor f;
     double slowness, q, p; /* priors pooled by type */
@@ -403,7 +400,7 @@
     int renew_busy, poll_busy, electing;
     uint64_t watch_since; /* revision to watch the leader key from; 0: read it first */
     double grant_sent, renew_sent;
-    bucket follows;      /* this node's part of the requests that elections may take */
+    tw_budget follows;   /* this node's part of the requests that elections may take */
     int follows_refused; /* of those, in a row */
     char leader[TW_NAME];
     uint64_t leader_token;
@@ -449,9 +446,9 @@
     wish *wishes;
     lane *lanes;
     int ntxns, ndirty_new;
-    bucket writes, reqs, cloud;
+    tw_budget writes, reqs, cloud;
     int old_credit[TW_RANK_PROD + 1]; /* by rank: the next room may go to the longest wait */
-    bucket reads, creates;            /* of a node that does not lead */
+    tw_budget reads, creates;         /* of a node that does not lead */
     double *team_c, *team_g;          /* in use, or may be */
     char load_after[256];
     double load_retry;
@@ -520,9 +517,6 @@
 void tw_reply_error(tw_core *c, uint64_t conn, int status, double retry_after, const char *what);
 call *tw_call(tw_core *c, int kind, int to, const char *addr, const char *method, const char *path,
               char *body /* owned */, double timeout_s);
-int tw_take(tw_core *c, bucket *b, double n);
-double tw_peek(tw_core *c, bucket *b);
-void tw_put_back(bucket *b, double n);
 void *tw_zalloc(size_t n);
 
 /* election.c */
@@ -678,16 +672,24 @@
 int tw_reserve_allows(const tw_core *c, const machine *m, const job *j);
 void tw_reserve_take(tw_core *c, const machine *m, const job *j);
 
-/* queue.c */
-/* Pending jobs, in the order in which they should be served. */
+/* queue.c: pending jobs, in the order in which they should be served */
 typedef struct tw_turns tw_turns;
-tw_turns *tw_turns_new(tw_core *c, int old_first);
-job *tw_turns_next(tw_core *c, tw_turns *t);
-void tw_turns_placed(tw_core *c, const tw_turns *t, const job *j, int n);
-void tw_turns_again(tw_turns *t);
-int tw_turns_contended(const tw_turns *t);
-void tw_turns_free(tw_turns *t);
-int tw_job_pending(const tw_core *c, const job *j);
+/* The jobs that are pending now, which have to outlive it. With overdue ones, the jobs that have
+ * waited too long for their first task are served between the others. Free it with tw_turns_free.
+ */
+tw_turns *tw_turns_new(tw_core *core, int with_overdue);
+/* The next job; NULL: all have been served. */
+job *tw_turns_next(tw_core *core, tw_turns *turns);
+/* That so many tasks of the job that was served last were placed. */
+void tw_turns_placed(tw_core *core, const tw_turns *turns, const job *job, int count);
+/* Puts the last job back at its team's head: it may get more when its team's turn comes again. */
+void tw_turns_again(tw_turns *turns);
+/* Whether another team waits at the same level as the job served last, or an overdue job of its
+ * priority, or the last one was overdue itself. */
+int tw_turns_contended(const tw_turns *turns);
+void tw_turns_free(tw_turns *turns);
+/* Whether a job has tasks that may be placed now. */
+int tw_job_pending(const tw_core *core, const job *job);
 
 /* failover.c */
 /* Works out failover_in_time of this node and its peers, from their names and zones alone. */
