--- a/sim/expect.c
+++ b/sim/expect.c
@@ -7,7 +7,7 @@
 typedef struct {
     tw_sim *sim;
     tw_sim_job *job; /* the first argument's, or NULL */
-    const char *arg[3];
+    const char *arg[4];
     char got[64];
 } expectation;
 
@@ -41,6 +41,33 @@
     return in_range(x, tw_sim_job_running(&x->sim->world, x->arg[0]), x->arg[1], x->arg[2]);
 }
 
+/* Tasks of a gang that wait for the others. */
+static int waiting(expectation *x) {
+    return in_range(x, tw_sim_job_in(&x->sim->world, x->arg[0], TW_PIECE_WAITING), x->arg[1],
+                    x->arg[2]);
+}
+
+/* How often all tasks of a gang began together, and under how many attempts some came. */
+static int gang_starts(expectation *x) {
+    return in_range(x, x->job ? x->job->gang_starts : -1, x->arg[1], x->arg[2]);
+}
+static int attempts(expectation *x) {
+    return in_range(x, x->job ? x->job->ngangs : -1, x->arg[1], x->arg[2]);
+}
+
+/* A gang's progress that is safe, in seconds. */
+static int saved(expectation *x) {
+    return in_range(x, x->job ? x->job->gang_saved_s : -1, x->arg[1], x->arg[2]);
+}
+
+/* How many tasks of a job ended with a cause. */
+static int exits(expectation *x) {
+    int cause = TW_CAUSE_DONE;
+    while (cause < TW_CAUSE_OTHER && strcmp(tw_sim_causes[cause], x->arg[1]) != 0) cause++;
+    if (!x->job || cause == TW_CAUSE_OTHER) return 0;
+    return in_range(x, x->job->exits[cause], x->arg[2], x->arg[3]);
+}
+
 static int machines(expectation *x) {
     int n = 0;
     for (int i = 0; i < x->sim->world.nworkers; i++) n += !x->sim->world.workers[i]->gone;
@@ -95,22 +122,37 @@
 static const struct {
     const char *name;
     int (*holds)(expectation *x);
-} kinds[] = {{"done", is_done},           {"aborted", is_cancelled}, {"accepted", is_accepted},
-             {"refused", is_refused},     {"starts", starts},        {"running", running},
-             {"machines", machines},      {"gone", is_gone},         {"shift", in_session},
-             {"leader", has_leader},      {"steps", steps},          {"struck", struck},
-             {"cancel", cancel_answered}, {"toolarge", too_large},   {"keys", keys}};
+} kinds[] = {{"done", is_done},
+             {"aborted", is_cancelled},
+             {"accepted", is_accepted},
+             {"refused", is_refused},
+             {"starts", starts},
+             {"running", running},
+             {"machines", machines},
+             {"gone", is_gone},
+             {"shift", in_session},
+             {"leader", has_leader},
+             {"steps", steps},
+             {"struck", struck},
+             {"cancel", cancel_answered},
+             {"toolarge", too_large},
+             {"keys", keys},
+             {"waiting", waiting},
+             {"gang_starts", gang_starts},
+             {"attempts", attempts},
+             {"saved", saved},
+             {"exits", exits}};
 
 void tw_sim_expect(tw_sim *sim, const tw_sim_words *w) {
-    expectation x = {.sim = sim, .arg = {"", "", ""}};
+    expectation x = {.sim = sim, .arg = {"", "", "", ""}};
     char text[TW_SIM_MESSAGE];
     int holds = 0;
-    for (int i = 0; i < 3 && i + 2 < w->n; i++) x.arg[i] = w->word[i + 2];
+    for (int i = 0; i < 4 && i + 2 < w->n; i++) x.arg[i] = w->word[i + 2];
     x.job = tw_sim_job_find(&sim->world, x.arg[0]);
     for (size_t i = 0; i < sizeof kinds / sizeof *kinds; i++)
         if (!strcmp(w->word[1], kinds[i].name)) holds = kinds[i].holds(&x);
     if (holds) return;
-    snprintf(text, sizeof text, "%s %s %s %s got %s", w->word[1], x.arg[0], x.arg[1], x.arg[2],
-             x.got);
+    snprintf(text, sizeof text, "%s %s %s %s %s got %s", w->word[1], x.arg[0], x.arg[1], x.arg[2],
+             x.arg[3], x.got);
     tw_sim_fail(sim, "expected", text);
 }
--- a/sim/worker.c
+++ b/sim/worker.c
@@ -13,8 +13,8 @@
 #define EPSILON 1e-6
 
 static const char *const stages[] = {"pulling", "running", "flushing", "exited", "waiting"};
-static const char *const causes[] = {"",     "done",    "stopped", "error", "no_room",
-                                     "busy", "no_such", "peers",   "alone"};
+const char *const tw_sim_causes[TW_CAUSE_OTHER] = {"",     "done",    "stopped", "error", "no_room",
+                                                   "busy", "no_such", "peers",   "alone"};
 
 int tw_sim_task_active(const tw_sim_task *t) {
     return t->stage == TW_PIECE_RUNNING || t->stage == TW_PIECE_FLUSHING ||
@@ -28,7 +28,7 @@
     cJSON_AddStringToObject(o, "piece", name);
     cJSON_AddNumberToObject(o, "try", (double)t->attempt);
     cJSON_AddStringToObject(o, "stage", stages[t->stage]);
-    if (t->stage == TW_PIECE_EXITED) cJSON_AddStringToObject(o, "cause", causes[t->cause]);
+    if (t->stage == TW_PIECE_EXITED) cJSON_AddStringToObject(o, "cause", tw_sim_causes[t->cause]);
     if (t->saved) cJSON_AddBoolToObject(o, "saved", 1);
     return o;
 }
@@ -60,6 +60,7 @@
 void tw_sim_task_exit(tw_sim_worker *x, tw_sim_task *t, int cause) {
     t->stage = TW_PIECE_EXITED;
     t->cause = cause;
+    if (t->job) t->job->exits[cause]++;
     x->changed = 1;
 }
 
--- a/sim/world.c
+++ b/sim/world.c
@@ -98,11 +98,15 @@
 }
 
 int tw_sim_job_running(const tw_sim_world *w, const char *id) {
+    return tw_sim_job_in(w, id, TW_PIECE_RUNNING);
+}
+
+int tw_sim_job_in(const tw_sim_world *w, const char *id, int stage) {
     int n = 0;
     for (int i = 0; i < w->nworkers; i++) {
         const tw_sim_worker *x = w->workers[i];
         for (int k = 0; k < x->ntasks && !x->gone; k++)
-            n += !strcmp(x->tasks[k].job_id, id) && x->tasks[k].stage == TW_PIECE_RUNNING;
+            n += !strcmp(x->tasks[k].job_id, id) && x->tasks[k].stage == stage;
     }
     return n;
 }
--- a/sim/world.h
+++ b/sim/world.h
@@ -101,6 +101,7 @@
     int ngangs, gangs_cap;
     double gang_saved_s; /* run time in checkpoints */
     int gang_starts;     /* times that all tasks began together */
+    int exits[TW_CAUSE_OTHER]; /* by cause */
     int started;
     int last_status;    /* of the last submission */
     int cancel_status;  /* of the last cancellation */
@@ -260,6 +261,7 @@
 void tw_sim_worker_tick(tw_sim_world *w, tw_sim_worker *x);
 /* Whether a report is due now. */
 int tw_sim_worker_due(const tw_sim_world *w, const tw_sim_worker *x);
+extern const char *const tw_sim_causes[TW_CAUSE_OTHER];
 /* On its machine: waiting for its gang, running or saving. */
 int tw_sim_task_active(const tw_sim_task *t);
 
@@ -283,6 +285,8 @@
 /* A new one that nobody has submitted yet. */
 tw_sim_job *tw_sim_job_new(tw_sim_world *w, const char *id);
 int tw_sim_job_running(const tw_sim_world *w, const char *id);
+/* How many of its tasks are in that state on their machines. */
+int tw_sim_job_in(const tw_sim_world *w, const char *id, int stage);
 
 /* ---- judge ---- */
 
