--- /dev/null
+++ b/sim/controller.c
@@ -0,0 +1,69 @@
+/* A controller that is a core in this process. */
+#include "controller.h"
+#include "world.h"
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct {
+    tw_sim_controller base;
+    tw_conf conf;
+    tw_core *core;
+} local_controller;
+
+static tw_core *core_of(const tw_sim_controller *controller) {
+    return ((const local_controller *)controller)->core;
+}
+
+static void request(tw_sim_controller *controller, tw_sim_clock clock, int port, uint64_t conn,
+                    const char *method, const char *path, const char *body) {
+    tw_core_request(core_of(controller), clock.steady, clock.wall, port, conn, method, path, body,
+                    strlen(body));
+}
+
+static void response(tw_sim_controller *controller, tw_sim_clock clock, uint64_t call, int status,
+                     const char *body) {
+    tw_core_response(core_of(controller), clock.steady, clock.wall, call, status, body,
+                     strlen(body));
+}
+
+static void tick(tw_sim_controller *controller, tw_sim_clock clock) {
+    tw_core_tick(core_of(controller), clock.steady, clock.wall);
+}
+
+static tw_fx *next(tw_sim_controller *controller) { return tw_core_next(core_of(controller)); }
+
+static uint64_t steps(const tw_sim_controller *controller) {
+    return tw_core_steps(core_of(controller));
+}
+
+static double tick_s(const tw_sim_controller *controller) {
+    return tw_core_tick_s(core_of(controller));
+}
+
+static void end(tw_sim_controller *controller) {
+    local_controller *local = (local_controller *)controller;
+    tw_core_free(local->core);
+    tw_conf_free(&local->conf);
+    free(local);
+}
+
+static const tw_sim_controller_methods local_methods = {.request = request,
+                                                        .response = response,
+                                                        .tick = tick,
+                                                        .next = next,
+                                                        .steps = steps,
+                                                        .tick_s = tick_s,
+                                                        .free = end};
+
+tw_sim_controller *tw_sim_controller_local(const tw_sim_controller_start *start, char *error,
+                                           size_t error_size) {
+    local_controller *local = tw_sim_zeroed(sizeof *local);
+    local->base.methods = &local_methods;
+    if (tw_conf_parse(&local->conf, start->settings, error, error_size)) {
+        free(local);
+        return NULL;
+    }
+    if (start->mem_mb > 0) local->conf.mem_mb = start->mem_mb;
+    local->core = tw_core_new(&local->conf, start->seed, start->clock.steady, start->clock.wall);
+    return &local->base;
+}
--- a/sim/expect.c
+++ b/sim/expect.c
@@ -63,8 +63,24 @@
 /* Of the node that leads, since it started. */
 static int steps(expectation *x) {
     int leader = tw_sim_leader(x->sim);
-    tw_core *core = leader < 0 ? NULL : x->sim->nodes[leader].core;
-    return in_range(x, core ? (double)tw_core_steps(core) : 0, "1", x->arg[0]);
+    tw_sim_controller *controller = leader < 0 ? NULL : x->sim->nodes[leader].controller;
+    double taken = controller ? (double)controller->methods->steps(controller) : 0;
+    return in_range(x, taken, "1", x->arg[0]);
+}
+
+/* How many nodes start with the earlier version. */
+static int old_nodes(expectation *x) {
+    int n = 0;
+    for (int i = 0; i < x->sim->world.nnodes; i++) n += x->sim->nodes[i].old;
+    return in_range(x, n, x->arg[0], x->arg[1]);
+}
+
+/* Whether the node that leads is of the `old` or of the `new` version. */
+static int leader_version(expectation *x) {
+    int leader = tw_sim_leader(x->sim);
+    if (leader < 0) return 0;
+    snprintf(x->got, sizeof x->got, "%s", x->sim->nodes[leader].old ? "old" : "new");
+    return !strcmp(x->got, x->arg[0]);
 }
 
 /* How often a trouble struck. */
@@ -81,11 +97,11 @@
 static const struct {
     const char *name;
     int (*holds)(expectation *x);
-} kinds[] = {{"done", is_done},          {"aborted", is_cancelled}, {"accepted", is_accepted},
-             {"refused", is_refused},    {"starts", starts},        {"running", running},
-             {"machines", machines},     {"gone", is_gone},         {"shift", in_session},
-             {"leader", has_leader},     {"steps", steps},          {"struck", struck},
-             {"cancel", cancel_answered}};
+} kinds[] = {{"done", is_done},           {"aborted", is_cancelled}, {"accepted", is_accepted},
+             {"refused", is_refused},     {"starts", starts},        {"running", running},
+             {"machines", machines},      {"gone", is_gone},         {"shift", in_session},
+             {"leader", has_leader},      {"steps", steps},          {"struck", struck},
+             {"cancel", cancel_answered}, {"old", old_nodes},        {"led", leader_version}};
 
 void tw_sim_expect(tw_sim *sim, const tw_sim_words *w) {
     expectation x = {.sim = sim, .arg = {"", "", ""}};
--- a/sim/node.c
+++ b/sim/node.c
@@ -1,4 +1,4 @@
-/* The controllers: real cores with their settings and clocks; they start, tick, answer and end. */
+/* The nodes: controllers with their settings and clocks; they start, tick, answer and end. */
 #include "sim_int.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,9 +12,9 @@
 #define WALL_START 1e9
 #define MAX_SETTINGS 16384
 
-static double wall_time(const tw_sim *sim) { return WALL_START + sim->world.now; }
-static double steady_time(const tw_sim *sim, int node) {
-    return STEADY_START + sim->world.now * (1 + CLOCK_DRIFT * node);
+static tw_sim_clock clock_of(const tw_sim *sim, int node) {
+    return (tw_sim_clock){.steady = STEADY_START + sim->world.now * (1 + CLOCK_DRIFT * node),
+                          .wall = WALL_START + sim->world.now};
 }
 
 tw_sim_conn *tw_sim_conn_new(tw_sim *sim, int node, int kind) {
@@ -59,14 +59,17 @@
 }
 
 static void drain(tw_sim *sim, int node) {
+    tw_sim_controller *controller = sim->nodes[node].controller;
     tw_fx *f;
-    while ((f = tw_core_next(sim->nodes[node].core))) {
+    while ((f = controller->methods->next(controller))) {
         if (f->kind == TW_FX_REPLY)
             answer(sim, node, f);
         else
             tw_sim_call(sim, node, f);
         tw_core_fx_free(f);
     }
+    if (controller->failure)
+        tw_sim_break(&sim->world, "ended", "%s: %s", sim->world.nodes[node], controller->failure);
 }
 
 static int is_over(const tw_sim *sim, int node, int generation) {
@@ -101,8 +104,8 @@
         wait_for_node(sim, node, port, conn, method, path, body);
         return;
     }
-    tw_core_request(sim->nodes[node].core, steady_time(sim, node), wall_time(sim), port, conn,
-                    method, path, body, strlen(body));
+    tw_sim_controller *controller = sim->nodes[node].controller;
+    controller->methods->request(controller, clock_of(sim, node), port, conn, method, path, body);
     drain(sim, node);
 }
 
@@ -112,9 +115,9 @@
         tw_sim_again_at(sim, e, sim->nodes[e->node].still_until);
         return;
     }
-    const char *body = e->body ? e->body : "";
-    tw_core_response(sim->nodes[e->node].core, steady_time(sim, e->node), wall_time(sim), e->id,
-                     e->status, body, strlen(body));
+    tw_sim_controller *controller = sim->nodes[e->node].controller;
+    controller->methods->response(controller, clock_of(sim, e->node), e->id, e->status,
+                                  e->body ? e->body : "");
     drain(sim, e->node);
 }
 
@@ -124,10 +127,10 @@
         tw_sim_again_at(sim, e, sim->nodes[e->node].still_until);
         return;
     }
-    tw_core *core = sim->nodes[e->node].core;
-    tw_core_tick(core, steady_time(sim, e->node), wall_time(sim));
+    tw_sim_controller *controller = sim->nodes[e->node].controller;
+    controller->methods->tick(controller, clock_of(sim, e->node));
     drain(sim, e->node);
-    tw_sim_again(sim, e, tw_core_tick_s(core));
+    tw_sim_again(sim, e, controller->methods->tick_s(controller));
 }
 
 /* ---- start and end ---- */
@@ -155,21 +158,31 @@
              w->state.write_rps > 1e6 ? 100 : w->state.write_rps);
 }
 
-static uint64_t node_seed(const tw_sim *sim, int node) {
-    return sim->world.seed * SEED_STEP + (unsigned)node * NODE_SEED_STEP +
-           (unsigned)sim->nodes[node].generation;
+static uint64_t node_seed(const tw_sim *sim, int node, int generation) {
+    return sim->world.seed * SEED_STEP + (unsigned)node * NODE_SEED_STEP + (unsigned)generation;
+}
+
+static tw_sim_controller *new_controller(const tw_sim *sim, int old,
+                                         const tw_sim_controller_start *start, char *error,
+                                         size_t error_size) {
+    if (!old) return tw_sim_controller_local(start, error, error_size);
+    if (sim->earlier) return tw_sim_controller_remote(sim->earlier, start, error, error_size);
+    snprintf(error, error_size, "there is no program of the earlier version");
+    return NULL;
 }
 
 int tw_sim_node_start(tw_sim *sim, int node, char *error, size_t error_size) {
     tw_sim_node *n = &sim->nodes[node];
-    const tw_sim_world *w = &sim->world;
     char text[MAX_SETTINGS];
     settings_text(sim, node, text, sizeof text);
-    if (tw_conf_parse(&n->conf, text, error, error_size)) return -1;
-    if (w->mem_mb > 0) n->conf.mem_mb = w->mem_mb;
+    const tw_sim_controller_start start = {.settings = text,
+                                           .mem_mb = sim->world.mem_mb,
+                                           .seed = node_seed(sim, node, n->generation + 1),
+                                           .clock = clock_of(sim, node)};
+    n->controller = new_controller(sim, n->old, &start, error, error_size);
+    if (!n->controller) return -1;
     n->alive = 1;
     n->generation++;
-    n->core = tw_core_new(&n->conf, node_seed(sim, node), steady_time(sim, node), wall_time(sim));
     tw_sim_event *e = tw_sim_after(sim, FIRST_TICK_S * node, tick);
     e->node = node;
     e->generation = n->generation;
@@ -196,9 +209,8 @@
         int open = c->kind == TW_SIM_CONN_USER && c->arrived && !c->replied;
         if (open && c->node == node) tw_sim_user_unanswered(sim, c);
     }
-    tw_core_free(n->core);
-    n->core = NULL;
-    tw_conf_free(&n->conf);
+    n->controller->methods->free(n->controller);
+    n->controller = NULL;
 }
 
 int tw_sim_leader(tw_sim *sim) {
--- a/sim/script.c
+++ b/sim/script.c
@@ -52,6 +52,14 @@
     if (world->nnodes == TW_SIM_MAX_NODES) return -1;
     snprintf(world->nodes[world->nnodes], TW_SIM_NAME, "%s", w->word[1]);
     snprintf(world->node_zone[world->nnodes++], TW_SIM_NAME, "%s", w->word[2]);
+    if (w->n == 3) return 0;
+    return strcmp(w->word[3], "old") != 0 ? -1 : tw_sim_node_old(sim, w->word[1]);
+}
+
+/* `old NODE...` */
+static int set_old(tw_sim *sim, const tw_sim_words *w) {
+    for (int i = 1; i < w->n; i++)
+        if (tw_sim_node_old(sim, w->word[i])) return -1;
     return 0;
 }
 
@@ -161,21 +169,17 @@
     const char *name;
     int min_words;
     int (*take)(tw_sim *sim, const tw_sim_words *w);
-} settings[] = {{"node", 3, add_node},
-                {"team", 2, add_team},
-                {"rack", 2, add_type},
-                {"machine", 3, add_machine},
-                {"machines", 4, add_many_machines},
-                {"objective", 3, add_objective},
-                {"set", 3, set},
-                {"judge", 2, set_judge},
-                {"end", 2, set_end}};
+} settings[] = {{"node", 3, add_node},           {"old", 2, set_old},
+                {"team", 2, add_team},           {"rack", 2, add_type},
+                {"machine", 3, add_machine},     {"machines", 4, add_many_machines},
+                {"objective", 3, add_objective}, {"set", 3, set},
+                {"judge", 2, set_judge},         {"end", 2, set_end}};
 
 /* ---- what happens ---- */
 
 static const tw_sim_command *find_command(const char *name) {
     const tw_sim_command *const tables[] = {tw_sim_commands, tw_sim_trouble_commands,
-                                            tw_sim_habit_commands};
+                                            tw_sim_habit_commands, tw_sim_upgrade_commands};
     for (size_t i = 0; i < COUNT(tables); i++)
         for (const tw_sim_command *c = tables[i]; c->name; c++)
             if (!strcmp(c->name, name)) return c;
@@ -198,6 +202,7 @@
     const tw_sim_command *c = w->n > 2 ? find_command(w->word[2]) : NULL;
     if (!c) return fail(error, error_size, "unknown command", w->line);
     if (w->n - 2 < c->min_words) return fail(error, error_size, "too few words", w->line);
+    if (!strcmp(c->name, "downgrade")) sim->needs_earlier = 1;
     const char *rest = w->line;
     for (int i = 0; i < 2; i++) { /* after `at` and the time */
         rest += strspn(rest, SPACE);
--- a/sim/sim.c
+++ b/sim/sim.c
@@ -13,6 +13,7 @@
     snprintf(sim->name, sizeof sim->name, "%s", name ? name : "");
     sim->quiet = !name;
     sim->trace = name && getenv("TW_TRACE");
+    tw_sim_earlier_version(sim, getenv("TW_EARLIER_CORE"));
     tw_sim_world_init(&sim->world);
     sim->world.job_ended = tw_sim_job_ended;
     sim->world.context = sim;
@@ -25,6 +26,12 @@
     return sim;
 }
 
+void tw_sim_earlier_version(tw_sim *sim, const char *program) {
+    sim->earlier = program && *program ? program : NULL;
+}
+
+int tw_sim_lacks_earlier_version(const tw_sim *sim) { return sim->needs_earlier && !sim->earlier; }
+
 void tw_sim_fail(tw_sim *sim, const char *what, const char *detail) {
     tw_sim_world *w = &sim->world;
     if (!sim->failed++ && !*w->rule)
--- a/sim/sim.h
+++ b/sim/sim.h
@@ -20,6 +20,12 @@
 
 /* name: for messages about lines that did not hold, on standard output; NULL: no messages. */
 tw_sim *tw_sim_new(const char *name);
+/* Which program plays nodes of the earlier version: a tw_core_server (tools/core_server) that was
+ * built with it; the text must outlive the simulation. Without the call it is what the
+ * environment's TW_EARLIER_CORE names. */
+void tw_sim_earlier_version(tw_sim *sim, const char *program);
+/* Whether the lines taken so far ask for the earlier version, and there is no program for it. */
+int tw_sim_lacks_earlier_version(const tw_sim *sim);
 /* Takes one line of the scenario language; 0, or -1 with a text. */
 int tw_sim_line(tw_sim *sim, const char *line, char *error, size_t error_size);
 /* Plays the lines taken so far to their end or to the first broken rule. Once only. Without any
--- a/sim/sim_int.h
+++ b/sim/sim_int.h
@@ -1,7 +1,7 @@
 /* The parts of a simulation: events, network, controllers, users, scenario language. Internal. */
 #ifndef TW_SIM_INT_H
 #define TW_SIM_INT_H
-#include "core/core.h"
+#include "controller.h"
 #include "sim.h"
 #include "world.h"
 
@@ -30,9 +30,9 @@
 } tw_sim_event;
 
 typedef struct {
-    tw_core *core;
-    tw_conf conf;
+    tw_sim_controller *controller;
     int alive, generation;
+    int old; /* starts with the earlier version */
     double no_state_until;          /* the state service gives 503 to this node only */
     double no_workers_until;        /* messages from and to workers get lost for it */
     double alone_until;             /* state service and peers hang for it */
@@ -116,6 +116,8 @@
 struct tw_sim {
     char name[TW_SIM_TITLE];
     int quiet, trace;
+    const char *earlier; /* program of the earlier version (tw_core_server), or NULL */
+    int needs_earlier;   /* a line asks for a node of the earlier version */
     tw_sim_world world;
     tw_sim_node nodes[TW_SIM_MAX_NODES];
     tw_sim_troubles trouble;
@@ -217,7 +219,7 @@
 /* ---- odd.c: requests that make no sense ---- */
 void tw_sim_odd_start(tw_sim *sim);
 
-/* ---- script.c, command.c, trouble.c, expect.c ---- */
+/* ---- script.c, command.c, trouble.c, upgrade.c, expect.c ---- */
 typedef struct {
     const char *name;
     int min_words; /* with the name */
@@ -229,10 +231,13 @@
 extern const tw_sim_command tw_sim_commands[];
 extern const tw_sim_command tw_sim_trouble_commands[];
 extern const tw_sim_command tw_sim_habit_commands[];
+extern const tw_sim_command tw_sim_upgrade_commands[];
 /* A trouble lasts at least that much longer. */
 void tw_sim_trouble_for(tw_sim *sim, double seconds);
 /* Whether a message is struck; counted. */
 int tw_sim_strikes(tw_sim *sim, const tw_sim_share *share, int stroke, int draw);
+/* The node begins as one of the earlier version; -1: there is no such node. */
+int tw_sim_node_old(tw_sim *sim, const char *name);
 void tw_sim_expect(tw_sim *sim, const tw_sim_words *w);
 /* The value of `key=`, or NULL. */
 const char *tw_sim_option(const tw_sim_words *w, const char *key);
--- a/tests/runner/runner.c
+++ b/tests/runner/runner.c
@@ -8,8 +8,9 @@
 #include <string.h>
 
 #define MAX_LINE 70000
+#define NOT_RUN 77 /* exit code: it needs the earlier version, which is not at hand */
 
-/* Returns -1 for a file that can't be played. */
+/* Returns -1 for a file that can't be played, NOT_RUN for one that needs what isn't at hand. */
 static int play(const char *path, const char *name, const char *said_as, tw_sim_verdict *verdict) {
     char line[MAX_LINE], error[500];
     FILE *f = fopen(path, "r");
@@ -24,6 +25,10 @@
         if (result) printf("FAIL %s: %s\n", name, error);
     }
     fclose(f);
+    if (!result && tw_sim_lacks_earlier_version(sim)) {
+        printf("not run %s: TW_EARLIER_CORE names no program of the earlier version\n", name);
+        result = NOT_RUN;
+    }
     if (!result) tw_sim_run(sim, verdict);
     tw_sim_free(sim);
     return result;
@@ -39,7 +44,8 @@
     const char *name = slash ? slash + 1 : path, *level = getenv("LOG_LEVEL");
     tw_sim_verdict first, second;
     tw_log_init(level ? level : "error", name);
-    if (play(path, name, name, &first)) return 2;
+    const int result = play(path, name, name, &first);
+    if (result) return result == NOT_RUN ? NOT_RUN : 2;
     int failures = first.failed;
     if (first.end_s <= 0) {
         printf("FAIL %s: nothing happened\n", name);
--- a/tests/runner/sim_test.c
+++ b/tests/runner/sim_test.c
@@ -63,10 +63,67 @@
     check(other != alone, "another seed gives the same run");
 }
 
+/* A node in a process of its own does what one in this process does, to the letter: `server` is a
+ * tw_core_server of this very version. */
+static void test_remote_nodes(const char *server) {
+    const uint64_t alone = run(small_day(7));
+    static const char *const mixes[] = {"old tray-0", "old tray-0 tray-1 tray-2"};
+    for (size_t i = 0; i < sizeof mixes / sizeof *mixes; i++) {
+        tw_sim *sim = small_day(7);
+        tw_sim_earlier_version(sim, server);
+        line(sim, mixes[i]);
+        check(run(sim) == alone, mixes[i]);
+    }
+}
+
+static void test_upgrades(const char *server) {
+    tw_sim *sim = small_day(7);
+    tw_sim_earlier_version(sim, server);
+    line(sim, "old tray-0 tray-1 tray-2");
+    line(sim, "at 7 expect led old");
+    line(sim, "at 8 upgrade leader 3");
+    line(sim, "at 9 expect old 2 2");
+    line(sim, "at 20 upgrade next");
+    line(sim, "at 20 upgrade next");
+    line(sim, "at 20.1 expect old 0 0");
+    line(sim, "at 30 downgrade tray-0 1");
+    line(sim, "at 32 expect old 1 1");
+    line(sim, "at 40 kill tray-0 1");
+    line(sim, "at 45 expect old 1 1");
+    run(sim);
+}
+
+/* Without a program of the earlier version a day with old nodes is not played as if they were new.
+ */
+static void test_without_earlier_version(void) {
+    tw_sim_verdict v;
+    tw_sim *sim = small_day(7);
+    tw_sim_earlier_version(sim, NULL);
+    check(!tw_sim_lacks_earlier_version(sim), "a day without old nodes needs no earlier version");
+    line(sim, "at 5 downgrade tray-0 1");
+    check(tw_sim_lacks_earlier_version(sim), "a day with a downgrade needs the earlier version");
+    tw_sim_run(sim, &v);
+    check(v.failed == 1, "a node can't start and nobody is told");
+    tw_sim_free(sim);
+}
+
+/* A process that ends by itself, here one that is no tw_core_server, is a broken rule or a node
+ * that can't start. */
+static void test_process_that_ends(void) {
+    tw_sim_verdict v;
+    tw_sim *sim = small_day(7);
+    tw_sim_earlier_version(sim, "/bin/false");
+    line(sim, "old tray-1");
+    tw_sim_run(sim, &v);
+    check(v.failed == 1, "a process that ends at once goes unnoticed");
+    tw_sim_free(sim);
+}
+
 static void test_bad_lines(void) {
     static const char *const bad[] = {
-        "nonsense",      "at 5 nonsense 1",   "at 5 kill",      "at 5",         "node tray-0",
-        "set nothing 1", "at 1 cutstate x 3", "machine none a", "judge nothing"};
+        "nonsense",      "at 5 nonsense 1", "at 5 kill",         "at 5",
+        "node tray-0",   "set nothing 1",   "at 1 cutstate x 3", "machine none a",
+        "judge nothing", "old tray-9",      "node tray-0 a new", "at 5 upgrade"};
     tw_sim *sim = tw_sim_new(NULL);
     for (size_t i = 0; i < sizeof bad / sizeof *bad; i++) {
         char error[200] = "";
@@ -258,8 +315,16 @@
     expect_rule(&w, "went_back", "an answer that is older");
 }
 
-int main(void) {
+int main(int argc, char **argv) {
+    if (argc != 2) {
+        fprintf(stderr, "usage: tw_sim_test TW_CORE_SERVER\n");
+        return 2;
+    }
     test_equal_runs();
+    test_remote_nodes(argv[1]);
+    test_upgrades(argv[1]);
+    test_without_earlier_version();
+    test_process_that_ends();
     test_bad_lines();
     test_failed_lines();
     test_no_nodes();
--- /dev/null
+++ b/tools/core_server/main.c
@@ -0,0 +1,142 @@
+/* tw_core_server: a core in a process of its own, driven by messages on standard input, so that a
+ * simulation (sim/controller_remote.c) can play nodes of the version that it was built with. It
+ * uses only what every version's core/core.h has. It ends with its input.
+ *
+ * A message is a line of words and, as its last words say, so many bytes of text after it; times
+ * are hexadecimal floating-point numbers, so that they come over exactly:
+ *
+ *   new STEADY WALL SEED MEM_MB SIZE                       settings follow; MEM_MB 0: theirs
+ *   request STEADY WALL PORT CONN METHOD SIZE SIZE         path and body follow
+ *   response STEADY WALL CALL STATUS SIZE                  body follows
+ *   tick STEADY WALL
+ *
+ * `new` comes first and once. Each is answered with the effects that it had, and a last line:
+ *
+ *   effect KIND ID STATUS RETRY_AFTER TO TIMEOUT_S METHOD SIZE SIZE SIZE
+ *                           address, path and body follow; size -1: there is none; METHOD -: none
+ *   done STEPS TICK_S */
+#include "core/core.h"
+#include "log/log.h"
+#include "words.h"
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { MAX_HEAD = 512, MAX_ERROR = 500, MAX_METHOD = 16, NOT_UNDERSTOOD = 64, NO_SETTINGS = 2 };
+
+static _Noreturn void stop(const char *why, const char *detail, int code) {
+    fprintf(stderr, "tw_core_server: %s: %s\n", why, detail);
+    exit(code);
+}
+
+static char *read_text(size_t size) {
+    char *text = calloc(1, size + 1);
+    if (!text) abort();
+    if (fread(text, 1, size, stdin) != size) stop("input ends", "within a text", NOT_UNDERSTOOD);
+    return text;
+}
+
+static long size_of(const char *text) { return text ? (long)strlen(text) : -1; }
+
+static void write_text(const char *text) {
+    if (text) fwrite(text, 1, strlen(text), stdout);
+}
+
+static void answer(tw_core *core) {
+    tw_fx *effect;
+    while ((effect = tw_core_next(core))) {
+        printf("effect %d %" PRIu64 " %d %a %d %a %s %ld %ld %ld\n", effect->kind, effect->id,
+               effect->status, effect->retry_after, effect->to, effect->timeout_s,
+               effect->method ? effect->method : "-", size_of(effect->addr), size_of(effect->path),
+               size_of(effect->body));
+        write_text(effect->addr);
+        write_text(effect->path);
+        write_text(effect->body);
+        tw_core_fx_free(effect);
+    }
+    printf("done %" PRIu64 " %a\n", tw_core_steps(core), tw_core_tick_s(core));
+    fflush(stdout);
+}
+
+/* Reads the times that a message begins with. */
+static void read_times(tw_sim_reader *reader, double *steady, double *wall) {
+    *steady = tw_sim_read_number(reader);
+    *wall = tw_sim_read_number(reader);
+}
+
+/* NULL: the line is not a `new` message. */
+static tw_core *take_new(const char *head, tw_conf *conf) {
+    double steady, wall;
+    char error[MAX_ERROR];
+    tw_sim_reader reader = tw_sim_read_line(head, "new");
+    read_times(&reader, &steady, &wall);
+    const uint64_t seed = tw_sim_read_count(&reader);
+    const double mem_mb = tw_sim_read_number(&reader);
+    const size_t size = tw_sim_read_count(&reader);
+    if (!tw_sim_read_all(&reader)) return NULL;
+    char *settings = read_text(size);
+    if (tw_conf_parse(conf, settings, error, sizeof error)) stop("settings", error, NO_SETTINGS);
+    free(settings);
+    if (mem_mb > 0) conf->mem_mb = mem_mb;
+    return tw_core_new(conf, seed, steady, wall);
+}
+
+static int take_request(const char *head, tw_core *core) {
+    double steady, wall;
+    char method[MAX_METHOD];
+    tw_sim_reader reader = tw_sim_read_line(head, "request");
+    read_times(&reader, &steady, &wall);
+    const int port = (int)tw_sim_read_int(&reader);
+    const uint64_t conn = tw_sim_read_count(&reader);
+    tw_sim_read_word(&reader, method, sizeof method);
+    const size_t path_size = tw_sim_read_count(&reader), body_size = tw_sim_read_count(&reader);
+    if (!tw_sim_read_all(&reader)) return 0;
+    char *path = read_text(path_size), *body = read_text(body_size);
+    tw_core_request(core, steady, wall, port, conn, method, path, body, body_size);
+    free(path);
+    free(body);
+    return 1;
+}
+
+static int take_response(const char *head, tw_core *core) {
+    double steady, wall;
+    tw_sim_reader reader = tw_sim_read_line(head, "response");
+    read_times(&reader, &steady, &wall);
+    const uint64_t call = tw_sim_read_count(&reader);
+    const int status = (int)tw_sim_read_int(&reader);
+    const size_t size = tw_sim_read_count(&reader);
+    if (!tw_sim_read_all(&reader)) return 0;
+    char *body = read_text(size);
+    tw_core_response(core, steady, wall, call, status, body, size);
+    free(body);
+    return 1;
+}
+
+static int take_tick(const char *head, tw_core *core) {
+    double steady, wall;
+    tw_sim_reader reader = tw_sim_read_line(head, "tick");
+    read_times(&reader, &steady, &wall);
+    if (!tw_sim_read_all(&reader)) return 0;
+    tw_core_tick(core, steady, wall);
+    return 1;
+}
+
+int main(void) {
+    char head[MAX_HEAD];
+    const char *level = getenv("LOG_LEVEL");
+    tw_conf conf;
+    tw_log_init(level ? level : "error", "core_server");
+    if (!fgets(head, sizeof head, stdin)) return 0;
+    tw_core *core = take_new(head, &conf);
+    if (!core) stop("not understood", head, NOT_UNDERSTOOD);
+    answer(core);
+    while (fgets(head, sizeof head, stdin)) {
+        if (!take_request(head, core) && !take_response(head, core) && !take_tick(head, core))
+            stop("not understood", head, NOT_UNDERSTOOD);
+        answer(core);
+    }
+    tw_core_free(core);
+    tw_conf_free(&conf);
+    return 0;
+}
