--- a/sim/script.c
+++ b/sim/script.c
@@ -56,8 +56,13 @@
     return strcmp(w->word[3], "old") != 0 ? -1 : tw_sim_node_old(sim, w->word[1]);
 }
 
-/* `old NODE...` */
+/* `old NODE...`; `old even` and `old odd`: every other node, from the first or the second. */
 static int set_old(tw_sim *sim, const tw_sim_words *w) {
+    const int even = !strcmp(w->word[1], "even"), odd = !strcmp(w->word[1], "odd");
+    if (even || odd) {
+        for (int i = odd; i < sim->world.nnodes; i += 2) tw_sim_node_old(sim, sim->world.nodes[i]);
+        return 0;
+    }
     for (int i = 1; i < w->n; i++)
         if (tw_sim_node_old(sim, w->word[i])) return -1;
     return 0;
