--- /dev/null
+++ b/tests/unit/versions_test.c
@@ -0,0 +1,242 @@
+/* What a controller says to the state service, to other controllers, to workers and to users, word
+ * for word, in a few conversations that leave it nothing to choose. Two versions that serve at once
+ * must read and write the same, so their transcripts must be equal:
+ *
+ *   tw_versions_test CONVERSATION           prints this version's
+ *   tw_versions_test CONVERSATION PROGRAM   prints that of the version that PROGRAM, a
+ *                                           tw_core_server, was built with
+ *   tw_versions_test --records < TRANSCRIPT reads each record of it and writes it again, and fails
+ *                                           where that is another text
+ *
+ * tests/fixtures holds the transcripts of the earlier version. */
+#include "conversation.h"
+#include "wire/wire.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_LINE 70000
+#define JOB_PREFIX "record job/"
+
+/* ---- the conversations ---- */
+
+#define JOB(id, shape, rest)                                                                       \
+    "{\"id\":\"" id "\",\"lane\":\"lane\",\"crew\":\"crew\",\"shape\":\"" shape                    \
+    "\",\"rank\":\"normal\"," rest "}"
+#define TASKS(n)                                                                                   \
+    "\"pieces\":" n ",\"cores\":2,\"gpus\":0,\"memoryGb\":4,\"bundle\":\"img-1\",\"imageGb\":1,"   \
+    "\"samePlace\":false,\"apart\":false,\"loaner\":false,\"expectS\":40,\"snapshotS\":0,"         \
+    "\"flushS\":0"
+#define REPORT(tick, baton, pieces)                                                                \
+    "{\"tray\":\"n-000001\",\"endpoint\":\"10.1.0.1:9000\",\"rack\":\"cpu\",\"yard\":\"a\","       \
+    "\"loaner\":false,\"shift\":1,\"tick\":" tick ",\"baton\":" baton ",\"pieces\":[" pieces "]}"
+#define PIECE(of, attempt, rest) "{\"piece\":\"" of "\",\"try\":" attempt "," rest "}"
+#define RUNS "\"stage\":\"running\""
+#define DONE "\"stage\":\"exited\",\"cause\":\"done\""
+
+static void submit(conversation *c, const char *body) {
+    conversation_ask(c, TW_PORT_API, "POST", "/v1/jobs", body);
+}
+static void report(conversation *c, const char *body) {
+    conversation_ask(c, TW_PORT_API, "POST", "/hello", body);
+}
+static void poll(conversation *c, const char *path) {
+    conversation_ask(c, TW_PORT_API, "GET", path, "");
+}
+static void heartbeat(conversation *c, const char *body) {
+    conversation_ask(c, TW_PORT_PEER, "POST", "/peer/ping", body);
+}
+
+/* It leads: jobs are accepted, run, end and are cancelled; records are written. */
+static void leads(conversation *c, const char *program) {
+    conversation_around(c);
+    conversation_begin(c, program);
+    conversation_until(c, 3);
+    report(c, REPORT("1", "0", ""));
+    conversation_until(c, 3.2);
+    report(c, REPORT("2", "101", ""));
+    submit(c, JOB("run-000001", "batch", TASKS("2")));
+    conversation_until(c, 3.5);
+    submit(c, JOB("run-000002", "service", TASKS("1")));
+    conversation_until(c, 4);
+    heartbeat(c, "{\"name\":\"tray-1\",\"token\":0,\"stateOk\":true,\"leading\":false,"
+                 "\"upS\":503,\"deputyS\":503}");
+    report(c, REPORT("3", "101",
+                     PIECE("run-000001/0", "1", RUNS) "," PIECE(
+                         "run-000001/1", "1", RUNS) "," PIECE("run-000002/0", "1", RUNS)));
+    conversation_until(c, 5);
+    report(c, REPORT("4", "101",
+                     PIECE("run-000001/0", "1", DONE) "," PIECE(
+                         "run-000001/1", "1", RUNS) "," PIECE("run-000002/0", "1", RUNS)));
+    conversation_until(c, 6);
+    conversation_show_record(c, "job/run-000001");
+    conversation_show_record(c, "job/run-000002");
+    conversation_ask(c, TW_PORT_API, "POST", "/v1/jobs/run-000002/abort", "");
+    conversation_until(c, 6.5);
+    conversation_show_record(c, "job/run-000002");
+    report(c, REPORT("5", "101",
+                     PIECE("run-000001/1", "2", DONE) "," PIECE("run-000002/0", "1", RUNS)));
+    conversation_until(c, 7.5);
+    heartbeat(c, "{\"name\":\"tray-1\",\"token\":101,\"stateOk\":true,\"leading\":false,"
+                 "\"upS\":506,\"deputyS\":506}");
+    report(c, REPORT("6", "101",
+                     PIECE("run-000002/0", "1",
+                           "\"stage\":\"exited\",\"cause\":\"stopped\",\"saved\":true")));
+    conversation_until(c, 9);
+    poll(c, "/v1/jobs/run-000001");
+    poll(c, "/v1/jobs/run-000002");
+    conversation_until(c, 9.5);
+    conversation_show_record(c, "job/run-000001");
+    conversation_show_record(c, "job/run-000002");
+    conversation_show_record(c, "leader");
+}
+
+#define OLD_JOB(id, tasks) "\"j\":" JOB(id, "batch", tasks)
+/* It takes over records as a predecessor left them: running, partly done, cancelled, done. What may
+ * run is not started again, what is done stays so. */
+static void takes_over(conversation *c, const char *program) {
+    conversation_around(c);
+    conversation_put(
+        c, "job/run-000001",
+        "{\"s\":0," OLD_JOB("run-000001",
+                            TASKS("3")) ",\"c\":1,\"t\":999999990,\"n\":6,"
+                                        "\"f\":\"1\",\"l\":\"0:4:n-000001,2:5:n-000001\"}");
+    conversation_put(c, "job/run-000002",
+                     "{\"s\":3," OLD_JOB("run-000002", TASKS("2")) ",\"t\":999999991,\"n\":2,"
+                                                                   "\"l\":\"0:1:n-000001\"}");
+    conversation_put(c, "job/run-000003", "{\"s\":2,\"p\":4,\"c\":4}");
+    conversation_put(c, "job/run-000004", "{\"s\":3,\"p\":4,\"c\":1}");
+    conversation_put(c, "new/run-000005", "1");
+    conversation_begin(c, program);
+    conversation_until(c, 4);
+    report(c, REPORT("71", "90",
+                     PIECE("run-000001/0", "4", RUNS) "," PIECE(
+                         "run-000001/2", "5", RUNS) "," PIECE("run-000002/0", "1", RUNS)));
+    conversation_until(c, 5);
+    report(c,
+           REPORT("72", "106",
+                  PIECE("run-000001/0", "4", DONE) "," PIECE("run-000001/2", "5", RUNS) "," PIECE(
+                      "run-000002/0", "1", "\"stage\":\"exited\",\"cause\":\"stopped\"")));
+    conversation_until(c, 6);
+    for (int i = 1; i <= 5; i++) {
+        char path[TW_SIM_NAME];
+        snprintf(path, sizeof path, "/v1/jobs/run-%06d", i);
+        poll(c, path);
+    }
+    conversation_until(c, 7);
+    for (int i = 1; i <= 4; i++) {
+        char key[TW_SIM_NAME];
+        snprintf(key, sizeof key, "job/run-%06d", i);
+        conversation_show_record(c, key);
+    }
+    conversation_show_record(c, "new/run-000005");
+    conversation_show_record(c, "leader");
+}
+
+/* Another node leads: heartbeats, reports that are handed on, users' requests. */
+static void follows(conversation *c, const char *program) {
+    conversation_around(c);
+    conversation_put(c, "leader", "{\"node\":\"tray-1\"}");
+    conversation_put(c, "job/run-000001",
+                     "{\"s\":0," OLD_JOB("run-000001", TASKS("1")) ",\"t\":999999990,\"n\":2,"
+                                                                   "\"l\":\"0:1:n-000001\"}");
+    conversation_begin(c, program);
+    conversation_until(c, 2);
+    heartbeat(c, "{\"name\":\"tray-1\",\"leader\":\"tray-1\",\"token\":101,\"stateOk\":true,"
+                 "\"leading\":true,\"upS\":500,\"deputyS\":500,\"aborted\":[\"run-000009\"]}");
+    report(c, REPORT("71", "101", PIECE("run-000001/0", "1", RUNS)));
+    conversation_until(c, 3);
+    poll(c, "/v1/jobs/run-000001");
+    submit(c, JOB("run-000002", "batch", TASKS("1")));
+    conversation_until(c, 3.5);
+    conversation_ask(c, TW_PORT_API, "POST", "/v1/jobs/run-000002/abort", "");
+    conversation_ask(c, TW_PORT_PEER, "POST", "/peer/hello", REPORT("72", "101", ""));
+    conversation_until(c, 4);
+    heartbeat(c, "{\"name\":\"tray-1\",\"token\":90}");
+    conversation_show_record(c, "job/run-000002");
+    conversation_show_record(c, "new/run-000002");
+}
+
+/* Fields that it doesn't know, in heartbeats and records, and a record that is divided. */
+static void unknown_fields(conversation *c, const char *program) {
+    conversation_around(c);
+    conversation_put(
+        c, "job/run-000001",
+        "{\"s\":0," OLD_JOB("run-000001", TASKS("2")) ",\"t\":999999990,\"n\":2,"
+                                                      "\"l\":\"0:1:n-000001\",\"zz\":7}");
+    conversation_put(c, "job/run-000002",
+                     "{\"s\":0,\"p\":2,\"c\":0,\"parts\":{\"set\":\"90-1\",\"n\":2}}");
+    conversation_put(c, "job/run-000003",
+                     "{\"s\":2,\"p\":2,\"c\":2,\"parts\":{\"set\":\"90-2\",\"n\":2}}");
+    conversation_put(c, "part/run-000002/90-1/0", "\"{}\"");
+    conversation_begin(c, program);
+    conversation_until(c, 4);
+    heartbeat(c, "{\"name\":\"tray-1\",\"token\":0,\"stateOk\":true,\"leading\":false,"
+                 "\"upS\":503,\"deputyS\":503,\"recordFormat\":2}");
+    report(c, REPORT("71", "90", PIECE("run-000001/0", "1", DONE)));
+    conversation_until(c, 6);
+    poll(c, "/v1/jobs/run-000001");
+    poll(c, "/v1/jobs/run-000002");
+    poll(c, "/v1/jobs/run-000003");
+    conversation_until(c, 7);
+    conversation_show_record(c, "job/run-000001");
+    conversation_show_record(c, "job/run-000002");
+    conversation_show_record(c, "job/run-000003");
+    conversation_show_record(c, "part/run-000002/90-1/0");
+}
+
+static const struct {
+    const char *name;
+    void (*play)(conversation *c, const char *program);
+} conversations[] = {{"leads", leads},
+                     {"takes_over", takes_over},
+                     {"follows", follows},
+                     {"unknown_fields", unknown_fields}};
+
+/* ---- records ---- */
+
+/* Whether the record of a transcript's line is read, and written again to the letter. */
+static int is_written_again(const char *line) {
+    char id[TW_WIRE_ID];
+    tw_wire_record record;
+    line += strlen(JOB_PREFIX);
+    const size_t length = strcspn(line, " ");
+    snprintf(id, sizeof id, "%.*s", (int)length, line);
+    const char *text = line + length + 1;
+    if (tw_wire_record_parse(&record, id, text, strlen(text))) {
+        printf("FAIL versions: can't be read: %s\n", text);
+        return 0;
+    }
+    char *again = tw_wire_record_text(&record);
+    const int same = !strcmp(text, again);
+    if (!same) printf("FAIL versions: %s is written as %s\n", text, again);
+    free(again);
+    tw_wire_record_free(&record);
+    return same;
+}
+
+static int write_records_again(void) {
+    char line[MAX_LINE];
+    int records = 0, wrong = 0;
+    while (fgets(line, sizeof line, stdin)) {
+        line[strcspn(line, "\n")] = 0;
+        if (strncmp(line, JOB_PREFIX, strlen(JOB_PREFIX)) != 0) continue;
+        records++;
+        wrong += !is_written_again(line);
+    }
+    if (!records) printf("FAIL versions: no record\n");
+    return wrong || !records;
+}
+
+int main(int argc, char **argv) {
+    if (argc == 2 && !strcmp(argv[1], "--records")) return write_records_again();
+    for (size_t i = 0; argc > 1 && i < sizeof conversations / sizeof *conversations; i++) {
+        if (strcmp(argv[1], conversations[i].name) != 0) continue;
+        conversation c = {0};
+        conversations[i].play(&c, argc > 2 ? argv[2] : NULL);
+        conversation_end(&c);
+        return 0;
+    }
+    fprintf(stderr, "usage: tw_versions_test CONVERSATION [TW_CORE_SERVER] | --records\n");
+    return 2;
+}
