--- a/src/core/core.c
+++ b/src/core/core.c
@@ -298,7 +298,8 @@
         break;
     default:
         if (k->gen != c->gen) break; /* of a term that is over */
-        if (k->kind == K_TXN || k->kind == K_JOB_READ)
+        if (k->kind == K_TXN || k->kind == K_JOB_READ || k->kind == K_PARTS ||
+            k->kind == K_PARTS_REMOVE)
             tw_jobs_response(c, k, status, body, len);
         else if (k->kind == K_DEPUTIES)
             tw_deputies_page(c, k, status, body, len);
@@ -331,8 +332,9 @@
         "event=state_calls s=%.0f key=%u watch=%u elect=%u renew=%u txn=%u read=%u load=%u "
         "deputy=%u deputies=%u list=%u news=%u refused=%u",
         c->cf->lease_s, n[K_LEADER_GET], n[K_LEADER_WATCH],
-        n[K_GRANT] + n[K_ACQUIRE] + n[K_GRANT_DEL], n[K_RENEW], n[K_TXN] + n[K_CREATE],
-        n[K_JOB_READ] + n[K_LOOKUP], n[K_LOAD], n[K_DEPUTY], n[K_DEPUTIES], n[K_DEP_JOBS],
+        n[K_GRANT] + n[K_ACQUIRE] + n[K_GRANT_DEL], n[K_RENEW],
+        n[K_TXN] + n[K_CREATE] + n[K_PARTS] + n[K_PARTS_REMOVE], n[K_JOB_READ] + n[K_LOOKUP],
+        n[K_LOAD], n[K_DEPUTY], n[K_DEPUTIES], n[K_DEP_JOBS],
         n[K_NEWS_LIST] + n[K_NEWS] + n[K_NEWS_DEL], c->calls_refused);
     memset(c->calls_made, 0, sizeof c->calls_made);
     c->calls_refused = 0;
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -86,7 +86,7 @@
     tw_wire_job s;
     char *spec_text;   /* s as in the record, made once; NULL: not yet */
     size_t spec_bytes; /* the length of that text; 0: not measured yet */
-    int team;        /* index, -1: unknown */
+    int team;          /* index, -1: unknown */
     lane *lane;
     uint32_t rackmask; /* over c->flavors */
     uint32_t bundle;   /* sum of its image's name */
@@ -107,6 +107,12 @@
     int inflight, queued, urgent, need_read, reading;
     int over_sent; /* a record that says it is over may be in the state service */
     double write_after;
+    char set[TW_WIRE_SET];      /* slices that its record names as last known; "": it is whole */
+    int slices;                 /* how many */
+    struct record_parts *parts; /* of its next record, while they are written; see record_parts.c */
+    int refusals;               /* of its record for its size, in a row */
+    size_t refused_bytes;       /* the length that was refused */
+    int alone;                  /* to be written in a transaction of its own */
     waiter *waiters;
     /* errors */
     int aborting; /* its user cancels it; not yet safe to tell, see tw_abort_safe */
@@ -200,9 +206,11 @@
     K_RENEW,
     K_GRANT_DEL,
     K_TXN,
-    K_JOB_READ, /* to settle a job's stamp */
-    K_LOOKUP,   /* an unknown job, for a user */
-    K_CREATE,   /* a follower's own accept */
+    K_PARTS,        /* slices of a record */
+    K_PARTS_REMOVE, /* of sets that no record names any more */
+    K_JOB_READ,     /* to settle a job's stamp */
+    K_LOOKUP,       /* an unknown job, for a user */
+    K_CREATE,       /* a follower's own accept */
     K_LOAD,
     K_PING,
     K_PROXY,
@@ -223,9 +231,12 @@
 /* A job's record as a transaction holds it. */
 typedef struct job_write {
     char id[TW_WIRE_ID];
-    uint64_t ver;   /* of the job, when the record's text was made */
-    uint64_t stamp; /* that the write is conditioned on */
-    int stage;      /* TW_STAGE_* that the record holds */
+    uint64_t ver;          /* of the job, when the record's text was made */
+    uint64_t stamp;        /* that the write is conditioned on */
+    int stage;             /* TW_STAGE_* that the record holds */
+    char set[TW_WIRE_SET]; /* of a divided one */
+    int slices;
+    size_t bytes; /* of its text */
 } job_write;
 
 typedef struct call {
@@ -315,6 +326,7 @@
     double vouched_at;    /* the same, and it can't have led since the time before */
     double next;
     int busy, state_ok;
+    int record_format;             /* TW_RECORD_* by its last heartbeat; 0: none was heard */
     uint64_t dep_stamp;            /* of its key as a deputy, 0: none */
     double dep_until;              /* it may answer workers until then, by its key */
     uint64_t abort_ack, asked_seq; /* it knows of the cancellations up to, was told of */
@@ -423,6 +435,13 @@
     wish *wishes;
     lane *lanes;
     int ntxns, ndirty_new;
+    uint64_t last_set;            /* numbers the sets of slices that this process writes */
+    struct stale_set *stale_sets; /* that no record names: to be removed */
+    int stale_busy;
+    double stale_next;
+    int divides, heard_old;         /* as of the last look at the peers */
+    struct loaded_set *loaded_sets; /* of divided records, while they are read */
+    int load_parts;                 /* those are being read, before the records */
     bucket writes, reqs, cloud;
     int old_credit[TW_RANK_PROD + 1]; /* by rank: the next room may go to the longest wait */
     bucket reads, creates;            /* of a node that does not lead */
@@ -520,6 +539,10 @@
 void tw_ping_request(tw_core *c, uint64_t conn, const char *body, size_t len);
 peer *tw_peer_of(tw_core *c, const char *name);
 int tw_isolated(const tw_core *c);
+/* Whether every other node has said that it reads divided records; and whether one says that it
+ * doesn't. */
+int tw_all_read_divided(const tw_core *c);
+int tw_heard_old_peer(const tw_core *c);
 
 /* recover.c */
 /* A term begins: the records are read. */
--- a/src/core/heartbeat.c
+++ b/src/core/heartbeat.c
@@ -23,6 +23,18 @@
     return NULL;
 }
 
+int tw_all_read_divided(const tw_core *core) {
+    for (size_t i = 0; i < core->npeers; i++)
+        if (core->peers[i].record_format < TW_RECORD_DIVIDED) return 0;
+    return 1;
+}
+
+int tw_heard_old_peer(const tw_core *core) {
+    for (size_t i = 0; i < core->npeers; i++)
+        if (core->peers[i].record_format == TW_RECORD_WHOLE) return 1;
+    return 0;
+}
+
 int tw_isolated(const tw_core *core) {
     const double since = core->now - ISOLATED_LEASES * core->ttl - 1;
     if (core->state_ok_at > since) return 0;
@@ -56,7 +68,8 @@
                             .state_ok = core->now - core->state_ok_at < 2 * core->ttl,
                             .up_s = core->now - core->started_at,
                             .deputy_s = core->now - fmax(core->started_at, core->dep_last),
-                            .leading = tw_authority(core)};
+                            .leading = tw_authority(core),
+                            .record_format = TW_RECORD_DIVIDED};
     snprintf(message.name, sizeof message.name, "%s", core->cf->host_name);
     if (message.leading) snprintf(message.leader, sizeof message.leader, "%s", core->cf->host_name);
     *count = message.leading ? aborted_live(core, aborted) : 0;
@@ -113,6 +126,7 @@
 static void heard_peer(tw_core *core, peer *from, const tw_wire_ping *message) {
     if (message->token > from->token) from->token = message->token;
     from->state_ok = message->state_ok;
+    from->record_format = message->record_format;
     tw_saw_token(core, message->token, message->leading ? message->name : NULL);
     if (core->role != R_LEADER || core->all_confirmed_at > 0) return;
     for (size_t i = 0; i < core->npeers; i++)
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -1,6 +1,6 @@
 /* Life cycle of jobs: how they are made from a submission or a record, what is told of them, how
  * they end. Nothing here writes records (job_store.c) or takes requests (user_requests.c). */
-#include "core/jobs.h"
+#include "core/record_parts.h"
 
 /* Time between two passes over the unfinished jobs. */
 #define TICK_S 0.25
@@ -74,6 +74,7 @@
     tw_wire_job_free(&job->s);
     free(job->spec_text);
     free(job->st);
+    tw_parts_free(job);
     free(job);
 }
 
@@ -223,6 +224,15 @@
         tw_job_finish(core, job, TW_STAGE_ABORTED);
 }
 
+void tw_job_turn_away(tw_core *core, job *job) {
+    for (waiter *waiter = job->waiters, *next; waiter; waiter = next) {
+        next = waiter->next;
+        tw_turn_away(core, waiter->conn, job->id, ceil(job->write_after - core->now), "too large");
+        free(waiter);
+    }
+    job->waiters = NULL;
+}
+
 /* Users who waited for as long as they do, or whom we may tell nothing any more. */
 static void waiters_tick(tw_core *core, job *job) {
     for (waiter **at = &job->waiters; *at;) {
--- a/src/core/job_store.c
+++ b/src/core/job_store.c
@@ -2,7 +2,7 @@
  * revision. Whatever a user is told is durable first. Each write is conditioned on the leader's key
  * and on the job's own revision, so that neither a deposed leader nor a late copy of an older write
  * can undo a newer one. */
-#include "core/jobs.h"
+#include "core/record_parts.h"
 
 /* Most records in a transaction, whatever the state service allows. */
 #define MAX_RECORDS 60
@@ -86,9 +86,18 @@
     enqueue(core, job);
 }
 
-/* Adds the job's record; 0: there is no room for it. */
-static int batch_add(batch *batch, job *job) {
+/* The text to write under the job's key; NULL: not yet, its slices are to be written first. */
+static char *next_text(tw_core *core, job *job) {
+    if (job->parts) return tw_parts_written(job) ? tw_parts_head(job) : NULL;
     char *text = tw_job_record(job);
+    if (!tw_record_divides(core, job, strlen(text))) return text;
+    tw_parts_begin(core, job, text);
+    free(text);
+    return NULL;
+}
+
+/* Adds the job's record, taking the text; 0: there is no room for it. */
+static int batch_add(batch *batch, job *job, char *text) {
     size_t bytes = strlen(text) + RECORD_FRAME_BYTES;
     if (batch->bytes + bytes > MAX_TXN_BYTES && batch->count) {
         free(text);
@@ -107,11 +116,23 @@
     DL_FOREACH_SAFE2(core->dirty, job, next, wnext) {
         if (batch->count >= most || batch->count + 1 > tw_peek(core, &core->writes)) return;
         if (core->now < job->write_after || job->need_read || urgent != !!job->urgent) continue;
-        if (!batch_add(batch, job)) return;
+        if (batch->count && (job->alone || batch->jobs[0]->alone)) continue;
+        char *text = next_text(core, job);
+        if (!text) continue;
+        if (!batch_add(batch, job, text)) return;
         dequeue(core, job);
     }
 }
 
+/* What a record says that names slices: what the job was when they were made. */
+static void note_divided(job_write *write, record_parts *parts) {
+    write->ver = parts->ver;
+    write->stage = parts->stage;
+    write->slices = parts->count;
+    snprintf(write->set, sizeof write->set, "%s", parts->set);
+    parts->named = 1;
+}
+
 /* Notes with the call what each record said, for its answer. */
 static void note_writes(call *call, const batch *batch) {
     call->n = batch->count;
@@ -121,15 +142,19 @@
         job_write *write = &call->records[i];
         *write = (job_write){.ver = job->ver, .stamp = job->stamp, .stage = job->stage};
         snprintf(write->id, sizeof write->id, "%s", job->id);
-        job->over_sent |= job->stage != TW_STAGE_PENDING;
+        if (job->parts) note_divided(write, job->parts);
+        write->bytes = strlen(batch->texts[i]);
+        job->over_sent |= write->stage != TW_STAGE_PENDING;
         job->inflight = 1;
-        job->writing_ver = job->ver;
+        job->writing_ver = write->ver;
         job->urgent = 0;
     }
 }
 
 static void batch_send(tw_core *core, const batch *batch) {
     const int count = batch->count;
+    tw_take(core, &core->writes, count);
+    tw_take(core, &core->reqs, 1);
     tw_wire_cond conds[MAX_RECORDS + 1 + core->npeers];
     tw_wire_write writes[MAX_RECORDS];
     for (int i = 0; i < count; i++) {
@@ -152,16 +177,18 @@
     const int max_conds = CONDITIONS_PER_CHANGE * core->cf->state_txn_ops - 1 - (int)core->npeers;
     const int allowed = (int)fmax(1, fmin(core->cf->state_txn_ops, max_conds));
     const int most = allowed < MAX_RECORDS ? allowed : MAX_RECORDS;
-    while (core->dep_known && core->dirty && core->ntxns < TW_MAX_TXNS &&
-           tw_peek(core, &core->writes) >= 1 && tw_peek(core, &core->reqs) >= 1) {
+    if (!core->dep_known) return;
+    tw_parts_flush(core, most);
+    while (core->dirty && core->ntxns < TW_MAX_TXNS && tw_peek(core, &core->writes) >= 1 &&
+           tw_peek(core, &core->reqs) >= 1) {
         batch batch = {.bytes = FRAME_BYTES};
         batch_fill(core, &batch, 1, most);
         batch_fill(core, &batch, 0, most);
-        if (!batch.count) return;
-        tw_take(core, &core->writes, batch.count);
-        tw_take(core, &core->reqs, 1);
-        batch_send(core, &batch);
+        if (batch.count) batch_send(core, &batch);
+        tw_parts_flush(core, most);
+        if (!batch.count) break;
     }
+    tw_parts_remove(core, most);
 }
 
 /* ---- what is known to be written ---- */
@@ -178,6 +205,10 @@
 
 static void durable(tw_core *core, job *job, const job_write *w, uint64_t stamp) {
     record_known(job, w->stage, stamp);
+    tw_parts_named(core, job, w->set, w->slices);
+    if (*w->set) tw_parts_free(job); /* nothing else is written while it is on its way */
+    job->alone = 0;
+    job->refusals = 0;
     tw_job_tell(core, job, TW_HTTP_CREATED);
     if (w->ver > job->durable_ver) job->durable_ver = w->ver;
     placement *p;
@@ -207,6 +238,8 @@
 static void first_record(tw_core *core, job *job, const char *data) {
     tw_wire_record record;
     if (tw_wire_record_parse(&record, job->id, data, strlen(data))) return;
+    if (*record.set) return; /* our own: only a leader divides records */
+    tw_parts_drop(core, job);
     if (record.stage != TW_STAGE_PENDING && !record.nlive) {
         was_over(core, job, &record);
         tw_wire_record_free(&record);
@@ -236,7 +269,12 @@
  * are still on their way hold the older stamp, and fail. */
 void tw_job_record_read(tw_core *core, job *job, const tw_wire_entry *entry) {
     if (entry->stamp <= job->stamp) return;
+    tw_wire_record record;
     int stage = tw_wire_record_stage(entry->data, strlen(entry->data));
+    if (!tw_wire_record_parse(&record, job->id, entry->data, strlen(entry->data))) {
+        tw_parts_named(core, job, record.set, record.slices);
+        tw_wire_record_free(&record);
+    }
     if (!job->created) first_record(core, job, entry->data);
     record_known(job, stage < 0 ? TW_STAGE_PENDING : stage, entry->stamp);
     tw_job_tell(core, job, TW_HTTP_OK);
@@ -256,12 +294,13 @@
 
 void tw_job_store_tick(tw_core *core) {
     job *job, *next;
+    if (core->phase == PH_ACTIVE) tw_record_peers(core);
     DL_FOREACH_SAFE2(core->dirty, job, next, wnext)
     if (job->need_read && !job->reading && core->now >= job->write_after) read_record(core, job);
 }
 
 /* Keys whose conditions failed, of a transaction's answer. */
-typedef struct {
+typedef struct refusal {
     char (*keys)[TW_WIRE_KEY];
     int count;
 } refusal;
@@ -279,9 +318,14 @@
 /* Not carried out, or unknown. A retry under the same stamps is safe either way: if the first went
  * through, or still will, one of the two fails. */
 static void not_written(tw_core *core, job *job, const job_write *w, int status,
-                        const refusal *refusal) {
+                        const refusal *refusal, int alone) {
     job->urgent = 1;
-    if (status != TW_HTTP_CONFLICT) job->write_after = core->now + WRITE_RETRY_S;
+    if (status == TW_HTTP_BAD_REQUEST && alone)
+        tw_record_refused(core, job, *w->set ? 0 : w->bytes);
+    else if (status == TW_HTTP_BAD_REQUEST)
+        job->alone = 1; /* to find out which of them it is for */
+    else if (status != TW_HTTP_CONFLICT)
+        job->write_after = core->now + WRITE_RETRY_S;
     /* A read for a user may have told us the record's stamp since. */
     if (w->stamp == job->stamp && refused(refusal, w)) job->need_read = 1;
     requeue(core, job);
@@ -298,22 +342,44 @@
     return 1;
 }
 
-static void txn_done(tw_core *core, call *call, int status, const char *body, size_t length) {
-    uint64_t revision = 0;
-    refusal refusal = {NULL, 0};
-    int ok = status == TW_HTTP_OK && !tw_wire_ledger_parse(&revision, body, length);
+/* A transaction of records or slices was answered: the keys that it was refused for. 0: the
+ * leader's key is among them, and the term is over. */
+static int answered(tw_core *core, int status, const char *body, size_t length, refusal *refusal) {
+    *refusal = (struct refusal){NULL, 0};
     core->ntxns--;
     if (status == TW_HTTP_OK || status == TW_HTTP_CONFLICT) core->state_ok_at = core->now;
-    if (ok && call->sent > core->dep_checked_at) core->dep_checked_at = call->sent;
     if (status == TW_HTTP_CONFLICT &&
-        tw_wire_failed_parse(&refusal.keys, &refusal.count, body, length))
-        refusal.count = 0;
+        tw_wire_failed_parse(&refusal->keys, &refusal->count, body, length))
+        refusal->count = 0;
     if (status == TW_HTTP_BAD_REQUEST) tw_log_error("event=txn_refused body=\"%.200s\"", body);
-    if (!key_kept(core, &refusal)) {
-        free(refusal.keys);
-        tw_step_down(core, "leader key lost");
-        return;
-    }
+    if (key_kept(core, refusal)) return 1;
+    free(refusal->keys);
+    tw_step_down(core, "leader key lost");
+    return 0;
+}
+
+static void slices_done(tw_core *core, call *call, int status, const char *body, size_t length) {
+    refusal refusal;
+    if (!answered(core, status, body, length, &refusal)) return;
+    free(refusal.keys);
+    job *job = tw_job_find(core, call->name);
+    /* Or they were given up meanwhile. */
+    if (!job || !job->parts || strcmp(job->parts->set, call->text) != 0) return;
+    job->parts->busy = 0;
+    if (status == TW_HTTP_OK)
+        job->parts->written += call->n;
+    else if (status == TW_HTTP_BAD_REQUEST)
+        tw_record_refused(core, job, 0);
+    else
+        job->write_after = core->now + WRITE_RETRY_S;
+}
+
+static void txn_done(tw_core *core, call *call, int status, const char *body, size_t length) {
+    uint64_t revision = 0;
+    refusal refusal;
+    int ok = status == TW_HTTP_OK && !tw_wire_ledger_parse(&revision, body, length);
+    if (!answered(core, status, body, length, &refusal)) return;
+    if (ok && call->sent > core->dep_checked_at) core->dep_checked_at = call->sent;
     for (int i = 0; i < call->n; i++) {
         const job_write *write = &call->records[i];
         job *job = tw_job_find(core, write->id);
@@ -322,7 +388,7 @@
         if (ok)
             durable(core, job, write, revision);
         else
-            not_written(core, job, write, status, &refusal);
+            not_written(core, job, write, status, &refusal, call->n == 1);
     }
     free(refusal.keys);
 }
@@ -349,6 +415,10 @@
 void tw_jobs_response(tw_core *core, call *call, int status, const char *body, size_t length) {
     if (call->kind == K_TXN)
         txn_done(core, call, status, body, length);
+    else if (call->kind == K_PARTS)
+        slices_done(core, call, status, body, length);
+    else if (call->kind == K_PARTS_REMOVE)
+        tw_parts_removed(core, call, status);
     else
         read_done(core, call, status, body, length);
 }
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -23,6 +23,8 @@
 /* job.c */
 /* The user at conn waits until the job is durable, or (cancels) known to be over. */
 void tw_job_wait(tw_core *core, job *job, uint64_t conn, int cancels);
+/* Turns away all who wait for the job: its record can't be written. */
+void tw_job_turn_away(tw_core *core, job *job);
 /* Answers all who waited for what is durable now; status: of accepted submissions, 201 or 200. */
 void tw_job_tell(tw_core *core, job *job, int status);
 /* Lets go what only an unfinished job needs, if it is over and nothing of it may run; and the job
--- /dev/null
+++ b/src/core/loaded_parts.c
@@ -0,0 +1,109 @@
+/* Slices of divided records, while a new leader reads all records: the slices are read first, so
+ * that a record that names a set finds it. Nobody else writes either of them by then. Sets that no
+ * record names were left by a predecessor, and are removed. */
+#include "core/record_parts.h"
+
+#define DECIMAL 10
+
+/* The slices of a set. */
+typedef struct loaded_set {
+    char name[PART_KEY_SIZE]; /* the job's id, a slash, the set */
+    char **slices;            /* by number; NULL: not there */
+    int room;                 /* one more than the highest number */
+    int named;                /* by a record */
+    UT_hash_handle hh;
+} loaded_set;
+
+/* Splits a key; the slice's number, or -1: it is none of a slice. */
+static int split_key(const char *key, char *name, size_t size) {
+    const size_t prefix = sizeof PART_KEY - 1;
+    const char *slash = strrchr(key, '/');
+    if (strncmp(key, PART_KEY, prefix) != 0 || slash < key + prefix) return -1;
+    char *end;
+    const long number = strtol(slash + 1, &end, DECIMAL);
+    if (end == slash + 1 || *end || number < 0 || number >= TW_WIRE_MAX_PIECES) return -1;
+    const int length =
+        snprintf(name, size, "%.*s", (int)(slash - key - (long)prefix), key + prefix);
+    return length < (int)size && strchr(name, '/') ? (int)number : -1;
+}
+
+static loaded_set *set_of(tw_core *core, const char *name) {
+    loaded_set *set;
+    HASH_FIND_STR(core->loaded_sets, name, set);
+    if (set) return set;
+    set = tw_zalloc(sizeof *set);
+    snprintf(set->name, sizeof set->name, "%s", name);
+    HASH_ADD_STR(core->loaded_sets, name, set);
+    return set;
+}
+
+static void keep_slice(loaded_set *set, int number, char *text) {
+    if (number >= set->room) {
+        const int room = number + 1;
+        char **slices = realloc(set->slices, (size_t)room * sizeof *slices);
+        if (!slices) abort();
+        memset(slices + set->room, 0, (size_t)(room - set->room) * sizeof *slices);
+        set->slices = slices;
+        set->room = room;
+    }
+    free(set->slices[number]);
+    set->slices[number] = text;
+}
+
+int tw_loaded_page(tw_core *core, const char *body, size_t len, int *more, char *last,
+                   size_t size) {
+    tw_wire_entry *entries;
+    int count;
+    if (tw_wire_entries_parse(&entries, &count, more, body, len)) return -1;
+    for (int i = 0; i < count; i++) {
+        char name[PART_KEY_SIZE];
+        const int number = split_key(entries[i].key, name, sizeof name);
+        if (number < 0)
+            tw_log_error("event=bad_slice key=%.64s", entries[i].key);
+        else
+            keep_slice(set_of(core, name), number, tw_wire_slice_parse(entries[i].data));
+    }
+    if (count) snprintf(last, size, "%s", entries[count - 1].key);
+    tw_wire_entries_free(entries, count);
+    return count;
+}
+
+char *tw_loaded_text(tw_core *core, const char *id, const tw_wire_record *record) {
+    char name[PART_KEY_SIZE];
+    snprintf(name, sizeof name, "%s/%s", id, record->set);
+    loaded_set *set;
+    HASH_FIND_STR(core->loaded_sets, name, set);
+    if (!set) return NULL;
+    set->named = 1;
+    size_t length = 0;
+    for (int i = 0; i < record->slices; i++) {
+        if (i >= set->room || !set->slices[i]) return NULL;
+        length += strlen(set->slices[i]);
+    }
+    char *text = tw_zalloc(length + 1);
+    char *end = text;
+    for (int i = 0; i < record->slices; i++) end = stpcpy(end, set->slices[i]);
+    return text;
+}
+
+void tw_loaded_end(tw_core *core) {
+    const loaded_set *set;
+    for (set = core->loaded_sets; set; set = set->hh.next) {
+        const char *slash = strchr(set->name, '/');
+        char id[TW_WIRE_ID];
+        if (set->named) continue;
+        snprintf(id, sizeof id, "%.*s", (int)(slash - set->name), set->name);
+        tw_parts_stale(core, id, slash + 1, set->room);
+    }
+    tw_loaded_free(core);
+}
+
+void tw_loaded_free(tw_core *core) {
+    loaded_set *set, *next;
+    HASH_ITER(hh, core->loaded_sets, set, next) {
+        HASH_DEL(core->loaded_sets, set);
+        for (int i = 0; i < set->room; i++) free(set->slices[i]);
+        free(set->slices);
+        free(set);
+    }
+}
--- /dev/null
+++ b/src/core/record_parts.c
@@ -0,0 +1,243 @@
+/* Writing divided records, and removing slices that no record names any more.
+ *
+ * A set of slices is written once, under a name that holds the leader's token and a number, and in
+ * as many transactions as it takes, each conditioned on the leader's key. Once all are known to be
+ * written, job_store.c writes the record that names them like any other. Until the fate of that
+ * write is known the set stays, and is named again by each repetition. A set that a record no
+ * longer names can't be named again: whatever still comes late is conditioned on an older revision.
+ */
+#include "core/record_parts.h"
+
+#define KB 1024
+/* Slices in a transaction, and the bytes that they may have together: the state service takes
+ * 64 KiB; room for the frame and for what stands around a slice. */
+#define MAX_SLICES 60
+#define MAX_TXN_BYTES ((size_t)60 * KB)
+#define SLICE_FRAME_BYTES (PART_KEY_SIZE + 40)
+/* Of a job's first record: everything but its names, with all numbers at their longest; what stands
+ * around a machine type's name; and a byte of a name, escaped. */
+#define SPEC_FRAME_BYTES 700
+#define NAME_FRAME_BYTES 3
+#define LONGEST_ESCAPED 6
+/* A transaction is given up after this share of the leader's lease. */
+#define TXN_TIMEOUT_RATIO 0.4
+#define LEAST_TXN_TIMEOUT_S 0.5
+/* Until a removal that failed is tried again. */
+#define REMOVAL_RETRY_S 1.0
+
+/* A set to be removed. */
+typedef struct stale_set {
+    char id[TW_WIRE_ID];
+    char set[TW_WIRE_SET];
+    int next, count; /* slices before `next` are removed */
+    struct stale_set *prev, *next_set;
+} stale_set;
+
+static void part_key(char *key, const char *id, const char *set, int number) {
+    snprintf(key, PART_KEY_SIZE, PART_KEY "%s/%s/%d", id, set, number);
+}
+
+static double txn_timeout_s(const tw_core *core) {
+    return fmax(LEAST_TXN_TIMEOUT_S, core->ttl * TXN_TIMEOUT_RATIO);
+}
+
+/* ---- whether ---- */
+
+/* Bytes that a record may have where an old node may have to read it. */
+static size_t room_of_now(const tw_core *core) {
+    return (size_t)(core->cf->state_now.value_kb * KB);
+}
+
+size_t tw_record_whole_room(const tw_core *core) {
+    return tw_all_read_divided(core) ? tw_record_room(core) : room_of_now(core);
+}
+
+int tw_record_divides(const tw_core *core, const job *job, size_t length) {
+    const int refused = job->refused_bytes && length >= job->refused_bytes;
+    if (tw_all_read_divided(core)) return refused || length > tw_record_room(core);
+    /* One that is divided can't be read by an old node as it is. */
+    return *job->set && (refused || length > room_of_now(core));
+}
+
+/* Bytes of a job's first record at most, whatever its names hold. */
+static size_t first_record_most(const tw_wire_job *spec) {
+    size_t signs =
+        strlen(spec->lane) + strlen(spec->crew) + strlen(spec->bundle) + strlen(spec->yard);
+    for (int i = 0; i < spec->nracks; i++) signs += strlen(spec->racks[i]) + NAME_FRAME_BYTES;
+    return SPEC_FRAME_BYTES + LONGEST_ESCAPED * signs;
+}
+
+int tw_record_writable(const tw_core *core, const tw_wire_job *spec) {
+    if (tw_all_read_divided(core) || first_record_most(spec) <= room_of_now(core)) return 1;
+    const tw_wire_record record = {
+        .has_job = 1, .job = *spec, .pieces = spec->pieces, .submitted = core->wall, .next_try = 1};
+    char *text = tw_wire_record_text(&record);
+    const int fits = strlen(text) <= room_of_now(core);
+    free(text);
+    return fits;
+}
+
+/* ---- a set on its way ---- */
+
+void tw_parts_begin(tw_core *core, job *job, const char *text) {
+    record_parts *parts = tw_zalloc(sizeof *parts);
+    const size_t length = strlen(text);
+    const size_t room = tw_record_room(core);
+    size_t most = 1; /* slices: of the smallest ones that there may be */
+    for (size_t at = 0; at < length; most++) {
+        size_t taken;
+        free(tw_wire_slice_text(text + at, room, &taken));
+        at += taken;
+    }
+    parts->slices = tw_zalloc(most * sizeof *parts->slices);
+    for (size_t at = 0; at < length;) {
+        size_t taken;
+        parts->slices[parts->count++] = tw_wire_slice_text(text + at, room, &taken);
+        at += taken;
+    }
+    snprintf(parts->set, sizeof parts->set, "%llu-%llu", (unsigned long long)core->token,
+             (unsigned long long)++core->last_set);
+    parts->ver = job->ver;
+    parts->stage = job->stage;
+    parts->ndone = job->ndone;
+    parts->nlive = job->nlive;
+    job->parts = parts;
+    tw_log_debug("event=divided id=%s set=%s bytes=%zu slices=%d", job->id, parts->set, length,
+                 parts->count);
+}
+
+int tw_parts_written(const job *job) { return job->parts->written == job->parts->count; }
+
+char *tw_parts_head(const job *job) {
+    const record_parts *parts = job->parts;
+    tw_wire_record record = {.stage = parts->stage,
+                             .pieces = job->pieces,
+                             .ndone = parts->ndone,
+                             .slices = parts->count,
+                             .set_live = parts->nlive};
+    snprintf(record.set, sizeof record.set, "%s", parts->set);
+    return tw_wire_divided_text(&record);
+}
+
+void tw_parts_free(job *job) {
+    record_parts *parts = job->parts;
+    if (!parts) return;
+    for (int i = 0; i < parts->count; i++) free(parts->slices[i]);
+    free(parts->slices);
+    free(parts);
+    job->parts = NULL;
+}
+
+void tw_parts_drop(tw_core *core, job *job) {
+    if (!job->parts) return;
+    tw_parts_stale(core, job->id, job->parts->set, job->parts->count);
+    tw_parts_free(job);
+}
+
+void tw_parts_named(tw_core *core, job *job, const char *set, int slices) {
+    if (strcmp(job->set, set) != 0) {
+        if (*job->set) tw_parts_stale(core, job->id, job->set, job->slices);
+        snprintf(job->set, sizeof job->set, "%s", set);
+    }
+    job->slices = slices;
+}
+
+static void send_slices(tw_core *core, job *job, int most) {
+    record_parts *parts = job->parts;
+    char keys[MAX_SLICES][PART_KEY_SIZE];
+    tw_wire_write writes[MAX_SLICES];
+    size_t bytes = SLICE_FRAME_BYTES;
+    int count = 0;
+    while (count < most && count < MAX_SLICES && parts->written + count < parts->count) {
+        const int number = parts->written + count;
+        bytes += strlen(parts->slices[number]) + SLICE_FRAME_BYTES;
+        if (bytes > MAX_TXN_BYTES && count) break;
+        part_key(keys[count], job->id, parts->set, number);
+        writes[count] = (tw_wire_write){keys[count], parts->slices[number], 0};
+        count++;
+    }
+    tw_take(core, &core->writes, count);
+    tw_take(core, &core->reqs, 1);
+    const tw_wire_cond condition = {TW_LEADER_KEY, core->token};
+    call *sent =
+        tw_call(core, K_PARTS, TW_TO_STATE, core->cf->state, "POST", "/txn",
+                tw_wire_txn_text(&condition, 1, writes, (size_t)count), txn_timeout_s(core));
+    snprintf(sent->name, sizeof sent->name, "%s", job->id);
+    sent->text = strdup(parts->set);
+    sent->n = count;
+    parts->busy = 1;
+    core->ntxns++;
+}
+
+void tw_parts_flush(tw_core *core, int most) {
+    job *job;
+    DL_FOREACH2(core->dirty, job, wnext) {
+        const int budget = (int)fmin(most, tw_peek(core, &core->writes));
+        if (core->ntxns >= TW_MAX_TXNS || budget < 1 || tw_peek(core, &core->reqs) < 1) return;
+        if (!job->parts) continue;
+        /* The end of a job doesn't wait for what it was before. */
+        if (!job->parts->named && job->parts->stage != job->stage) tw_parts_drop(core, job);
+        if (!job->parts || job->parts->busy || tw_parts_written(job)) continue;
+        if (core->now >= job->write_after) send_slices(core, job, budget);
+    }
+}
+
+/* ---- removing ---- */
+
+void tw_parts_stale(tw_core *core, const char *id, const char *set, int slices) {
+    stale_set *stale = tw_zalloc(sizeof *stale);
+    snprintf(stale->id, sizeof stale->id, "%s", id);
+    snprintf(stale->set, sizeof stale->set, "%s", set);
+    stale->count = slices;
+    DL_APPEND2(core->stale_sets, stale, prev, next_set);
+}
+
+void tw_parts_forget_stale(tw_core *core) {
+    stale_set *stale, *next;
+    DL_FOREACH_SAFE2(core->stale_sets, stale, next, next_set) {
+        DL_DELETE2(core->stale_sets, stale, prev, next_set);
+        free(stale);
+    }
+    core->stale_busy = 0;
+    core->stale_next = 0;
+}
+
+void tw_parts_remove(tw_core *core, int most) {
+    stale_set *stale = core->stale_sets;
+    if (!stale || core->stale_busy || core->now < core->stale_next || core->ntxns >= TW_MAX_TXNS ||
+        tw_peek(core, &core->reqs) < 1)
+        return;
+    most = (int)fmin(most, fmin(MAX_SLICES, tw_peek(core, &core->writes)));
+    const int count = (int)fmin(most, stale->count - stale->next);
+    if (count < 1) return;
+    char keys[MAX_SLICES][PART_KEY_SIZE];
+    tw_wire_write removals[MAX_SLICES];
+    for (int i = 0; i < count; i++) {
+        part_key(keys[i], stale->id, stale->set, stale->next + i);
+        removals[i] = (tw_wire_write){keys[i], NULL, 0};
+    }
+    tw_take(core, &core->writes, count);
+    tw_take(core, &core->reqs, 1);
+    const tw_wire_cond condition = {TW_LEADER_KEY, core->token};
+    call *sent =
+        tw_call(core, K_PARTS_REMOVE, TW_TO_STATE, core->cf->state, "POST", "/txn",
+                tw_wire_txn_text(&condition, 1, removals, (size_t)count), txn_timeout_s(core));
+    sent->n = count;
+    core->stale_busy = 1;
+    core->ntxns++;
+}
+
+void tw_parts_removed(tw_core *core, const call *call, int status) {
+    stale_set *stale = core->stale_sets;
+    core->ntxns--;
+    core->stale_busy = 0;
+    if (!stale) return;
+    if (status != TW_HTTP_OK) {
+        core->stale_next = core->now + REMOVAL_RETRY_S;
+        return;
+    }
+    stale->next += call->n;
+    if (stale->next < stale->count) return;
+    DL_DELETE2(core->stale_sets, stale, prev, next_set);
+    free(stale);
+}
--- /dev/null
+++ b/src/core/record_refused.c
@@ -0,0 +1,47 @@
+/* Records that the state service refuses for their size, and what may be done about it: they are
+ * divided while all other nodes read divided records, and written whole again for one that does
+ * not.
+ */
+#include "core/record_parts.h"
+
+/* Until such a record is tried again: growing up to the longest. */
+#define FIRST_PAUSE_S 0.15
+#define LONGEST_PAUSE_S 10.0
+#define DOUBLINGS 8
+
+void tw_record_refused(tw_core *core, job *job, size_t bytes) {
+    if (bytes && (!job->refused_bytes || bytes < job->refused_bytes)) job->refused_bytes = bytes;
+    if (bytes && tw_record_divides(core, job, bytes)) return;
+    const int doublings = job->refusals < DOUBLINGS ? job->refusals : DOUBLINGS;
+    const double pause_s = fmin(LONGEST_PAUSE_S, FIRST_PAUSE_S * (double)(1 << doublings));
+    job->refusals++;
+    job->write_after = core->now + pause_s;
+    tw_log_error("event=too_large id=%s bytes=%zu pause_s=%.2f", job->id, bytes, pause_s);
+    tw_job_turn_away(core, job);
+}
+
+/* A node of the old version came back: what it can't read is written whole, if that fits. */
+static void write_whole_again(tw_core *core) {
+    job *job;
+    DL_FOREACH(core->active, job) {
+        if (!*job->set) continue;
+        char *text = tw_job_record(job);
+        if (!tw_record_divides(core, job, strlen(text))) tw_job_changed(core, job, 0);
+        free(text);
+    }
+}
+
+void tw_record_peers(tw_core *core) {
+    const int divides = tw_all_read_divided(core);
+    const int heard_old = tw_heard_old_peer(core);
+    job *job;
+    if (divides && !core->divides) {
+        DL_FOREACH2(core->dirty, job, wnext) {
+            if (job->refusals) job->write_after = 0;
+            job->refusals = 0;
+        }
+    }
+    if (heard_old && !core->heard_old) write_whole_again(core);
+    core->divides = divides;
+    core->heard_old = heard_old;
+}
--- a/src/core/record_size.c
+++ b/src/core/record_size.c
@@ -16,12 +16,14 @@
 /* "index:attempt:machine," beside the three of them; "first-last," beside the two of them. */
 #define TASK_SIGNS 3
 #define RANGE_SIGNS 2
+/* The largest value that leaves room for its transaction's frame, of 64 KiB. */
+#define MOST_VALUE_BYTES (56.0 * KB)
 #define LEAST_LIVE 2
 #define DECIMAL 10
 
 size_t tw_record_room(const tw_core *core) {
     const double bytes = core->cf->state_value_kb * KB;
-    return (size_t)(bytes - bytes / SPARE_PART);
+    return (size_t)fmin(MOST_VALUE_BYTES, bytes - bytes / SPARE_PART);
 }
 
 static int digits(uint64_t number) {
@@ -42,6 +44,8 @@
 }
 
 int tw_max_live(const tw_core *core, job *job) {
+    /* A gang runs whole: its record is divided where it must be. */
+    if (job->s.gang && tw_all_read_divided(core)) return job->pieces;
     const int index = digits((uint64_t)job->pieces);
     const int attempt = digits(job->next_try + (uint64_t)job->pieces);
     const double task = index + attempt + (double)core->longest_name + TASK_SIGNS;
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -1,7 +1,7 @@
 /* Taking over: every job is read from the state service before anything is decided. What the
  * records say may run is taken to run until its machine, its release or its lease says otherwise.
  */
-#include "core/jobs.h"
+#include "core/record_parts.h"
 
 /* Records a request, and how long it may take. */
 #define PAGE_SIZE 100
@@ -17,6 +17,7 @@
 void tw_recover_begin(tw_core *core) {
     core->phase = PH_LOADING;
     *core->load_after = 0;
+    core->load_parts = 1;
     core->load_busy = 0;
     core->load_answered = 0;
     core->load_retry = core->now;
@@ -33,7 +34,8 @@
 void tw_recover_tick(tw_core *core) {
     if (core->load_busy || core->now < core->load_retry) return;
     char path[PATH_SIZE];
-    const int length = snprintf(path, sizeof path, "/kv?starts=" JOB_KEY "&most=%d", PAGE_SIZE);
+    const int length = snprintf(path, sizeof path, "/kv?starts=%s&most=%d",
+                                core->load_parts ? PART_KEY : JOB_KEY, PAGE_SIZE);
     if (*core->load_after)
         snprintf(path + length, sizeof path - (size_t)length, "&since=%s", core->load_after);
     core->load_busy = 1;
@@ -45,6 +47,7 @@
     const size_t finished = tw_finished_count(core->finished);
     const int any = core->jobs || finished;
     core->phase = PH_ACTIVE;
+    tw_loaded_end(core);
     core->sched_dirty = 1;
     core->next_sched = core->now;
     core->next_list = core->now;
@@ -56,30 +59,71 @@
                 (unsigned long long)core->token, core->now - core->acquired_at);
 }
 
-void tw_recover_page(tw_core *core, int status, const char *body, size_t len) {
+/* A divided record; its text is in slices that were read before. */
+static void adopt_divided(tw_core *core, const char *id, const tw_wire_record *head,
+                          uint64_t stamp) {
+    tw_wire_record record;
+    char *text = tw_loaded_text(core, id, head);
+    if (!text || tw_wire_record_parse(&record, id, text, strlen(text))) {
+        tw_log_error("event=bad_record key=" JOB_KEY "%.32s set=%s", id, head->set);
+        free(text);
+        return;
+    }
+    free(text);
+    tw_adopt(core, id, &record, stamp);
+    tw_wire_record_free(&record);
+    job *job = tw_job_find(core, id);
+    if (job) tw_parts_named(core, job, head->set, head->slices);
+}
+
+static void adopt_listed(tw_core *core, tw_wire_listed *listed) {
+    const char *id = listed->key + sizeof JOB_KEY - 1;
+    if (!listed->readable)
+        tw_log_error("event=bad_record key=%.32s", listed->key);
+    else if (tw_job_known(core, id))
+        return;
+    else if (*listed->record.set)
+        adopt_divided(core, id, &listed->record, listed->stamp);
+    else
+        tw_adopt(core, id, &listed->record, listed->stamp);
+}
+
+/* -1: it can't be read. */
+static int take_slices(tw_core *core, const char *body, size_t len) {
+    int more;
+    const int count =
+        tw_loaded_page(core, body, len, &more, core->load_after, sizeof core->load_after);
+    if (count < 0) return -1;
+    if (more && count) return 0;
+    core->load_parts = 0;
+    *core->load_after = 0;
+    return 0;
+}
+
+/* -1: it can't be read. */
+static int take_records(tw_core *core, const char *body, size_t len) {
     tw_wire_listed *listed;
     int count, more;
+    if (tw_wire_records_parse(&listed, &count, &more, JOB_KEY, body, len)) return -1;
+    for (int i = 0; i < count; i++) adopt_listed(core, &listed[i]);
+    if (count) snprintf(core->load_after, sizeof core->load_after, "%s", listed[count - 1].key);
+    tw_wire_records_free(listed, count);
+    if (!more || !count) begin_deciding(core);
+    return 0;
+}
+
+void tw_recover_page(tw_core *core, int status, const char *body, size_t len) {
     core->load_busy = 0;
-    if (status != TW_HTTP_OK || tw_wire_records_parse(&listed, &count, &more, JOB_KEY, body, len)) {
+    const int slices = core->load_parts;
+    if (status != TW_HTTP_OK ||
+        (slices ? take_slices(core, body, len) : take_records(core, body, len))) {
         /* Retries at the limit would leave this term's own renewals no room. */
         core->load_retry =
             core->now + fmax(core->ttl * REFUSED_LEASES, tw_refused_wait_s(core, status));
         return;
     }
     core->state_ok_at = core->now;
-    for (int i = 0; i < count; i++) {
-        const char *id = listed[i].key + sizeof JOB_KEY - 1;
-        if (!listed[i].readable)
-            tw_log_error("event=bad_record key=%.32s", listed[i].key);
-        else if (!tw_job_known(core, id))
-            tw_adopt(core, id, &listed[i].record, listed[i].stamp);
-    }
-    if (count) snprintf(core->load_after, sizeof core->load_after, "%s", listed[count - 1].key);
-    tw_wire_records_free(listed, count);
-    if (more && count)
-        tw_recover_tick(core);
-    else
-        begin_deciding(core);
+    if (core->phase == PH_LOADING) tw_recover_tick(core);
 }
 
 /* The tasks that are done, and those that may run, as the record has them. */
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -1,5 +1,5 @@
 /* The end of a term: everything that belongs to it is forgotten. */
-#include "core/jobs.h"
+#include "core/record_parts.h"
 
 static void forget_set(gone **set) {
     gone *member, *next;
@@ -57,6 +57,9 @@
     forget_set(&core->released);
     forget_rentals(core);
     forget_set(&core->untaken);
+    tw_parts_forget_stale(core);
+    tw_loaded_free(core);
+    core->divides = core->heard_old = 0;
     core->nquiet = 0;
     core->news_busy = 0;
     core->news_since = 0;
--- a/src/core/user_requests.c
+++ b/src/core/user_requests.c
@@ -1,6 +1,6 @@
 /* What users ask: submissions, questions and cancellations. A node that does not lead hands them to
  * the leader, or answers by the state service (docs/design.md, "What users are told"). */
-#include "core/jobs.h"
+#include "core/record_parts.h"
 
 /* The answer to a question that is read from the state service, or handed to the leader, comes
  * within these times; less than the 2 s that users wait. */
@@ -15,6 +15,8 @@
  * told to come back within this time. */
 #define WAIT_RATIO 0.8
 #define LONGEST_RETRY_S 30
+/* One too large to be written until all nodes read divided records comes back after this. */
+#define TOO_LARGE_RETRY_S 5
 #define PATH_SIZE 64
 
 /* At the leader, authority is what counts; see docs/design.md, "What users are told". */
@@ -132,6 +134,11 @@
     }
     if (job) {
         tw_job_wait(core, job, conn, 0);
+        if (job->refusals) tw_job_turn_away(core, job);
+        return;
+    }
+    if (!tw_record_writable(core, spec)) {
+        tw_turn_away(core, conn, spec->id, TOO_LARGE_RETRY_S, "too large for now");
         return;
     }
     double wait_s = tw_write_backlog_s(core);
@@ -156,6 +163,11 @@
     tw_wire_record record = {
         .has_job = 1, .job = *spec, .pieces = spec->pieces, .submitted = core->wall, .next_try = 1};
     char *text = tw_wire_record_text(&record);
+    if (strlen(text) > tw_record_whole_room(core)) {
+        tw_turn_away(core, conn, spec->id, TOO_LARGE_RETRY_S, "too large without a leader");
+        free(text);
+        return;
+    }
     char news[NEWS_KEY_SIZE];
     snprintf(news, sizeof news, NEWS "%s", spec->id);
     tw_wire_cond condition = {key, 0};
@@ -234,7 +246,8 @@
         tw_log_error("event=bad_record id=%.32s", id);
         return;
     }
-    tw_adopt(core, id, &record, entry->stamp);
+    /* Of a divided one the slices are missing; it is one that was over and let go. */
+    if (!*record.set) tw_adopt(core, id, &record, entry->stamp);
     tw_wire_record_free(&record);
 }
 
@@ -258,14 +271,15 @@
         return;
     }
     int over = record.stage != TW_STAGE_PENDING;
-    int stage = over ? record.stage : record.nlive ? TW_STAGE_RUNNING : TW_STAGE_PENDING;
+    const int live = *record.set ? record.set_live : record.nlive;
+    int stage = over ? record.stage : live ? TW_STAGE_RUNNING : TW_STAGE_PENDING;
     if (call->op == OP_ABORT && !over)
         tw_reply_error(core, call->conn, TW_HTTP_UNAVAILABLE, 1, "no leader");
     else if (call->op == OP_ABORT)
         tw_reply(core, call->conn, TW_HTTP_OK, 0, tw_wire_stage_text(call->name, stage, -1, -1));
     else
         tw_reply(core, call->conn, TW_HTTP_OK, 0,
-                 tw_wire_stage_text(call->name, stage, record.ndone, over ? 0 : record.nlive));
+                 tw_wire_stage_text(call->name, stage, record.ndone, over ? 0 : live));
     tw_wire_record_free(&record);
 }
 
--- a/src/wire/peers.c
+++ b/src/wire/peers.c
@@ -3,6 +3,9 @@
 #include "wire/wire.h"
 #include <string.h>
 
+/* Versions to come may read more formats. */
+#define HIGHEST_FORMAT 1000
+
 static const tw_json_field ping_fields[] = {
     {TW_JSON_NAME("name"), TW_JSON_TEXT_AT(tw_wire_ping, name)},
     {TW_JSON_NAME("leader"), TW_JSON_TEXT_AT(tw_wire_ping, leader),
@@ -12,6 +15,9 @@
     {TW_JSON_NAME("leading"), TW_JSON_FLAG_AT(tw_wire_ping, leading)},
     {TW_JSON_NAME("upS"), TW_JSON_SPAN_AT(tw_wire_ping, up_s), .rules = TW_JSON_LENIENT},
     {TW_JSON_NAME("deputyS"), TW_JSON_SPAN_AT(tw_wire_ping, deputy_s), .rules = TW_JSON_LENIENT},
+    {TW_JSON_NAME("recordFormat"),
+     TW_JSON_INTEGER_AT(tw_wire_ping, record_format, TW_RECORD_WHOLE, HIGHEST_FORMAT),
+     .rules = TW_JSON_LENIENT | TW_JSON_OMIT, .fallback = TW_RECORD_WHOLE},
 };
 
 int tw_wire_ping_parse(tw_wire_ping *ping, const char *text, size_t len) {
--- a/src/wire/record.c
+++ b/src/wire/record.c
@@ -10,6 +10,17 @@
 
 /* Longest text of one task that runs, beside its machine's name: "index:attempt:,". */
 #define LIVE_NUMBERS 32
+/* Most slices of a divided record. */
+#define MOST_SLICES 10000
+/* Bytes of a character in a JSON text: escaped by a letter, by a number, and, of others than ASCII,
+ * by numbers, for each byte of theirs. */
+#define ESCAPED 2
+#define NUMBERED 6
+#define NUMBERED_BYTE 3
+#define FIRST_NOT_ASCII 0x80
+/* Bytes of a character after its first one. */
+#define CONTINUED_MASK 0xc0
+#define CONTINUED 0x80
 
 static const tw_json_field stage_field[] = {
     {TW_JSON_NAME("s"), TW_JSON_INTEGER_AT(tw_wire_record, stage, 0, TW_STAGE_ABORTED)},
@@ -26,6 +37,14 @@
      .rules = TW_JSON_LENIENT | TW_JSON_OMIT, .fallback = 1},
 };
 
+/* Of a divided record; "parts" itself is what says that it is one. */
+static const tw_json_field parts_fields[] = {
+    {TW_JSON_NAME("set"), TW_JSON_TEXT_AT(tw_wire_record, set)},
+    {TW_JSON_NAME("n"), TW_JSON_INTEGER_AT(tw_wire_record, slices, 1, MOST_SLICES)},
+    {TW_JSON_NAME("l"), TW_JSON_INTEGER_AT(tw_wire_record, set_live, 0, TW_WIRE_MAX_PIECES),
+     .rules = TW_JSON_LENIENT},
+};
+
 /* ---- reading ---- */
 
 /* Reads "INDEX:ATTEMPT:MACHINE" up to a comma or the end. The end of it, or NULL: it is not that.
@@ -74,8 +93,17 @@
     return 0;
 }
 
+/* The head of a divided record: what it says without its slices. */
+static int read_divided(tw_wire_record *record, const cJSON *object, const cJSON *parts) {
+    if (tw_json_read(object, pieces_field, 1, record, NULL)) return -1;
+    if (tw_json_read(object, progress_fields, 1, record, NULL)) return -1;
+    return tw_json_read(parts, parts_fields, TW_JSON_ROWS(parts_fields), record, NULL);
+}
+
 static int read_record(tw_wire_record *record, const char *id, const cJSON *object) {
     if (tw_json_read(object, stage_field, 1, record, NULL)) return -1;
+    const cJSON *parts = tw_json_get(object, "parts");
+    if (parts) return read_divided(record, object, parts);
     if (read_job(record, id, object)) return -1;
     if (record->stage == TW_STAGE_PENDING && !record->has_job) return -1;
     if (tw_json_read(object, progress_fields, TW_JSON_ROWS(progress_fields), record, NULL))
@@ -188,3 +216,46 @@
     write_lives(object, record);
     return tw_json_finish(object);
 }
+
+char *tw_wire_divided_text(const tw_wire_record *record) {
+    cJSON *object = cJSON_CreateObject();
+    tw_json_write(object, stage_field, 1, record);
+    tw_json_write(object, pieces_field, 1, record);
+    tw_json_write(object, progress_fields, 1, record);
+    cJSON *parts = cJSON_AddObjectToObject(object, "parts");
+    tw_json_write(parts, parts_fields, TW_JSON_ROWS(parts_fields), record);
+    return tw_json_finish(object);
+}
+
+/* ---- slices ---- */
+
+/* Bytes that the text's byte takes in a JSON text, at most. */
+static size_t json_bytes(unsigned char byte) {
+    if (byte == '"' || byte == '\\') return ESCAPED;
+    if (byte < ' ') return NUMBERED;
+    return byte < FIRST_NOT_ASCII ? 1 : NUMBERED_BYTE;
+}
+
+static int within_character(unsigned char byte) { return (byte & CONTINUED_MASK) == CONTINUED; }
+
+char *tw_wire_slice_text(const char *text, size_t most, size_t *taken) {
+    size_t used = sizeof "\"\"" - 1;
+    size_t end = 0;
+    *taken = 0;
+    while (text[end] && used + json_bytes((unsigned char)text[end]) <= most) {
+        used += json_bytes((unsigned char)text[end++]);
+        if (!within_character((unsigned char)text[end])) *taken = end;
+    }
+    char *slice = tw_json_alloc(*taken + 1);
+    memcpy(slice, text, *taken);
+    cJSON *value = cJSON_CreateString(slice);
+    free(slice);
+    return tw_json_finish(value);
+}
+
+char *tw_wire_slice_parse(const char *json) {
+    cJSON *value = cJSON_Parse(json);
+    char *text = cJSON_IsString(value) ? strdup(value->valuestring) : NULL;
+    cJSON_Delete(value);
+    return text;
+}
--- a/src/wire/state.c
+++ b/src/wire/state.c
@@ -110,20 +110,21 @@
 
 static cJSON *write_condition(const tw_wire_cond *condition) {
     cJSON *object = cJSON_CreateObject();
-    cJSON_AddStringToObject(object, "k", condition->key);
-    cJSON_AddNumberToObject(object, "stamp", (double)condition->stamp);
+    cJSON_AddItemToObjectCS(object, "k", cJSON_CreateString(condition->key));
+    cJSON_AddItemToObjectCS(object, "stamp", cJSON_CreateNumber((double)condition->stamp));
     return object;
 }
 
 static cJSON *write_write(const tw_wire_write *write) {
     cJSON *object = cJSON_CreateObject();
     if (!write->data) {
-        cJSON_AddStringToObject(object, "remove", write->key);
+        cJSON_AddItemToObjectCS(object, "remove", cJSON_CreateString(write->key));
         return object;
     }
-    cJSON_AddStringToObject(object, "write", write->key);
-    cJSON_AddRawToObject(object, "data", write->data);
-    if (write->hold) cJSON_AddNumberToObject(object, "hold", (double)write->hold);
+    cJSON_AddItemToObjectCS(object, "write", cJSON_CreateString(write->key));
+    cJSON_AddItemToObjectCS(object, "data", cJSON_CreateRaw(write->data));
+    if (write->hold)
+        cJSON_AddItemToObjectCS(object, "hold", cJSON_CreateNumber((double)write->hold));
     return object;
 }
 
--- a/src/wire/users.c
+++ b/src/wire/users.c
@@ -140,9 +140,10 @@
 char *tw_wire_stage_text(const char *id, int stage, long done, long running) {
     static const char *const words[] = {"pending", "running", "done", "aborted"};
     cJSON *object = cJSON_CreateObject();
-    cJSON_AddStringToObject(object, "id", id);
-    cJSON_AddStringToObject(object, "stage", words[stage]);
-    if (done >= 0) cJSON_AddNumberToObject(object, "done", (double)done);
-    if (running >= 0) cJSON_AddNumberToObject(object, "running", (double)running);
+    cJSON_AddItemToObjectCS(object, "id", cJSON_CreateString(id));
+    cJSON_AddItemToObjectCS(object, "stage", cJSON_CreateString(words[stage]));
+    if (done >= 0) cJSON_AddItemToObjectCS(object, "done", cJSON_CreateNumber((double)done));
+    if (running >= 0)
+        cJSON_AddItemToObjectCS(object, "running", cJSON_CreateNumber((double)running));
     return tw_json_finish(object);
 }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -175,6 +175,10 @@
 } tw_wire_write;
 char *tw_wire_txn_text(const tw_wire_cond *c, size_t nc, const tw_wire_write *w, size_t nw);
 
+/* Formats of records: a node that says the later one reads the earlier ones, too. */
+enum { TW_RECORD_WHOLE = 1, TW_RECORD_DIVIDED };
+/* Room for the name of a set of slices. */
+#define TW_WIRE_SET 48
 /* A task that may run, and its machine. */
 typedef struct {
     int index;
@@ -194,6 +198,9 @@
     char *done_ranges; /* "0-5,7" or NULL */
     int nlive;
     tw_wire_live *live;
+    /* A divided record holds its stage and counts only; its whole text is in these slices. */
+    char set[TW_WIRE_SET]; /* "": it isn't divided */
+    int slices, set_live;  /* how many slices; of its tasks, those that may run */
 } tw_wire_record;
 /* id: the job that its key names. Free the record with tw_wire_record_free. */
 int tw_wire_record_parse(tw_wire_record *r, const char *id, const char *text, size_t len);
@@ -212,6 +219,13 @@
 int tw_wire_record_stage(const char *text, size_t len);
 void tw_wire_record_free(tw_wire_record *r);
 char *tw_wire_record_text(const tw_wire_record *r);
+/* The record that names the slices of its text. */
+char *tw_wire_divided_text(const tw_wire_record *r);
+/* A slice of a text as a JSON value of at most `most` bytes, and in *taken the bytes of the text
+ * that it holds. It ends between two characters. */
+char *tw_wire_slice_text(const char *text, size_t most, size_t *taken);
+/* What a slice holds; NULL: it is none. */
+char *tw_wire_slice_parse(const char *json);
 
 /* ---- peers ---- */
 
@@ -221,8 +235,9 @@
     uint64_t token; /* highest token this node knows of; it answers no worker with a lower one */
     int state_ok;   /* its calls to the state service succeed */
     int leading;
-    double up_s;     /* since it started */
-    double deputy_s; /* since it last answered a worker as a deputy, or started */
+    double up_s;       /* since it started */
+    double deputy_s;   /* since it last answered a worker as a deputy, or started */
+    int record_format; /* what it can read, TW_RECORD_*; 1 where nothing is said */
 } tw_wire_ping;
 int tw_wire_ping_parse(tw_wire_ping *p, const char *text, size_t len);
 /* aborted: cancelled jobs that may still run, said by a leader. */
--- a/src/wire/workers.c
+++ b/src/wire/workers.c
@@ -140,8 +140,8 @@
 char *tw_wire_orders_text(uint64_t baton, uint64_t shift, const tw_wire_order *orders, size_t n) {
     if (!n && !shift) return no_orders_text(baton);
     cJSON *object = cJSON_CreateObject();
-    cJSON_AddNumberToObject(object, "baton", (double)baton);
-    if (shift) cJSON_AddNumberToObject(object, "shift", (double)shift);
+    cJSON_AddItemToObjectCS(object, "baton", cJSON_CreateNumber((double)baton));
+    if (shift) cJSON_AddItemToObjectCS(object, "shift", cJSON_CreateNumber((double)shift));
     cJSON *array = cJSON_AddArrayToObject(object, "orders");
     for (size_t i = 0; i < n; i++) {
         cJSON *item = cJSON_CreateObject();
@@ -153,6 +153,6 @@
 
 char *tw_wire_foreman_text(const char *name) {
     cJSON *object = cJSON_CreateObject();
-    if (name && *name) cJSON_AddStringToObject(object, "foreman", name);
+    if (name && *name) cJSON_AddItemToObjectCS(object, "foreman", cJSON_CreateString(name));
     return tw_json_finish(object);
 }
--- a/tests/unit/wire_dump.c
+++ b/tests/unit/wire_dump.c
@@ -167,6 +167,8 @@
     for (int i = 0; i < record->nlive; i++)
         fprintf(out, " [index=%d attempt=%" PRIu64 " tray=%s]", record->live[i].index,
                 record->live[i].attempt, record->live[i].tray);
+    if (*record->set)
+        fprintf(out, " set=%s slices=%d live=%d", record->set, record->slices, record->set_live);
     fprintf(out, " has_job=%d ", record->has_job);
     if (record->has_job) dump_job(out, &record->job);
 }
@@ -208,7 +210,7 @@
     }
     fprintf(out, "name=%s leader=%s token=%" PRIu64 " state_ok=%d leading=%d up_s=%.17g", ping.name,
             ping.leader, ping.token, ping.state_ok, ping.leading, ping.up_s);
-    fprintf(out, " deputy_s=%.17g", ping.deputy_s);
+    fprintf(out, " deputy_s=%.17g record_format=%d", ping.deputy_s, ping.record_format);
 }
 
 #define JOB                                                                                        \
@@ -260,6 +262,11 @@
      "{\"name\":\"tray-0\",\"leader\":\"tray-1\",\"token\":41,\"stateOk\":true,\"leading\":false,"
      "\"upS\":12.25,\"deputyS\":3.5}",
      parse_ping, 0},
+    {"ping_of_divided_records",
+     "{\"name\":\"tray-0\",\"token\":41,\"stateOk\":true,\"leading\":false,\"recordFormat\":2}",
+     parse_ping, 0},
+    {"record_divided", "{\"s\":0,\"p\":400,\"c\":3,\"parts\":{\"set\":\"41-7\",\"n\":5,\"l\":397}}",
+     parse_record, 0},
     {"records",
      "{\"entries\":[{\"k\":\"job/run-000412\",\"data\":{\"s\":0,\"j\":" JOB ",\"t\":1.5,\"n\":19,"
      "\"l\":\"3:17:n-000231\"},\"stamp\":412},{\"k\":\"job/run-000413\",\"data\":{\"s\":2,\"p\":16,"
--- a/tests/unit/wire_print.c
+++ b/tests/unit/wire_print.c
@@ -112,6 +112,38 @@
     show(out, "record aborted", tw_wire_record_text(&aborted));
 }
 
+/* Shows the slices of a text, each of at most as many bytes of JSON, and that they make it up. */
+static void print_slices(FILE *out, const char *text, size_t most) {
+    char joined[128] = "";
+    while (*text) {
+        size_t taken;
+        char *slice = tw_wire_slice_text(text, most, &taken);
+        char *held = tw_wire_slice_parse(slice);
+        if (!held || !taken) {
+            fprintf(out, "no slice of %zu bytes\n", most);
+            free(slice);
+            free(held);
+            return;
+        }
+        strcat(joined, held);
+        free(held);
+        show(out, "slice", slice);
+        text += taken;
+    }
+    fprintf(out, "joined: %s\n", joined);
+}
+
+static void print_divided(FILE *out) {
+    const tw_wire_record divided = {
+        .pieces = 400, .ndone = 3, .set = "41-7", .slices = 5, .set_live = 397};
+    show(out, "record divided", tw_wire_divided_text(&divided));
+    print_slices(out, "{\"l\":\"0:1:n-0001\",\"x\":\"\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80\"}", 14);
+    print_slices(out, "\xe2\x82\xac", 10);
+    char *none = tw_wire_slice_parse("{\"no\":1}");
+    fprintf(out, "slice of an object: %s\n", none ? none : "(none)");
+    free(none);
+}
+
 static void print_pings(FILE *out) {
     const char *const aborted[] = {"run-000412", "run-000413"};
     const tw_wire_ping leader = {.name = "tray-0",
@@ -124,6 +156,8 @@
     const tw_wire_ping follower = {.name = "tray-1"};
     show(out, "ping leader", tw_wire_ping_text(&leader, aborted, 2));
     show(out, "ping follower", tw_wire_ping_text(&follower, NULL, 0));
+    const tw_wire_ping divides = {.name = "tray-2", .record_format = TW_RECORD_DIVIDED};
+    show(out, "ping divided", tw_wire_ping_text(&divides, NULL, 0));
 }
 
 void print_messages(FILE *out) {
@@ -133,4 +167,5 @@
     print_transactions(out);
     print_records(out);
     print_pings(out);
+    print_divided(out);
 }
