--- a/search/draw.c
+++ b/search/draw.c
@@ -7,7 +7,7 @@
 /* Moments of a day, in seconds. */
 enum { FIRST_ANCHOR_S = 8, LAST_ANCHOR_S = 40, ANCHORS_APART_S = 30 };
 /* Shares of days, in percent. */
-enum { PROMISES = 10, FLOODS = 8, LONG_DAYS = 15, REQUEST_LIMITS = 15 };
+enum { PROMISES = 10, FLOODS = 8, LONG_DAYS = 15, REQUEST_LIMITS = 15, GANG_DAYS = 50 };
 enum { WORLD_SEED_MAX = 9999 };
 enum { TROUBLES_MIN = 2, TROUBLES_MAX = 6 };
 /* After the last trouble of a long day: more than a job may wait by the liveness rules. */
@@ -94,10 +94,15 @@
     const int calm = tw_search_dice_percent(dice, LONG_DAYS)
                          ? CALM_S * TW_SEARCH_SECOND
                          : plan->lease + plan->cancel + 5 * TW_SEARCH_SECOND;
-    tw_search_until(plan, plan->last + calm);
+    const int last = plan->last;
+    tw_search_until(plan, last + calm);
     /* Drawn last: days without it stay as they were. */
     if (tw_search_dice_percent(dice, REQUEST_LIMITS))
         tw_search_day_add(plan->day, "set rps %d", TW_SEARCH_ONE_OF(dice, 10, 15, 20, 30));
+    if (!tw_search_dice_percent(dice, GANG_DAYS)) return;
+    plan->last = last;
+    tw_search_draw_gangs(plan);
+    tw_search_until(plan, plan->last + calm);
 }
 
 void tw_search_draw(uint32_t seed, tw_search_day *day) {
--- a/search/draw_jobs.c
+++ b/search/draw_jobs.c
@@ -25,6 +25,8 @@
 enum { LOOKING_CLOSELY = 25, CANCELLING_AT_END = 15, ASKING_ODDLY = 10 };
 enum { JOBS_MIN = 3, JOBS_MAX = 10, FLOOD_MIN = 20, FLOOD_MAX = 80, FLOOD_STEP = 25 };
 enum { SAME_PLACE_GROUPS = 60, SAME_PLACE = 15, APART = 25, BIG_IMAGES = 30, LATE_JOBS = 30 };
+/* Of days with gangs. */
+enum { GANGS_MIN = 1, GANGS_MAX = 4, GANG_TIMES = 60, GANGS_SAVING = 75, RIVALS = 60 };
 enum { OPTIONS_SIZE = 300 };
 /* Hundredths of a second. */
 enum { FIRST_SUBMISSION = 300, FETCH = 100, SHORTEST_RUN = 20, AT_ONCE = 20, AT_THE_END = 50 };
@@ -34,6 +36,7 @@
     char id[16], options[OPTIONS_SIZE];
     int submitted, run, end; /* end: when it ends, about; 0 for a service */
     int service, group, pieces;
+    int saving; /* percent */
 } job;
 
 static void option(job *made, const char *format, int value) {
@@ -44,6 +47,7 @@
 static void new_id(tw_search_plan *plan, job *made) {
     memset(made, 0, sizeof *made);
     snprintf(made->id, sizeof made->id, "run-%06d", ++plan->jobs);
+    made->saving = SAVING;
 }
 
 /* Questions at one node after the other, a hundredth to some tenths of a second apart. */
@@ -126,7 +130,7 @@
             option(made, " due=%d",
                    1 + made->run * TW_SEARCH_ONE_OF(dice, 150, 300, 600) / 100 / TW_SEARCH_SECOND);
     }
-    if (tw_search_dice_percent(dice, SAVING)) {
+    if (tw_search_dice_percent(dice, made->saving)) {
         option(made, " snapshot=%d", TW_SEARCH_ONE_OF(dice, 1, 5));
         option(made, " flush=%d", TW_SEARCH_ONE_OF(dice, 1, 3));
     }
@@ -200,6 +204,53 @@
     draw_users(plan, &made);
 }
 
+/* Its tasks are there, or come, when an anchor does. */
+static void draw_gang(tw_search_plan *plan) {
+    tw_search_dice *dice = &plan->dice;
+    const int anchor = tw_search_anchor(plan);
+    job made;
+    new_id(plan, &made);
+    made.group = 1;
+    made.saving = GANGS_SAVING;
+    made.pieces = TW_SEARCH_ONE_OF(dice, 2, 2, 3, 3, 4, 6, 8, 12);
+    made.submitted = tw_search_dice_half(dice) ? anchor - tw_search_dice_range(dice, 0, plan->lease)
+                                               : tw_search_near(plan, anchor);
+    if (made.submitted < FIRST_SUBMISSION) made.submitted = FIRST_SUBMISSION;
+    option(&made, " shape=group pieces=%d", made.pieces);
+    draw_amounts(plan, &made);
+    draw_place(plan, &made);
+    draw_run(plan, &made);
+    draw_rest(plan, &made);
+    tw_search_at(plan, made.submitted, "submit %s%s", made.id, made.options);
+    draw_users(plan, &made);
+}
+
+/* Replicas for which gangs may have to make room. */
+static void draw_rival(tw_search_plan *plan) {
+    tw_search_dice *dice = &plan->dice;
+    job made;
+    new_id(plan, &made);
+    made.submitted = tw_search_near(plan, tw_search_anchor(plan));
+    if (made.submitted < FIRST_SUBMISSION) made.submitted = FIRST_SUBMISSION;
+    tw_search_at(plan, made.submitted,
+                 "submit %s shape=service rank=prod pieces=%d cores=%d crew=crew-%d", made.id,
+                 TW_SEARCH_ONE_OF(dice, 1, 2, 4), TW_SEARCH_ONE_OF(dice, 4, 8),
+                 tw_search_dice_range(dice, 0, plan->teams - 1));
+}
+
+void tw_search_draw_gangs(tw_search_plan *plan) {
+    tw_search_dice *dice = &plan->dice;
+    if (tw_search_dice_percent(dice, GANG_TIMES)) {
+        const int wait = plan->lease * TW_SEARCH_ONE_OF(dice, 40, 100, 150, 350) / 100;
+        const int peer = plan->lease * TW_SEARCH_ONE_OF(dice, 5, 10, 25, 50) / 100;
+        tw_search_day_add(plan->day, "set gang_wait %s", tw_search_seconds_of(wait).text);
+        tw_search_day_add(plan->day, "set gang_peer %s", tw_search_seconds_of(peer).text);
+    }
+    const int count = tw_search_dice_range(dice, GANGS_MIN, GANGS_MAX);
+    for (int i = 0; i < count; i++) draw_gang(plan);
+    if (tw_search_dice_percent(dice, RIVALS)) draw_rival(plan);
+}
+
 /* What all users do for a while, from before an anchor on. */
 void tw_search_draw_habits(tw_search_plan *plan) {
     tw_search_dice *dice = &plan->dice;
--- a/sim/judge_live.c
+++ b/sim/judge_live.c
@@ -30,11 +30,15 @@
 
 static int is_on_machine(const tw_sim_task *t) { return t->job && t->stage != TW_PIECE_EXITED; }
 
+static int has_begun(const tw_sim_task *t) {
+    return t->stage != TW_PIECE_PULLING && t->stage != TW_PIECE_WAITING;
+}
+
 /* What each machine can still take (less than nothing: no task may start there). Counts each job's
  * tasks on machines. */
 static room *free_rooms(tw_sim_world *w) {
     room *rooms = tw_sim_zeroed((size_t)(w->nworkers + 1) * sizeof *rooms);
-    for (int i = 0; i < w->njobs; i++) w->jobs[i]->on_machine = 0;
+    for (int i = 0; i < w->njobs; i++) w->jobs[i]->on_machine = w->jobs[i]->unstarted = 0;
     for (int i = 0; i < w->nworkers; i++) {
         const tw_sim_worker *x = w->workers[i];
         const tw_wire_flavor *f = &w->types[x->type_index];
@@ -45,6 +49,7 @@
             tw_sim_job *job = x->tasks[k].job;
             if (!is_on_machine(&x->tasks[k])) continue;
             job->on_machine++;
+            job->unstarted += job->spec.gang && !has_begun(&x->tasks[k]);
             rooms[i].cpus -= job->spec.cores;
             rooms[i].gpus -= job->spec.gpus;
             rooms[i].memory -= job->spec.memory_gb;
@@ -84,13 +89,17 @@
     return n >= wanted;
 }
 
-/* So many tasks must start together, or one. */
-static int tasks_at_once(const tw_wire_job *spec) {
+/* So many tasks must start together, or one. Those of a gang that wait already have their room; in
+ * one zone they may be in the wrong one. */
+static int tasks_at_once(const tw_sim_job *job) {
+    const tw_wire_job *spec = &job->spec;
+    if (spec->gang && !spec->same_place) return spec->pieces - job->unstarted;
     return spec->gang || (spec->service && spec->same_place) ? spec->pieces : 1;
 }
 
-static int could_start(const tw_sim_world *w, const room *rooms, const tw_wire_job *spec) {
-    int wanted = tasks_at_once(spec);
+static int could_start(const tw_sim_world *w, const room *rooms, const tw_sim_job *job) {
+    const tw_wire_job *spec = &job->spec;
+    int wanted = tasks_at_once(job);
     if (wanted > 1 && spec->apart) return 0; /* not judged */
     if (!spec->same_place || wanted == 1) return has_room(w, rooms, spec, NULL, wanted);
     for (int i = 0; i < w->nworkers; i++)
@@ -98,8 +107,9 @@
     return 0;
 }
 
-static int is_under_limit(const tw_sim_world *w, const tw_wire_job *spec) {
-    int wanted = tasks_at_once(spec), i = 0;
+static int is_under_limit(const tw_sim_world *w, const tw_sim_job *job) {
+    const tw_wire_job *spec = &job->spec;
+    int wanted = tasks_at_once(job), i = 0;
     while (i < w->nteams && strcmp(w->teams[i].name, spec->crew) != 0) i++;
     if (i == w->nteams) return 0;
     double cpus = wanted * spec->cores, gpus = wanted * spec->gpus;
@@ -118,15 +128,19 @@
            (team->gpus_max <= 0 || gpus <= team->gpus_max + EPSILON);
 }
 
-/* Accepted, not cancelled, not over, and no task of it is on a machine. */
+/* Tasks on machines that do something useful there, or will by themselves. */
+static int useful(const tw_sim_job *job) { return job->on_machine - job->unstarted; }
+
+/* Accepted, not cancelled, not over, and no task of it is on a machine, or only such that wait for
+ * the rest of their gang. */
 static int is_waiting(const tw_sim_job *job) {
     return job->accepted && job->cancel_asked_at <= 0 && !job->fails && !job->told_over &&
-           job->ndone < job->spec.pieces && !job->on_machine;
+           job->ndone < job->spec.pieces && !useful(job);
 }
 
 static void judge_waiting(tw_sim_world *w, tw_sim_job *job, const room *rooms) {
-    int waits = w->now >= w->troubles_end && is_waiting(job) && could_start(w, rooms, &job->spec) &&
-                is_under_limit(w, &job->spec);
+    int waits = w->now >= w->troubles_end && is_waiting(job) && could_start(w, rooms, job) &&
+                is_under_limit(w, job);
     if (!waits)
         job->waits_since = 0;
     else if (job->waits_since <= 0)
@@ -160,7 +174,7 @@
 
 /* At least half of its tasks are done or on a machine. */
 static int is_served(const tw_sim_job *job) {
-    return job->ndone + job->on_machine >= LEAST_SERVED * job->spec.pieces;
+    return job->ndone + useful(job) >= LEAST_SERVED * job->spec.pieces;
 }
 
 static int began_in_time(const tw_sim_job *job) {
--- a/sim/world.h
+++ b/sim/world.h
@@ -107,6 +107,7 @@
     int cancel_status;  /* of the last cancellation */
     double answered_at; /* the last question about it */
     int on_machine;     /* tasks on machines, counted by judge_live.c */
+    int unstarted;      /* those of them whose gang has not begun */
     double waits_since; /* > 0: it could have run and doesn't */
     int index;          /* in world.jobs */
     UT_hash_handle hh;
--- a/tests/runner/sim_test.c
+++ b/tests/runner/sim_test.c
@@ -179,6 +179,20 @@
     expect_rule(&w, rule, what);
 }
 
+/* One task of a gang of three waits, and its machine has room for so many more. */
+static void waiting_gang_case(int free_tasks, const char *rule, const char *what) {
+    tw_sim_world w;
+    world_of_one_machine(&w);
+    tw_sim_job *gang = accepted_job(&w, "run-000003", 1);
+    gang->spec.gang = 1;
+    gang->spec.cores = 4.0 / (1 + free_tasks);
+    gang->spec.pieces = 3;
+    put_on_machine(&w, gang);
+    w.workers[0]->tasks[0].stage = TW_PIECE_WAITING;
+    pass(&w, 120, 1);
+    expect_rule(&w, rule, what);
+}
+
 static void test_stuck(void) {
     stuck_case(0, 0, 0, 0, "stuck", "a job waits beside an empty machine");
     stuck_case(2, 0, 0, 0, "stuck", "a job waits beside a machine with just enough room");
@@ -194,6 +208,15 @@
     gang->spec.pieces = 3;
     pass(&w, 120, 1);
     expect_rule(&w, "", "a gang that doesn't fit as a whole");
+    waiting_gang_case(2, "stuck", "a gang whose tasks wait for ever beside room for the rest");
+    waiting_gang_case(1, "", "a gang that can't be completed");
+    world_of_one_machine(&w);
+    gang = accepted_job(&w, "run-000003", 2);
+    gang->spec.gang = 1;
+    gang->spec.pieces = 2;
+    put_on_machine(&w, gang);
+    pass(&w, 120, 1);
+    expect_rule(&w, "", "a gang that runs");
     world_of_one_machine(&w);
     strcpy(accepted_job(&w, "run-000004", 2)->spec.yard, "b");
     pass(&w, 120, 1);
