--- a/search/pool.c
+++ b/search/pool.c
@@ -28,6 +28,7 @@
 struct tw_search_pool {
     worker *workers;
     unsigned count;
+    tw_search_draw_function *draw;
     char directory[512];
 };
 
@@ -44,12 +45,13 @@
     if (tw_search_day_write(day, comment, result->path)) *result->path = 0;
 }
 
-static void work_on(const request *given, const char *directory, tw_search_result *result) {
+static void work_on(const request *given, tw_search_draw_function *draw, const char *directory,
+                    tw_search_result *result) {
     tw_search_day day = {0};
     memset(result, 0, sizeof *result);
     result->seed = given->seed;
     result->shrunk = given->shrink;
-    tw_search_draw(given->seed, &day);
+    draw(given->seed, &day);
     if (!given->shrink) {
         tw_search_limit_time();
         tw_search_play(&day, &result->verdict);
@@ -64,7 +66,7 @@
     tw_search_day_free(&day);
 }
 
-static _Noreturn void work(int requests, int results, const char *directory, pid_t parent) {
+static _Noreturn void work(int requests, int results, const tw_search_pool *pool, pid_t parent) {
     request given;
     tw_search_result result;
     signal(SIGINT, SIG_IGN); /* the parent ends us */
@@ -72,7 +74,7 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent) _exit(0);
     while (read(requests, &given, sizeof given) == (ssize_t)sizeof given) {
-        work_on(&given, directory, &result);
+        work_on(&given, pool->draw, pool->directory, &result);
         if (write(results, &result, sizeof result) != (ssize_t)sizeof result) break;
     }
     _exit(0);
@@ -80,7 +82,7 @@
 
 /* ---- in the parent ---- */
 
-static int start(worker *started, const char *directory) {
+static int start(worker *started, const tw_search_pool *pool) {
     int requests[2], results[2];
     const pid_t parent = getpid();
     if (pipe(requests)) return -1;
@@ -93,7 +95,7 @@
     if (!started->process) {
         close(requests[1]);
         close(results[0]);
-        work(requests[0], results[1], directory, parent);
+        work(requests[0], results[1], pool, parent);
     }
     close(requests[0]);
     close(results[1]);
@@ -115,14 +117,15 @@
     return status;
 }
 
-tw_search_pool *tw_search_pool_new(unsigned workers, const char *directory) {
+tw_search_pool *tw_search_pool_new(unsigned workers, tw_search_draw_function *draw,
+                                   const char *directory) {
     tw_search_pool *pool = calloc(1, sizeof *pool);
     if (!pool) abort();
     pool->workers = calloc(workers, sizeof *pool->workers);
     if (!pool->workers) abort();
+    pool->draw = draw;
     snprintf(pool->directory, sizeof pool->directory, "%s", directory);
-    while (pool->count < workers && !start(&pool->workers[pool->count], pool->directory))
-        pool->count++;
+    while (pool->count < workers && !start(&pool->workers[pool->count], pool)) pool->count++;
     if (pool->count) return pool;
     tw_search_pool_free(pool);
     return NULL;
@@ -160,7 +163,7 @@
     result->seed = from->given.seed;
     result->shrunk = from->given.shrink;
     tw_search_ended_by(end(from), &result->verdict);
-    if (start(from, pool->directory)) *from = pool->workers[--pool->count];
+    if (start(from, pool)) *from = pool->workers[--pool->count];
 }
 
 int tw_search_pool_wait(tw_search_pool *pool, int milliseconds, tw_search_result *result) {
--- a/search/search.h
+++ b/search/search.h
@@ -39,7 +39,10 @@
 int tw_search_day_read(tw_search_day *day, const char *path);
 
 /* Draws the day of a seed into an empty day. */
-void tw_search_draw(uint32_t seed, tw_search_day *day);
+typedef void tw_search_draw_function(uint32_t seed, tw_search_day *day);
+tw_search_draw_function tw_search_draw;
+/* The same day, with nodes of the earlier version that are upgraded one after the other. */
+tw_search_draw_function tw_search_draw_upgrade;
 
 /* Plays a day in this process. A line that the world does not take is a
  * verdict as well. */
@@ -64,8 +67,10 @@
     tw_sim_verdict verdict; /* verdict.failed: the day broke verdict.rule */
 } tw_search_result;
 
-/* `directory`: where shrunk days are written. NULL if no process could be started. */
-tw_search_pool *tw_search_pool_new(unsigned workers, const char *directory);
+/* `draw`: which days the seeds are; `directory`: where shrunk days are written. NULL if no process
+ * could be started. */
+tw_search_pool *tw_search_pool_new(unsigned workers, tw_search_draw_function *draw,
+                                   const char *directory);
 /* How many workers have nothing to do. */
 unsigned tw_search_pool_idle(const tw_search_pool *pool);
 unsigned tw_search_pool_busy(const tw_search_pool *pool);
--- a/sim/controller_remote.c
+++ b/sim/controller_remote.c
@@ -6,17 +6,20 @@
 #include "world.h"
 #include <errno.h>
 #include <inttypes.h>
+#include <signal.h>
 #include <spawn.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define MAX_HEAD 512 /* longest first line of a message */
-#define ENDED "the process of the other version has ended"
+#define MAX_HEAD 512       /* longest first line of a message */
+#define ANSWER_WITHIN_S 60 /* of real time; a message takes well under a second */
+#define ENDED "the process of the other version has ended or does not answer"
 #define NOT_UNDERSTOOD "the process of the other version gave an answer that has no meaning"
 
 typedef struct {
@@ -50,13 +53,15 @@
         close(ends[0]);
         return result;
     }
+    const struct timeval patience = {.tv_sec = ANSWER_WITHIN_S};
+    setsockopt(ends[0], SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
     remote->to = ends[0];
     remote->from = fdopen(ends[0], "r");
     if (!remote->from) abort();
     return 0;
 }
 
-/* The process ends when its input does. */
+/* The process ends when its input does, unless it has failed to answer. */
 static void end(tw_sim_controller *controller) {
     remote_controller *remote = (remote_controller *)controller;
     while (remote->first) {
@@ -65,6 +70,7 @@
         tw_core_fx_free(effect);
     }
     fclose(remote->from);
+    if (controller->failure) kill(remote->process, SIGKILL);
     while (waitpid(remote->process, NULL, 0) < 0 && errno == EINTR) continue;
     free(remote);
 }
--- a/tests/runner/search_test.c
+++ b/tests/runner/search_test.c
@@ -46,6 +46,29 @@
     check(digest == DRAWN_DIGEST, "the seeds draw other days than they did");
 }
 
+/* Days with two versions: the language takes them, each has a node of the earlier version, and the
+ * most have an upgrade. */
+static void test_upgrade_draws(void) {
+    char error[256];
+    int upgrades = 0;
+    for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+        tw_search_day day = {0};
+        int old = 0, upgraded = 0;
+        tw_search_draw_upgrade(seed, &day);
+        tw_sim *sim = tw_sim_new(NULL);
+        for (size_t i = 0; i < day.count; i++) {
+            check(!tw_sim_line(sim, day.lines[i], error, sizeof error), error);
+            old |= !strncmp(day.lines[i], "old ", strlen("old "));
+            upgraded |= strstr(day.lines[i], " upgrade ") != NULL;
+        }
+        check(old, "a day of two versions has no old node");
+        upgrades += upgraded;
+        tw_sim_free(sim);
+        tw_search_day_free(&day);
+    }
+    check(upgrades > SEEDS * 3 / 4 && upgrades < SEEDS, "upgrades are too few or never stop");
+}
+
 static void test_plays(void) {
     for (uint32_t seed = 1; seed <= PLAYED_SEEDS; seed++) {
         tw_search_day day = {0};
@@ -111,7 +134,7 @@
 }
 
 static void test_pool(void) {
-    tw_search_pool *pool = tw_search_pool_new(2, "/tmp");
+    tw_search_pool *pool = tw_search_pool_new(2, tw_search_draw, "/tmp");
     tw_search_result result;
     unsigned got = 0;
     check(pool && tw_search_pool_idle(pool) == 2, "no workers");
@@ -125,6 +148,7 @@
 
 int main(void) {
     test_draws();
+    test_upgrade_draws();
     test_plays();
     test_shrinks();
     test_pool();
--- a/tools/explore/explore.c
+++ b/tools/explore/explore.c
@@ -22,7 +22,7 @@
     double seconds;         /* 0: until all days are played */
     const char *directory, *rule, *play;
     uint32_t print;
-    int until_first, each;
+    int until_first, each, upgrade;
 } options;
 
 typedef struct {
@@ -68,6 +68,9 @@
     {"rule", 'r', "NAME", 0, "shrink only days that break this rule; all are counted", 0},
     {"first", 'f', 0, 0, "begin no further day once one broke a rule", 0},
     {"each", 'e', 0, 0, "a line for each day: seed, digest of what was told, broken rule", 0},
+    {"upgrade", 'u', 0, 0,
+     "nodes begin as ones of the earlier version, which TW_EARLIER_CORE plays, and are upgraded",
+     0},
     {0}};
 
 static uint32_t seed_of(struct argp_state *state, const char *text, char **rest) {
@@ -141,6 +144,9 @@
     case 'e':
         chosen->each = 1;
         break;
+    case 'u':
+        chosen->upgrade = 1;
+        break;
     case 'p':
         chosen->print = seed_of(state, text, &rest);
         if (*rest) argp_error(state, "not a seed: %s", text);
@@ -264,9 +270,9 @@
 
 /* ---- single days ---- */
 
-static int print_day(uint32_t seed) {
+static int print_day(uint32_t seed, tw_search_draw_function *draw) {
     tw_search_day day = {0};
-    tw_search_draw(seed, &day);
+    draw(seed, &day);
     for (size_t i = 0; i < day.count; i++) puts(day.lines[i]);
     tw_search_day_free(&day);
     return 0;
@@ -313,8 +319,13 @@
     fresh_seeds(DAYS_DEFAULT, &run.options);
     argp_err_exit_status = USAGE;
     argp_parse(&argp, argc, argv, 0, 0, &run.options);
-    if (run.options.print) return print_day(run.options.print);
+    tw_search_draw_function *draw = run.options.upgrade ? tw_search_draw_upgrade : tw_search_draw;
+    if (run.options.print) return print_day(run.options.print, draw);
     if (run.options.play) return play_file(run.options.play);
+    if (run.options.upgrade && !getenv("TW_EARLIER_CORE")) {
+        fputs("TW_EARLIER_CORE names no program of the earlier version\n", stderr);
+        return 2;
+    }
     if (run.options.shrinks && make_directories(run.options.directory)) {
         fprintf(stderr, "%s: %s\n", run.options.directory, strerror(errno));
         return 2;
@@ -325,7 +336,8 @@
     signal(SIGPIPE, SIG_IGN);
     run.next = run.options.first;
     run.terminal = isatty(STDERR_FILENO);
-    run.pool = tw_search_pool_new(run.options.jobs ? run.options.jobs : 1, run.options.directory);
+    run.pool =
+        tw_search_pool_new(run.options.jobs ? run.options.jobs : 1, draw, run.options.directory);
     if (!run.pool) {
         fprintf(stderr, "no process could be started: %s\n", strerror(errno));
         return 2;
