--- a/tests/unit/conversation.c
+++ b/tests/unit/conversation.c
@@ -193,7 +193,7 @@
     tw_sim_worker *machine = tw_sim_rent(w, 0, "a", 0, 0);
     machine->up = 1;
     w->refuse = 1;
-    w->state.write_tokens = w->state.write_rps;
+    w->state.write_tokens = w->state.limits.write_rps;
 }
 
 void conversation_end(conversation *c) {
