--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -80,6 +80,7 @@
 int tw_constraints_machine(const tw_core *core, const job *job, const machine *machine) {
     if (!(job->rackmask & (1U << machine->rack)) || (machine->loaner && !job->s.loaner)) return 0;
     if (!tw_sick_allows(machine) || tw_gang_has_left(job, machine)) return 0;
+    if (!tw_gang_hold_allows(core, job, machine)) return 0;
     for (int i = 0; i < job->nbad; i++)
         if (job->bad[i] == machine && core->now < job->bad_until) return 0;
     return 1;
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -213,6 +213,7 @@
     struct {
         double c, g, m;
     } held[TW_RANK_PROD + 1]; /* the rest of it, by rank */
+    int held;                 /* scratch of a pass: for the gang c->holder, see gang_hold.c */
     int zone;                 /* index in c->yards, -1: not known, or too many */
     int direct_busy, want_direct, want_probe;
     double direct_after;           /* no direct orders before this */
@@ -495,6 +496,7 @@
     uint64_t steps;    /* machines looked at in passes over the fleet: what such a pass costs */
     tw_futile *futile; /* kinds of tasks that found no room in this pass, see futile.c */
     int nfutile, futile_cap;
+    struct job *holder;              /* gang that machines are held for in this pass; NULL: none */
     struct tw_candidate *candidates; /* machines that this pass may use, see candidates.c */
     int ncandidates, candidates_cap;
     struct tw_score_table *score_tables; /* of this pass, see scores.c */
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -185,11 +185,12 @@
 
 /* ---- time ---- */
 
-/* Whether all that may run belongs to the attempt, and none of it is to stop. */
+/* Whether all that may run belongs to the attempt, and none of it is to stop by itself. */
 static int is_one_attempt(const job *job) {
+    const int stops = job->gang.state == GANG_STOPPING;
     const placement *task;
     DL_FOREACH2(job->live, task, jnext)
-    if (task->attempt != job->gang.attempt || task->kill) return 0;
+    if (task->attempt != job->gang.attempt || (task->kill && !stops)) return 0;
     return 1;
 }
 
--- /dev/null
+++ b/src/core/gang_hold.c
@@ -0,0 +1,124 @@
+/* Room held for a gang. Small jobs take each piece of room as it is given back, so that a gang,
+ * which needs room for all its tasks at once, might never find it. So the one that has waited
+ * longest for longer than HOLD_AFTER_S gets the machines on which room for all of it is expected
+ * soonest: work of its priority or a lower one, replicas apart, gets nothing new there until it is
+ * placed. That lasts for HOLD_MOST_S at most, and then as long pauses, so that others don't wait
+ * without end either. Nothing is held where the running tasks are not expected to end in that time.
+ */
+#include "core/scheduler_int.h"
+
+#define HOLD_AFTER_S (TW_BEGIN_S / 8)
+#define HOLD_MOST_S (TW_BEGIN_S / 4)
+#define ROUNDING 1e-6
+
+typedef struct {
+    machine *machine;
+    int tasks; /* of the gang that it will hold */
+    double at; /* when */
+} expectation;
+
+/* Whether the gang has waited for so long, and does not pause after it held room in vain. */
+static int may_hold(const tw_core *core, const job *job) {
+    if (!job->has_spec || !job->s.gang || !tw_job_pending(core, job) || job->nlive) return 0;
+    const double since_s = core->now - fmax(job->submitted, job->pending_since) - HOLD_AFTER_S;
+    return since_s >= 0 && fmod(since_s, 2 * HOLD_MOST_S) < HOLD_MOST_S;
+}
+
+static job *longest_waiting(tw_core *core) {
+    job *best = NULL;
+    job *each;
+    DL_FOREACH(core->active, each)
+    if (may_hold(core, each) && (!best || each->submitted < best->submitted)) best = each;
+    return best;
+}
+
+/* When a task is expected to end; INFINITY: a replica's. */
+static double expected_end(const tw_core *core, const placement *placed) {
+    if (placed->kill) return core->now;
+    if (placed->job->s.service || !placed->job->has_spec) return INFINITY;
+    const double run_s = tw_estimate(placed->job) * tw_slowness(core, placed->m);
+    return fmax(core->now, (placed->run_at > 0 ? placed->run_at : core->now) + run_s);
+}
+
+/* How many tasks of the gang a machine should hold soon, and when. */
+static expectation expect(const tw_core *core, const job *job, machine *machine) {
+    const tw_wire_flavor *type = &core->flavors[machine->rack].f;
+    const double horizon = core->now + HOLD_MOST_S;
+    bin room = {.rack = machine->rack,
+                .c = type->cores - machine->used_c,
+                .g = type->gpus - machine->used_g,
+                .mem = type->memory_gb - machine->used_m};
+    expectation result = {.machine = machine, .at = core->now};
+    const placement *placed;
+    DL_FOREACH(machine->pls, placed) {
+        const double end = placed->on_job ? expected_end(core, placed) : INFINITY;
+        if (end > horizon) continue;
+        tw_bin_give(&room, &placed->job->s);
+        result.at = fmax(result.at, end);
+    }
+    while (result.tasks < job->pieces && tw_bin_fits(&room, &job->s) &&
+           tw_bin_leaves_gpus(core, &room, &job->s, job->any_machine)) {
+        tw_bin_take(&room, &job->s);
+        result.tasks++;
+    }
+    return result;
+}
+
+static int by_time(const void *one, const void *other) {
+    const expectation *a = one;
+    const expectation *b = other;
+    if (a->at != b->at) return a->at < b->at ? -1 : 1;
+    return strcmp(a->machine->name, b->machine->name);
+}
+
+/* Holds the machines in the zone (-1: in all) where the room comes soonest. Returns when that is;
+ * INFINITY: there is not enough. mark: else it is only looked at. */
+static double hold_in(tw_core *core, job *job, int zone, int mark) {
+    const tw_demand demand = tw_demand_of(core, job);
+    expectation *all = tw_zalloc((size_t)core->ncandidates * sizeof *all);
+    int count = 0;
+    int tasks = 0;
+    double at = INFINITY;
+    for (int i = 0; i < core->ncandidates; i++) {
+        machine *machine = core->candidates[i].machine;
+        core->steps++;
+        if ((zone >= 0 && machine->zone != zone) || !tw_constraints_machine(core, job, machine) ||
+            !tw_constraints_zone(core, &demand, machine))
+            continue;
+        all[count] = expect(core, job, machine);
+        if (all[count].tasks) count++;
+    }
+    qsort(all, (size_t)count, sizeof *all, by_time);
+    for (int i = 0; i < count && tasks < job->pieces; i++) {
+        tasks += all[i].tasks;
+        if (mark) all[i].machine->held = 1;
+        if (tasks >= job->pieces) at = all[i].at;
+    }
+    free(all);
+    return at;
+}
+
+void tw_gang_hold(tw_core *core) {
+    for (int i = 0; i < core->ncandidates; i++) core->candidates[i].machine->held = 0;
+    core->holder = NULL;
+    job *job = longest_waiting(core);
+    if (!job) return;
+    int best = -1;
+    double soonest = job->s.same_place ? INFINITY : hold_in(core, job, -1, 0);
+    for (int zone = 0; job->s.same_place && zone < core->nyards; zone++) {
+        const double at = hold_in(core, job, zone, 0);
+        if (at >= soonest) continue;
+        soonest = at;
+        best = zone;
+    }
+    if (!isfinite(soonest)) return;
+    hold_in(core, job, best, 1);
+    core->holder = job;
+    tw_log_debug("event=hold id=%s zone=%d in_s=%.1f", job->id, best, soonest - core->now);
+}
+
+int tw_gang_hold_allows(const tw_core *core, const job *job, const machine *machine) {
+    const struct job *holder = core->holder;
+    if (!holder || !machine->held || holder == job || job->s.service) return 1;
+    return job->s.rank > holder->s.rank;
+}
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -66,6 +66,7 @@
 
 void tw_job_free(tw_core *core, job *job) {
     HASH_DEL(core->jobs, job);
+    if (core->holder == job) core->holder = NULL;
     if (job->in_cancelled) DL_DELETE2(core->cancelled, job, cprev, cnext);
     for (waiter *waiter = job->waiters, *next; waiter; waiter = next) {
         next = waiter->next;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -114,6 +114,7 @@
 
 static void begin_pass(tw_core *core) {
     tw_candidates_begin(core);
+    tw_gang_hold(core);
     tw_reserve_note(core);
     tw_futile_forget(core);
     tw_scores_forget(core);
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -24,9 +24,18 @@
            room->memory_gb + tolerance >= spec->memory_gb;
 }
 
-static int may_stop(const job *job, const placement *placed) {
+/* A gang that can't be told as a whole would lose what it has done: it is left alone until then. */
+static int would_lose_gang(const tw_core *core, const placement *placed) {
+    const job *job = placed->job;
+    return job->s.gang && job->s.snapshot_s > 0 && job->gang.state == GANG_RUNNING &&
+           placed->run_at > 0 &&
+           (placed->inherited || core->now - placed->run_at > job->s.flush_s) &&
+           !tw_gang_can_save(core, job);
+}
+
+static int may_stop(const tw_core *core, const job *job, const placement *placed) {
     return placed->on_job && !placed->kill && placed->job->has_spec &&
-           placed->job->s.rank < job->s.rank;
+           placed->job->s.rank < job->s.rank && !would_lose_gang(core, placed);
 }
 
 /* Run time of a task that is lost when it is stopped. */
@@ -78,7 +87,7 @@
     placement *placed;
     *least = INFINITY;
     DL_FOREACH(machine->pls, placed) {
-        if (!may_stop(job, placed) || placed->mark == CHOSEN) continue;
+        if (!may_stop(core, job, placed) || placed->mark == CHOSEN) continue;
         if (job->s.gpus > 0 && placed->job->s.gpus <= 0 && room->gpus + ROUNDING < job->s.gpus)
             continue;
         const double cost = gang_is_chosen(machine, placed) ? 0 : cost_of(core, placed);
--- a/src/core/scheduler_int.h
+++ b/src/core/scheduler_int.h
@@ -107,6 +107,12 @@
  * together have the room. 0: none. */
 uint32_t tw_gang_zones(tw_core *core, struct job *job, int tasks);
 
+/* gang_hold.c */
+/* A pass begins, its candidates are known: which machines are held for a gang that waits. */
+void tw_gang_hold(tw_core *core);
+/* Whether the job may use the machine although it may be held for another. */
+int tw_gang_hold_allows(const tw_core *core, const struct job *job, const struct machine *machine);
+
 /* preempt.c */
 /* A machine where stopping work of lower rank makes room, at the least loss; the work is told to
  * stop. in_time: only one where the deadline is met. *kept is set as in tw_choice. */
--- a/src/core/scores.c
+++ b/src/core/scores.c
@@ -12,7 +12,7 @@
     double cores, gpus, memory_gb, image_gb, estimate_s;
     uint32_t types, image_sum;
     char image[TW_WIRE_NAME];
-    int spot, service, any_machine;
+    int spot, service, any_machine, rank;
     const lane *class;
     const job *own; /* a job that passes some machines over shares its scores with none */
 } kind;
@@ -26,7 +26,7 @@
 /* The job, if it has to pass over machines that it failed on, or was on under the same attempt. */
 static const job *own_scores(const job *job) { return job->nbad || job->gang.nleft ? job : NULL; }
 
-static int same_kind(const kind *known, const tw_demand *demand) {
+static int same_kind(const tw_core *core, const kind *known, const tw_demand *demand) {
     const job *job = demand->job;
     const tw_wire_job *spec = &job->s;
     if (known->cores != spec->cores || known->gpus != spec->gpus ||
@@ -35,12 +35,13 @@
         return 0;
     if (known->types != job->rackmask || known->spot != spec->loaner ||
         known->service != spec->service || known->any_machine != job->any_machine ||
-        known->class != job->lane || known->own != own_scores(job))
+        known->class != job->lane || known->rank != job->s.rank ||
+        known->own != own_scores(core, job))
         return 0;
     return known->image_sum == job->bundle && !strcmp(known->image, spec->bundle);
 }
 
-static kind kind_of(const tw_demand *demand) {
+static kind kind_of(const tw_core *core, const tw_demand *demand) {
     const job *job = demand->job;
     kind result = {.cores = job->s.cores,
                    .gpus = job->s.gpus,
@@ -52,8 +53,9 @@
                    .spot = job->s.loaner,
                    .service = job->s.service,
                    .any_machine = job->any_machine,
+                   .rank = job->s.rank,
                    .class = job->lane,
-                   .own = own_scores(job)};
+                   .own = own_scores(core, job)};
     snprintf(result.image, sizeof result.image, "%s", job->s.bundle);
     return result;
 }
@@ -103,13 +105,13 @@
 
 tw_score_table *tw_scores_find(tw_core *core, const tw_demand *demand) {
     for (int i = 0; i < core->nscore_tables; i++)
-        if (same_kind(&core->score_tables[i].kind, demand)) return &core->score_tables[i];
+        if (same_kind(core, &core->score_tables[i].kind, demand)) return &core->score_tables[i];
     return NULL;
 }
 
 tw_score_table *tw_scores_begin(tw_core *core, const tw_demand *demand) {
     tw_score_table *table = table_new(core);
-    table->kind = kind_of(demand);
+    table->kind = kind_of(core, demand);
     table->count = 0;
     return table;
 }
