Room is held for the gang that has waited longest; the tree builds again

Cause: small jobs took each piece of room as it was given back, so a gang that needs four machines never found them (gang_among_small_jobs).

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -213,7 +213,7 @@
     struct {
         double c, g, m;
     } held[TW_RANK_PROD + 1]; /* the rest of it, by rank */
-    int held;                 /* scratch of a pass: for the gang c->holder, see gang_hold.c */
+    int held_for_gang;        /* scratch of a pass: for c->holder, see gang_hold.c */
     int zone;                 /* index in c->yards, -1: not known, or too many */
     int direct_busy, want_direct, want_probe;
     double direct_after;           /* no direct orders before this */
--- a/src/core/gang_hold.c
+++ b/src/core/gang_hold.c
@@ -91,7 +91,7 @@
     qsort(all, (size_t)count, sizeof *all, by_time);
     for (int i = 0; i < count && tasks < job->pieces; i++) {
         tasks += all[i].tasks;
-        if (mark) all[i].machine->held = 1;
+        if (mark) all[i].machine->held_for_gang = 1;
         if (tasks >= job->pieces) at = all[i].at;
     }
     free(all);
@@ -99,7 +99,7 @@
 }
 
 void tw_gang_hold(tw_core *core) {
-    for (int i = 0; i < core->ncandidates; i++) core->candidates[i].machine->held = 0;
+    for (int i = 0; i < core->ncandidates; i++) core->candidates[i].machine->held_for_gang = 0;
     core->holder = NULL;
     job *job = longest_waiting(core);
     if (!job) return;
@@ -119,6 +119,6 @@
 
 int tw_gang_hold_allows(const tw_core *core, const job *job, const machine *machine) {
     const struct job *holder = core->holder;
-    if (!holder || !machine->held || holder == job || job->s.service) return 1;
+    if (!holder || !machine->held_for_gang || holder == job || job->s.service) return 1;
     return job->s.rank > holder->s.rank;
 }
--- a/src/core/scores.c
+++ b/src/core/scores.c
@@ -24,7 +24,9 @@
 };
 
 /* The job, if it has to pass over machines that it failed on, or was on under the same attempt. */
-static const job *own_scores(const job *job) { return job->nbad || job->gang.nleft ? job : NULL; }
+static const job *own_scores(const tw_core *core, const job *job) {
+    return job->nbad || job->gang.nleft || job == core->holder ? job : NULL;
+}
 
 static int same_kind(const tw_core *core, const kind *known, const tw_demand *demand) {
     const job *job = demand->job;
