A gang that would start late takes cores that GPU machines keep

Change: where nothing but GPU machines can be rented, a gang may use them once it would miss half of its start objective otherwise.

--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -10,6 +10,7 @@
 #define RATE_FADES_S 60  /* without arrivals, before their rate is taken to fall, and how fast */
 #define HALF_SHARE 0.5   /* of expected arrivals that spare room is kept for, beside their root */
 #define ROUND_DOWN 0.3   /* of a task of spare room: as little is not rounded up */
+#define LATE_SHARE 0.5   /* of a start objective: what a gang that has to wait leaves of it */
 #define ROUNDING 1e-6
 
 /* ---- packing ---- */
@@ -102,6 +103,25 @@
     return start;
 }
 
+/* Work without GPUs for which nothing but GPU machines can be rented may use those that are there,
+ * and the cores that are kept for their GPUs. Returns whether it may only now. */
+static int open_gpu_machines(tw_core *core, job *job, const offer *best) {
+    if (job->s.gpus > 0 || job->any_machine) return 0;
+    if (best && core->flavors[best->rack].f.gpus <= 0) return 0;
+    job->any_machine = 1;
+    core->sched_dirty = 1;
+    return 1;
+}
+
+/* A gang that would start late on room that is given back takes what there is. */
+static void hurry(tw_core *core, job *job, double start) {
+    const tw_offer_filter filter = {0};
+    const double due = tw_job_start_due(job);
+    const double early = LATE_SHARE * (job->lane ? job->lane->within_s : 0);
+    if (start <= due - early && core->now <= due - early) return;
+    open_gpu_machines(core, job, tw_offer_best(core, &job->s, job->rackmask, &filter));
+}
+
 /* How many of them to find or rent room for: of a batch, those that had better not wait; of a gang,
  * all or none. */
 static int needed(tw_core *core, bins *bins, job *job, tw_drain *drain) {
@@ -112,6 +132,7 @@
     if (job->s.gang) {
         if (count < job->pieces - job->ndone - job->nlive) return 0; /* its team's limit */
         const double start = gang_start(core, bins, job, drain, count);
+        hurry(core, job, start);
         return worth_renting(core, job, start) ? count : 0;
     }
     int *from = tw_bins_first_drained(bins, job);
@@ -129,13 +150,8 @@
             if (tasks->count[i] >= tasks->most) filter.not_zone = tasks->zone[i];
         offer *offer = tw_offer_best(core, &job->s, job->rackmask, &filter);
         job->cramped = !offer || offer->refused > 0; /* refused lately: it may be granted again */
-        /* Nothing but GPU machines for it: let it use those that are there before renting. */
-        if (job->s.gpus <= 0 && !job->any_machine &&
-            (!offer || core->flavors[offer->rack].f.gpus > 0)) {
-            job->any_machine = 1;
-            core->sched_dirty = 1;
-            return;
-        }
+        /* Before renting. */
+        if (open_gpu_machines(core, job, offer)) return;
         if (!offer) return;
         const int taken = fill(core, tw_offer_bin(core, bins, offer), job, tasks, need);
         if (!taken) return;
