--- a/sim/expect.c
+++ b/sim/expect.c
@@ -95,10 +95,10 @@
 static const struct {
     const char *name;
     int (*holds)(expectation *x);
-} kinds[] = {{"done", is_done},          {"aborted", is_cancelled}, {"accepted", is_accepted},
-             {"refused", is_refused},    {"starts", starts},        {"running", running},
-             {"machines", machines},     {"gone", is_gone},         {"shift", in_session},
-             {"leader", has_leader},     {"steps", steps},          {"struck", struck},
+} kinds[] = {{"done", is_done},           {"aborted", is_cancelled}, {"accepted", is_accepted},
+             {"refused", is_refused},     {"starts", starts},        {"running", running},
+             {"machines", machines},      {"gone", is_gone},         {"shift", in_session},
+             {"leader", has_leader},      {"steps", steps},          {"struck", struck},
              {"cancel", cancel_answered}, {"toolarge", too_large},   {"keys", keys}};
 
 void tw_sim_expect(tw_sim *sim, const tw_sim_words *w) {
--- a/sim/sim_int.h
+++ b/sim/sim_int.h
@@ -36,6 +36,7 @@
     double no_state_until;          /* the state service gives 503 to this node only */
     double no_workers_until;        /* messages from and to workers get lost for it */
     double alone_until;             /* state service and peers hang for it */
+    double old_format_until;        /* its heartbeats say nothing of the records it reads */
     double cut_state_until;         /* the state service alone can't be reached */
     int cut_state_refuses;          /* connections are refused; otherwise they hang */
     double still_from, still_until; /* stands still while its clocks run on */
@@ -235,6 +236,9 @@
 /* Whether a message is struck; counted. */
 int tw_sim_strikes(tw_sim *sim, const tw_sim_share *share, int stroke, int draw);
 void tw_sim_expect(tw_sim *sim, const tw_sim_words *w);
+/* The state service's limits to come, as nodes that start are told: value=KB ops=N write_rps=N
+ * rps=N. */
+void tw_sim_set_next(tw_sim *sim, const tw_sim_words *w);
 /* The value of `key=`, or NULL. */
 const char *tw_sim_option(const tw_sim_words *w, const char *key);
 double tw_sim_option_number(const tw_sim_words *w, const char *key, double otherwise);
--- a/sim/trouble.c
+++ b/sim/trouble.c
@@ -72,6 +72,11 @@
     n->cut_state_refuses = !strcmp(w->word[3], "refuse");
 }
 
+static void old_format(tw_sim *sim, const tw_sim_words *w) {
+    tw_sim_node *n = node(sim, w);
+    if (n) n->old_format_until = sim->world.now + number(w, 2);
+}
+
 static void slow_node(tw_sim *sim, const tw_sim_words *w) {
     tw_sim_node *n = node(sim, w);
     if (!n || !n->alive) return;
@@ -128,6 +133,9 @@
     limits->write_rps = tw_sim_option_number(w, "write_rps", limits->write_rps);
 }
 
+/* `nextlimits [value=KB] [ops=N]...`: nodes that start from now on are told of limits to come. */
+static void next_limits(tw_sim *sim, const tw_sim_words *w) { tw_sim_set_next(sim, w); }
+
 static void lose_txns(tw_sim *sim, const tw_sim_words *w) {
     sim->trouble.lose_txns = (int)number(w, 1);
 }
@@ -234,6 +242,8 @@
                                                   {"outage", 2, 1, outage},
                                                   {"slowstate", 3, 2, slow_state},
                                                   {"statelimits", 2, 0, state_limits},
+                                                  {"nextlimits", 2, 0, next_limits},
+                                                  {"oldformat", 3, 2, old_format},
                                                   {"losetxn", 2, 0, lose_txns},
                                                   {"latetxn", 2, 1, late_txn},
                                                   {"hang", 3, 2, hang},
