--- a/sim/node.c
+++ b/sim/node.c
@@ -58,10 +58,18 @@
     free(c);
 }
 
+/* A heartbeat, or its answer, as the version before divided records sends it. */
+static void in_old_format(char *body) {
+    static const char field[] = ",\"recordFormat\":2";
+    char *at = body ? strstr(body, field) : NULL;
+    if (at) memmove(at, at + sizeof field - 1, strlen(at + sizeof field - 1) + 1);
+}
+
 static void drain(tw_sim *sim, int node) {
     tw_sim_controller *controller = sim->nodes[node].controller;
     tw_fx *f;
     while ((f = controller->methods->next(controller))) {
+        if (sim->world.now < sim->nodes[node].old_format_until) in_old_format(f->body);
         if (f->kind == TW_FX_REPLY)
             answer(sim, node, f);
         else
--- a/sim/script.c
+++ b/sim/script.c
@@ -133,14 +133,15 @@
     return 0;
 }
 
-/* `set next value=KB ops=N write_rps=N rps=N`: the limits to come, as the nodes are told them. */
-static int set_next(tw_sim *sim, const tw_sim_words *w) {
+void tw_sim_set_next(tw_sim *sim, const tw_sim_words *w) {
     static const struct {
         const char *option, *setting, *format;
     } limits[] = {{"value", "value_kb", "%s = %.1f\n"},
                   {"ops", "txn_ops", "%s = %.0f\n"},
                   {"write_rps", "write_rps", "%s = %.1f\n"},
                   {"rps", "rps", "%s = %.1f\n"}};
+    free(sim->next_limits);
+    sim->next_limits = NULL;
     append(&sim->next_limits, "[settings.state.next]\n");
     for (size_t i = 0; i < COUNT(limits); i++) {
         const double value = tw_sim_option_number(w, limits[i].option, 0);
@@ -149,7 +150,6 @@
         snprintf(text, sizeof text, limits[i].format, limits[i].setting, value);
         append(&sim->next_limits, text);
     }
-    return 0;
 }
 
 static int set(tw_sim *sim, const tw_sim_words *w) {
@@ -169,7 +169,10 @@
                   {"write_rps", &limits->write_rps},
                   {"value", &limits->value_kb},
                   {"ops", &limits->txn_ops}};
-    if (!strcmp(w->word[1], "next")) return set_next(sim, w);
+    if (!strcmp(w->word[1], "next")) {
+        tw_sim_set_next(sim, w);
+        return 0;
+    }
     double value = tw_sim_number(w->word[2]);
     if (!strcmp(w->word[1], "seed")) {
         sim->world.seed = (unsigned)value;
