--- a/sim/node.c
+++ b/sim/node.c
@@ -156,9 +156,8 @@
              "[settings.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n"
              "[settings.limits]\ncpu_share = 0.1\nmem_mb = 56.0\nsockets = 600\n",
              sim->teams ? sim->teams : "", sim->objectives ? sim->objectives : "", w->report_s,
-             w->lease_s, w->cancel_s, sim->rps > 1e6 ? 60 : sim->rps,
-             limits->write_rps, limits->value_kb, limits->txn_ops,
-             sim->next_limits ? sim->next_limits : "");
+             w->lease_s, w->cancel_s, sim->rps > 1e6 ? 60 : sim->rps, limits->write_rps,
+             limits->value_kb, limits->txn_ops, sim->next_limits ? sim->next_limits : "");
 }
 
 static uint64_t node_seed(const tw_sim *sim, int node, int generation) {
--- a/sim/script.c
+++ b/sim/script.c
@@ -158,14 +158,10 @@
     const struct {
         const char *name;
         double *value;
-    } values[] = {{"lease", &world->lease_s},
-                  {"report", &world->report_s},
-                  {"cancel", &world->cancel_s},
-                  {"boot", &world->boot_s},
-                  {"mem", &world->mem_mb},
-                  {"rps", &sim->rps},
-                  {"write_rps", &limits->write_rps},
-                  {"value", &limits->value_kb},
+    } values[] = {{"lease", &world->lease_s},        {"report", &world->report_s},
+                  {"cancel", &world->cancel_s},      {"boot", &world->boot_s},
+                  {"mem", &world->mem_mb},           {"rps", &sim->rps},
+                  {"write_rps", &limits->write_rps}, {"value", &limits->value_kb},
                   {"ops", &limits->txn_ops}};
     if (!strcmp(w->word[1], "next")) return set_next(sim, w);
     double value = tw_sim_number(w->word[2]);
--- a/sim/sim_int.h
+++ b/sim/sim_int.h
@@ -32,7 +32,7 @@
 typedef struct {
     tw_sim_controller *controller;
     int alive, generation;
-    int old; /* starts with the earlier version */
+    int old;                        /* starts with the earlier version */
     double no_state_until;          /* the state service gives 503 to this node only */
     double no_workers_until;        /* messages from and to workers get lost for it */
     double alone_until;             /* state service and peers hang for it */
