--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -1,6 +1,7 @@
 /* What the files of the core share. Not for other packages. */
 #ifndef TW_CORE_INT_H
 #define TW_CORE_INT_H
+#include "core/budget.h"
 #include "core/core.h"
 #include "core/status.h"
 #include "log/log.h"
@@ -49,6 +50,7 @@
     int preempted; /* counts as running until it is gone, but its room is promised */
     double mercy_s;
     double made_at, run_at, kill_at; /* run_at 0: not yet */
+    double launch_after;             /* a gang's task: not launched before, see gang.c */
     uint64_t mark;                   /* scratch: seen in the report in hand */
     int on_job;                      /* still in the job's list (not exited, not lost) */
     struct placement *jprev, *jnext; /* job's list */
@@ -57,6 +59,28 @@
 
 /* ---- jobs ---- */
 
+/* How far an attempt of a gang has come; see gang.c. */
+typedef enum {
+    GANG_IDLE,      /* no task of it may run */
+    GANG_GATHERING, /* placed whole; not known to have started */
+    GANG_RUNNING,   /* has started */
+    GANG_STOPPING   /* every task is told to stop */
+} gang_state;
+
+/* Machines that one attempt may lose before it starts, and be completed elsewhere. */
+#define GANG_MOST_REPLACED 4
+
+typedef struct gang {
+    gang_state state;
+    uint64_t attempt;
+    double grace_s;      /* that the tasks get when it is stopped */
+    int saved;           /* while it stops: a task has told that its progress is saved */
+    double waits_from;   /* when a task was first seen to wait for the others; 0: none yet */
+    double missing_from; /* since when a task is to be replaced; 0: none is */
+    struct machine *left[GANG_MOST_REPLACED]; /* where tasks of this attempt were, and are gone */
+    int nleft;
+} gang;
+
 enum { T_FREE, T_LIVE, T_DONE };
 typedef struct waiter {
     uint64_t conn;
@@ -67,11 +91,13 @@
 
 typedef struct lane {
     char name[TW_NAME];
-    double within_s;    /* start objective, 0: none */
-    int deadline;       /* has a deadline objective */
-    double ratio, dev;  /* EMA of actual over estimated run time, and of its deviation */
-    double rate;        /* EMA of tasks asked per second */
-    double batch_tasks; /* EMA of tasks per job */
+    double within_s;     /* start objective, 0: none */
+    double finish_s;     /* objective for the end, from the submission; 0: none */
+    int deadline;        /* has a deadline objective */
+    double ratio, dev;   /* EMA of actual over estimated run time, and of its deviation */
+    double rate;         /* EMA of tasks asked per second */
+    double batch_tasks;  /* EMA of tasks per job */
+    double largest_gang; /* tasks of the largest gang so far */
     double last_arrival;
     tw_wire_job sample; /* shape of its latest job (no racks) */
     int has_sample;
@@ -128,6 +154,7 @@
     int cramped;               /* nothing can be rented for it */
     int any_machine;           /* without GPUs, but only GPU machines are to be had */
     int resumed;               /* a task's run time is no longer the whole */
+    gang gang;                 /* of a job whose tasks start together */
     struct job *prev, *next;   /* c->active */
     struct job *wprev, *wnext; /* c->dirty */
     int in_cancelled;
@@ -262,10 +289,6 @@
     struct held_report *prev, *next;
 } held_report;
 
-typedef struct {
-    double tokens, rate, burst, at;
-} bucket;
-
 typedef struct flavor {
     tw_wire_flavor f;
     double slowness, q, p; /* priors pooled by type */
@@ -389,7 +412,7 @@
     int renew_busy, poll_busy, electing;
     uint64_t watch_since; /* revision to watch the leader key from; 0: read it first */
     double grant_sent, renew_sent;
-    bucket follows;      /* this node's part of the requests that elections may take */
+    tw_budget follows;   /* this node's part of the requests that elections may take */
     int follows_refused; /* of those, in a row */
     char leader[TW_NAME];
     uint64_t leader_token;
@@ -442,9 +465,9 @@
     int divides, heard_old;         /* as of the last look at the peers */
     struct loaded_set *loaded_sets; /* of divided records, while they are read */
     int load_parts;                 /* those are being read, before the records */
-    bucket writes, reqs, cloud;
+    tw_budget writes, reqs, cloud;
     int old_credit[TW_RANK_PROD + 1]; /* by rank: the next room may go to the longest wait */
-    bucket reads, creates;            /* of a node that does not lead */
+    tw_budget reads, creates;         /* of a node that does not lead */
     double *team_c, *team_g;          /* in use, or may be */
     char load_after[256];
     double load_retry;
@@ -513,9 +536,6 @@
 void tw_reply_error(tw_core *c, uint64_t conn, int status, double retry_after, const char *what);
 call *tw_call(tw_core *c, int kind, int to, const char *addr, const char *method, const char *path,
               char *body /* owned */, double timeout_s);
-int tw_take(tw_core *c, bucket *b, double n);
-double tw_peek(tw_core *c, bucket *b);
-void tw_put_back(bucket *b, double n);
 void *tw_zalloc(size_t n);
 
 /* election.c */
@@ -634,16 +654,40 @@
 /* How many tasks of the job may be live at once for its record to fit into one value. */
 int tw_max_live(const tw_core *core, job *job);
 
+/* gang.c: jobs whose tasks run together or not at all */
+/* All tasks that are to run were placed under one attempt, or the missing ones were replaced. */
+void tw_gang_placed(tw_core *core, job *job);
+/* A predecessor's placements were taken from the job's record. */
+void tw_gang_adopted(job *job);
+/* A report tells a task's state that was not known. */
+void tw_gang_reported(tw_core *core, placement *placed);
+/* A task is no longer on its machine, and not done. */
+void tw_gang_left(tw_core *core, placement *placed);
+/* One task is done: they complete together, so all are. */
+void tw_gang_done(tw_core *core, job *job);
+/* The whole gang is to be stopped; its tasks save if they can all be told in time. */
+void tw_gang_stop(tw_core *core, job *job, double grace_s);
+/* Whether an orderly stop would reach every task in time, and keep its progress. */
+int tw_gang_can_save(const tw_core *core, const job *job);
+/* Whether it waits to be placed, or for the replacement of a task. */
+int tw_gang_pending(const job *job);
+/* Whether a task of this attempt was on the machine and is gone: it is not started there again. */
+int tw_gang_has_left(const job *job, const machine *machine);
+void tw_gang_tick(tw_core *core, job *job);
+const char *tw_gang_state_name(const job *job);
+
 /* recheck.c */
 void tw_recheck(tw_core *c);
 
 /* estimate.c */
 double tw_job_due(const tw_core *c, const job *j); /* steady time; INFINITY: none */
-double tw_estimate(const job *j);                  /* run time on a machine of slowness 1 */
+double tw_job_start_due(const job *j); /* of a gang: its start objective; INFINITY: none */
+double tw_estimate(const job *j);      /* run time on a machine of slowness 1 */
 
 /* constraints.c */
 int tw_zone_allows(const tw_core *c, const job *j, const char *yard);
-int tw_quota_allows(const tw_core *c, const job *j);
+/* Whether the team's limit allows so many more tasks of the job. */
+int tw_quota_allows(const tw_core *c, const job *j, int tasks);
 void tw_per_gpu_note(tw_core *c);
 
 /* reserve.c */
@@ -651,16 +695,24 @@
 int tw_reserve_allows(const tw_core *c, const machine *m, const job *j);
 void tw_reserve_take(tw_core *c, const machine *m, const job *j);
 
-/* queue.c */
-/* Pending jobs, in the order in which they should be served. */
+/* queue.c: pending jobs, in the order in which they should be served */
 typedef struct tw_turns tw_turns;
-tw_turns *tw_turns_new(tw_core *c, int old_first);
-job *tw_turns_next(tw_core *c, tw_turns *t);
-void tw_turns_placed(tw_core *c, const tw_turns *t, const job *j, int n);
-void tw_turns_again(tw_turns *t);
-int tw_turns_contended(const tw_turns *t);
-void tw_turns_free(tw_turns *t);
-int tw_job_pending(const tw_core *c, const job *j);
+/* The jobs that are pending now, which have to outlive it. With overdue ones, the jobs that have
+ * waited too long for their first task are served between the others. Free it with tw_turns_free.
+ */
+tw_turns *tw_turns_new(tw_core *core, int with_overdue);
+/* The next job; NULL: all have been served. */
+job *tw_turns_next(tw_core *core, tw_turns *turns);
+/* That so many tasks of the job that was served last were placed. */
+void tw_turns_placed(tw_core *core, const tw_turns *turns, const job *job, int count);
+/* Puts the last job back at its team's head: it may get more when its team's turn comes again. */
+void tw_turns_again(tw_turns *turns);
+/* Whether another team waits at the same level as the job served last, or an overdue job of its
+ * priority, or the last one was overdue itself. */
+int tw_turns_contended(const tw_turns *turns);
+void tw_turns_free(tw_turns *turns);
+/* Whether a job has tasks that may be placed now. */
+int tw_job_pending(const tw_core *core, const job *job);
 
 /* failover.c */
 /* Works out failover_in_time of this node and its peers, from their names and zones alone. */
