--- a/sim/node.c
+++ b/sim/node.c
@@ -1,4 +1,4 @@
-/* The controllers: real cores with their settings and clocks; they start, tick, answer and end. */
+/* The nodes: controllers with their settings and clocks; they start, tick, answer and end. */
 #include "sim_int.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,9 +12,9 @@
 #define WALL_START 1e9
 #define MAX_SETTINGS 16384
 
-static double wall_time(const tw_sim *sim) { return WALL_START + sim->world.now; }
-static double steady_time(const tw_sim *sim, int node) {
-    return STEADY_START + sim->world.now * (1 + CLOCK_DRIFT * node);
+static tw_sim_clock clock_of(const tw_sim *sim, int node) {
+    return (tw_sim_clock){.steady = STEADY_START + sim->world.now * (1 + CLOCK_DRIFT * node),
+                          .wall = WALL_START + sim->world.now};
 }
 
 tw_sim_conn *tw_sim_conn_new(tw_sim *sim, int node, int kind) {
@@ -66,8 +66,9 @@
 }
 
 static void drain(tw_sim *sim, int node) {
+    tw_sim_controller *controller = sim->nodes[node].controller;
     tw_fx *f;
-    while ((f = tw_core_next(sim->nodes[node].core))) {
+    while ((f = controller->methods->next(controller))) {
         if (sim->world.now < sim->nodes[node].old_format_until) in_old_format(f->body);
         if (f->kind == TW_FX_REPLY)
             answer(sim, node, f);
@@ -75,6 +76,8 @@
             tw_sim_call(sim, node, f);
         tw_core_fx_free(f);
     }
+    if (controller->failure)
+        tw_sim_break(&sim->world, "ended", "%s: %s", sim->world.nodes[node], controller->failure);
 }
 
 static int is_over(const tw_sim *sim, int node, int generation) {
@@ -109,8 +112,8 @@
         wait_for_node(sim, node, port, conn, method, path, body);
         return;
     }
-    tw_core_request(sim->nodes[node].core, steady_time(sim, node), wall_time(sim), port, conn,
-                    method, path, body, strlen(body));
+    tw_sim_controller *controller = sim->nodes[node].controller;
+    controller->methods->request(controller, clock_of(sim, node), port, conn, method, path, body);
     drain(sim, node);
 }
 
@@ -120,9 +123,9 @@
         tw_sim_again_at(sim, e, sim->nodes[e->node].still_until);
         return;
     }
-    const char *body = e->body ? e->body : "";
-    tw_core_response(sim->nodes[e->node].core, steady_time(sim, e->node), wall_time(sim), e->id,
-                     e->status, body, strlen(body));
+    tw_sim_controller *controller = sim->nodes[e->node].controller;
+    controller->methods->response(controller, clock_of(sim, e->node), e->id, e->status,
+                                  e->body ? e->body : "");
     drain(sim, e->node);
 }
 
@@ -132,10 +135,10 @@
         tw_sim_again_at(sim, e, sim->nodes[e->node].still_until);
         return;
     }
-    tw_core *core = sim->nodes[e->node].core;
-    tw_core_tick(core, steady_time(sim, e->node), wall_time(sim));
+    tw_sim_controller *controller = sim->nodes[e->node].controller;
+    controller->methods->tick(controller, clock_of(sim, e->node));
     drain(sim, e->node);
-    tw_sim_again(sim, e, tw_core_tick_s(core));
+    tw_sim_again(sim, e, controller->methods->tick_s(controller));
 }
 
 /* ---- start and end ---- */
@@ -156,30 +159,42 @@
     snprintf(to + n, size - (size_t)n,
              "[external]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n[settings]\n%s%s"
              "[settings.workers]\nreport_s = %g\nlease_s = %g\ncancel_s = %g\n"
+             "gang_wait_s = %g\ngang_peer_s = %g\n"
              "[settings.state]\nrps = %g\nwrite_rps = %g\nvalue_kb = %.1f\n"
              "txn_ops = %.0f\n%s"
              "[settings.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n"
              "[settings.limits]\ncpu_share = 0.1\nmem_mb = 56.0\nsockets = 600\n",
              sim->teams ? sim->teams : "", sim->objectives ? sim->objectives : "", w->report_s,
-             w->lease_s, w->cancel_s, sim->rps > 1e6 ? 60 : sim->rps, limits->write_rps,
-             limits->value_kb, limits->txn_ops, sim->next_limits ? sim->next_limits : "");
+             w->lease_s, w->cancel_s, tw_sim_gang_wait_s(w), tw_sim_gang_peer_s(w),
+             sim->rps > 1e6 ? 60 : sim->rps, limits->write_rps, limits->value_kb, limits->txn_ops,
+             sim->next_limits ? sim->next_limits : "");
 }
 
-static uint64_t node_seed(const tw_sim *sim, int node) {
-    return sim->world.seed * SEED_STEP + (unsigned)node * NODE_SEED_STEP +
-           (unsigned)sim->nodes[node].generation;
+static uint64_t node_seed(const tw_sim *sim, int node, int generation) {
+    return sim->world.seed * SEED_STEP + (unsigned)node * NODE_SEED_STEP + (unsigned)generation;
+}
+
+static tw_sim_controller *new_controller(const tw_sim *sim, int old,
+                                         const tw_sim_controller_start *start, char *error,
+                                         size_t error_size) {
+    if (!old) return tw_sim_controller_local(start, error, error_size);
+    if (sim->earlier) return tw_sim_controller_remote(sim->earlier, start, error, error_size);
+    snprintf(error, error_size, "there is no program of the earlier version");
+    return NULL;
 }
 
 int tw_sim_node_start(tw_sim *sim, int node, char *error, size_t error_size) {
     tw_sim_node *n = &sim->nodes[node];
-    const tw_sim_world *w = &sim->world;
     char text[MAX_SETTINGS];
     settings_text(sim, node, text, sizeof text);
-    if (tw_conf_parse(&n->conf, text, error, error_size)) return -1;
-    if (w->mem_mb > 0) n->conf.mem_mb = w->mem_mb;
+    const tw_sim_controller_start start = {.settings = text,
+                                           .mem_mb = sim->world.mem_mb,
+                                           .seed = node_seed(sim, node, n->generation + 1),
+                                           .clock = clock_of(sim, node)};
+    n->controller = new_controller(sim, n->old, &start, error, error_size);
+    if (!n->controller) return -1;
     n->alive = 1;
     n->generation++;
-    n->core = tw_core_new(&n->conf, node_seed(sim, node), steady_time(sim, node), wall_time(sim));
     tw_sim_event *e = tw_sim_after(sim, FIRST_TICK_S * node, tick);
     e->node = node;
     e->generation = n->generation;
@@ -206,9 +221,8 @@
         int open = c->kind == TW_SIM_CONN_USER && c->arrived && !c->replied;
         if (open && c->node == node) tw_sim_user_unanswered(sim, c);
     }
-    tw_core_free(n->core);
-    n->core = NULL;
-    tw_conf_free(&n->conf);
+    n->controller->methods->free(n->controller);
+    n->controller = NULL;
 }
 
 int tw_sim_leader(tw_sim *sim) {
--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -20,13 +20,13 @@
     return !job->s.apart || here < max;
 }
 
-int tw_quota_allows(const tw_core *core, const job *job) {
+int tw_quota_allows(const tw_core *core, const job *job, int tasks) {
     if (job->team < 0) return 0;
     const tw_conf_team *team = &core->cf->teams[job->team];
     return (team->cpus_max <= 0 ||
-            core->team_c[job->team] + job->s.cores <= team->cpus_max + ROUNDING) &&
+            core->team_c[job->team] + tasks * job->s.cores <= team->cpus_max + ROUNDING) &&
            (team->gpus_max <= 0 ||
-            core->team_g[job->team] + job->s.gpus <= team->gpus_max + ROUNDING);
+            core->team_g[job->team] + tasks * job->s.gpus <= team->gpus_max + ROUNDING);
 }
 
 /* Cores that a GPU's user takes along with it, at the most; the same for memory. */
@@ -40,7 +40,7 @@
     }
 }
 
-int tw_leaves_gpus(const tw_core *core, const machine *machine, const job *job) {
+int tw_leaves_gpus(const tw_core *core, const machine *machine, const job *job, int tasks) {
     const tw_wire_job *spec = &job->s;
     const tw_wire_flavor *type = &core->flavors[machine->rack].f;
     if (spec->gpus > 0 || type->gpus <= 0 || job->any_machine) return 1;
@@ -51,8 +51,9 @@
         cores = type->cores / type->gpus;
         memory_gb = type->memory_gb / type->gpus;
     }
-    return type->cores - machine->used_c - spec->cores + ROUNDING >= free_gpus * cores &&
-           type->memory_gb - machine->used_m - spec->memory_gb + ROUNDING >= free_gpus * memory_gb;
+    return type->cores - machine->used_c - tasks * spec->cores + ROUNDING >= free_gpus * cores &&
+           type->memory_gb - machine->used_m - tasks * spec->memory_gb + ROUNDING >=
+               free_gpus * memory_gb;
 }
 
 /* Zones that the job's next task may go to, as bits: the same for all machines. */
@@ -66,6 +67,7 @@
 tw_demand tw_demand_of(const tw_core *core, job *job) {
     return (tw_demand){.job = job,
                        .due = tw_job_due(core, job),
+                       .start_due = tw_job_start_due(job),
                        .estimate_s = tw_estimate(job),
                        .zones = zones_of(core, job)};
 }
@@ -77,7 +79,7 @@
 
 int tw_constraints_machine(const tw_core *core, const job *job, const machine *machine) {
     if (!(job->rackmask & (1U << machine->rack)) || (machine->loaner && !job->s.loaner)) return 0;
-    if (!tw_sick_allows(machine)) return 0;
+    if (!tw_sick_allows(machine) || tw_gang_has_left(job, machine)) return 0;
     for (int i = 0; i < job->nbad; i++)
         if (job->bad[i] == machine && core->now < job->bad_until) return 0;
     return 1;
