Dispatch: requests and responses go by tables; effects have a file of their own

src/core/core.c held dispatch, effects and calls, the log of calls, and construction, with one-letter names; requests went through a chain of ten comparisons and responses through a switch and a second chain behind its default.

Replies, calls and their log are src/core/effects.c. Requests are routed by a table of ports, methods and paths, to small functions that take one struct; responses by a table over the kinds of calls, which says for each whether it counts once its term is over. A kind without a line of its own no longer goes silently to the file that rents. Construction is split by what is made. Names are whole words, also in core/core.h.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -28,19 +28,19 @@
 
 /* now: steady seconds; wall: time of day in seconds. */
 tw_core *tw_core_new(const tw_conf *conf, uint64_t seed, double now, double wall);
-void tw_core_free(tw_core *c);
-void tw_core_request(tw_core *c, double now, double wall, int port, uint64_t conn,
+void tw_core_free(tw_core *core);
+void tw_core_request(tw_core *core, double now, double wall, int port, uint64_t conn,
                      const char *method, const char *path, const char *body, size_t len);
 /* status 0: no response. */
-void tw_core_response(tw_core *c, double now, double wall, uint64_t call, int status,
+void tw_core_response(tw_core *core, double now, double wall, uint64_t call, int status,
                       const char *body, size_t len);
-void tw_core_tick(tw_core *c, double now, double wall);
+void tw_core_tick(tw_core *core, double now, double wall);
 /* The next effect, or NULL; free it with tw_core_fx_free. */
-tw_fx *tw_core_next(tw_core *c);
-void tw_core_fx_free(tw_fx *f);
+tw_fx *tw_core_next(tw_core *core);
+void tw_core_fx_free(tw_fx *effect);
 /* Machines and bins looked at in passes over the fleet so far: what their cost grows with. */
-uint64_t tw_core_steps(const tw_core *c);
+uint64_t tw_core_steps(const tw_core *core);
 /* Seconds between ticks that the core needs. */
-double tw_core_tick_s(const tw_core *c);
+double tw_core_tick_s(const tw_core *core);
 
 #endif
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -532,11 +532,24 @@
 };
 
 /* core.c */
-void tw_reply(tw_core *c, uint64_t conn, int status, double retry_after, char *body /* owned */);
-void tw_reply_error(tw_core *c, uint64_t conn, int status, double retry_after, const char *what);
-call *tw_call(tw_core *c, int kind, int to, const char *addr, const char *method, const char *path,
-              char *body /* owned */, double timeout_s);
-void *tw_zalloc(size_t n);
+/* Zeroed memory, to be freed by the caller; ends the program if there is none. */
+void *tw_zalloc(size_t size);
+
+/* effects.c: replies to requests, and calls until their responses come. The body is taken. */
+/* retry_after: seconds, 0: none. conn 0: nobody waits for the reply. */
+void tw_reply(tw_core *core, uint64_t conn, int status, double retry_after, char *body);
+void tw_reply_error(tw_core *core, uint64_t conn, int status, double retry_after, const char *what);
+/* kind: K_*; to: TW_TO_*. Returns what is known of the call until its response, to be filled in. */
+call *tw_call(tw_core *core, int kind, int to, const char *addr, const char *method,
+              const char *path, char *body, double timeout_s);
+/* The call that a response with this status belongs to, to be freed by tw_call_free; NULL: none is
+ * waited for. */
+call *tw_call_answered(tw_core *core, uint64_t id, int status);
+void tw_call_free(call *sent);
+/* Logs now and then how often the state service was called: its limit is for all nodes together. */
+void tw_calls_log(tw_core *core);
+/* Frees the calls and the effects that nobody took. */
+void tw_effects_free(tw_core *core);
 
 /* election.c */
 void tw_election_init(tw_core *c); /* needs the settings and the time */
