Returns: whole names and short functions in move.c

src/core/move.c had one-letter names, a test of nine conditions inside a loop, and a function that took room for tasks, gave it back and judged, in one.

Whether room is a home for a task, whether a machine is idle for too long, the taking of rooms and a machine's whole room are functions of their own; a batch task's weight has a name; the public functions have comments. Behaviour is the same.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -796,9 +796,13 @@
 void tw_drain_free(tw_drain *d);
 
 /* move.c */
-void tw_return_idle(tw_core *c);
-void tw_reopen(tw_core *c);
-void tw_consolidate(tw_core *c, bins *bs);
+/* Notes which machines are idle, and has those returned that were for too long. */
+void tw_return_idle(tw_core *core);
+/* Machines that are being emptied are used again as soon as somebody waits for them. */
+void tw_reopen(tw_core *core);
+/* Machines whose replicas fit elsewhere are emptied, one by one, and returned. The bins are all the
+ * machines there are; room in them is taken for what moves. */
+void tw_consolidate(tw_core *core, bins *bins);
 
 /* offers.c */
 const char *tw_offer_yard(const tw_core *c, const offer *o);
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -9,231 +9,276 @@
 #define CLOSING_PART 20   /* one machine is emptied at a time, and one more for so many */
 #define LEAST_UP_LEASES 2 /* leases for which a machine is up before it is emptied */
 #define NEAR_SHARE 0.5    /* of its start objective: how long a moved replica's fetch may take */
+#define BATCH_WEIGHT 2    /* what moving a batch task costs, against a replica */
+
+/* ---- idle machines ---- */
 
 /* Tasks that ended stay in the list until the machine forgot them; those whose direct launch may
  * still come are never forgotten there, and don't keep the machine. */
-static int holds_work(const machine *m) {
-    const placement *p;
-    DL_FOREACH(m->pls, p) if (p->on_job || !p->direct) return 1;
+static int holds_work(const machine *machine) {
+    const placement *placed;
+    DL_FOREACH(machine->pls, placed) if (placed->on_job || !placed->direct) return 1;
     return 0;
 }
 
-void tw_return_idle(tw_core *c) {
-    machine *m, *t;
-    HASH_ITER(hh, c->machines, m, t) {
-        if (m->stage != M_UP || m->release || m->rack < 0) continue;
-        if (holds_work(m) || m->keep) {
-            m->idle_since = 0;
-            continue;
-        }
-        if (m->idle_since <= 0) m->idle_since = c->now;
-        double wait = c->cf->tune.idle_ratio * c->flavors[m->rack].f.startup_s;
-        if (c->now - m->idle_since < wait) continue;
-        m->release = m->cordon = 1;
-        c->returns_due = 1;
-        tw_log_info("event=release tray=%s why=idle held_s=%.0f", m->name, c->now - m->born);
+/* Notes since when a machine is idle; returns whether that is for too long. */
+static int idle_too_long(const tw_core *core, machine *machine) {
+    if (holds_work(machine) || machine->keep) {
+        machine->idle_since = 0;
+        return 0;
     }
+    if (machine->idle_since <= 0) machine->idle_since = core->now;
+    const double startup_s = core->flavors[machine->rack].f.startup_s;
+    return core->now - machine->idle_since >= core->cf->tune.idle_ratio * startup_s;
 }
 
-/* ---- moving replicas together ---- */
+void tw_return_idle(tw_core *core) {
+    machine *machine;
+    struct machine *next;
+    HASH_ITER(hh, core->machines, machine, next) {
+        if (machine->stage != M_UP || machine->release || machine->rack < 0) continue;
+        if (!idle_too_long(core, machine)) continue;
+        machine->release = machine->cordon = 1;
+        core->returns_due = 1;
+        tw_log_info("event=release tray=%s why=idle held_s=%.0f", machine->name,
+                    core->now - machine->born);
+    }
+}
+
+/* ---- room elsewhere ---- */
 
 /* Whether its image is there, or comes so fast that a start objective would still be met. */
-static int image_near(const tw_core *c, const placement *p, const machine *m) {
-    const image *im = tw_image(m, p->job);
-    if (im) return im->ready_at <= 0;
-    double rate = m->p < 0 ? c->flavors[m->rack].p : m->p;
-    return p->job->lane && rate * p->job->s.image_gb <= NEAR_SHARE * p->job->lane->within_s;
-}
-
-/* Room for a replica elsewhere, where it would start at once. */
-static bin *new_home(tw_core *c, bins *bs, const placement *p) {
-    const tw_wire_job *s = &p->job->s;
-    for (int i = 0; i < bs->n; i++) {
-        bin *b = &bs->v[i];
-        if (!b->m || b->m == p->m || !b->busy || !tw_machine_usable(c, b->m)) continue;
-        if (!tw_bin_allowed(b, s, p->job->rackmask) || !tw_bin_fits(b, s)) continue;
-        if ((s->apart || s->same_place) && s->pieces > 1 && strcmp(b->yard, p->m->yard) != 0)
-            continue;
-        if (!image_near(c, p, b->m)) continue;
-        if (!tw_bin_leaves_gpus(c, b, &p->job->s, p->job->any_machine)) continue;
-        return b;
-    }
-    return NULL;
+static int image_near(const tw_core *core, const placement *placed, const machine *machine) {
+    const job *job = placed->job;
+    const image *image = tw_image(machine, job);
+    if (image) return image->ready_at <= 0;
+    const double s_per_gb = machine->p < 0 ? core->flavors[machine->rack].p : machine->p;
+    return job->lane && s_per_gb * job->s.image_gb <= NEAR_SHARE * job->lane->within_s;
 }
 
-/* Whether all that runs on m could go elsewhere; the room stays as it was. */
-static int can_empty(tw_core *c, bins *bs, machine *m) {
-    placement *p;
-    int ok = 1, n = 0, cap = 0;
-    DL_FOREACH(m->pls, p) cap++;
-    struct {
-        bin *b;
-        const tw_wire_job *s;
-    } *taken = tw_zalloc((size_t)cap * sizeof *taken);
-    DL_FOREACH(m->pls, p) {
-        if (!p->on_job || !ok) continue;
-        if (!p->job->s.service) continue; /* ends by itself */
-        bin *b = p->stage == TW_PIECE_RUNNING && !p->kill ? new_home(c, bs, p) : NULL;
-        if (!b) {
-            ok = 0;
-            break;
-        }
-        tw_bin_take(b, &p->job->s);
-        taken[n].b = b;
-        taken[n++].s = &p->job->s;
-    }
-    for (int i = 0; i < n; i++) tw_bin_give(taken[i].b, taken[i].s);
-    free(taken);
-    return ok;
-}
-
-/* Whether some job waits that may use m once there is room: then m is not emptied, for where no
- * more can be rented nothing would replace it. */
-static int waited_for(const tw_core *c, const machine *m) {
-    const tw_wire_flavor *f = &c->flavors[m->rack].f;
-    const job *j;
-    DL_FOREACH(c->active, j) {
-        if (!tw_job_pending(c, j) || !tw_quota_allows(c, j, 1)) continue;
-        const tw_wire_job *s = &j->s;
-        const bin whole = {.rack = m->rack,
-                           .loaner = m->loaner,
-                           .yard = m->yard,
-                           .c = f->cores,
-                           .g = f->gpus,
-                           .mem = f->memory_gb};
-        if (tw_bin_allowed(&whole, s, j->rackmask) && tw_bin_fits(&whole, s) &&
-            tw_zone_allows(c, j, m->yard) && (s->gpus > 0 || f->gpus <= 0 || j->any_machine))
-            return 1;
-    }
-    return 0;
+/* Whether a task may only move within its zone. */
+static int bound_to_zone(const tw_wire_job *spec) {
+    return (spec->apart || spec->same_place) && spec->pieces > 1;
 }
 
-/* Machines that are being emptied are used again as soon as somebody waits for them. */
-void tw_reopen(tw_core *c) {
-    machine *m, *t;
-    HASH_ITER(hh, c->machines, m, t) {
-        if (!m->closing || m->release || m->rack < 0 || !waited_for(c, m)) continue;
-        m->closing = 0;
-        c->sched_dirty = 1;
-        tw_log_info("event=reopened tray=%s", m->name);
-    }
+/* Whether a task that runs elsewhere would start at once in this room. */
+static int is_home(const tw_core *core, const bin *bin, const placement *placed) {
+    const job *job = placed->job;
+    if (!bin->m || bin->m == placed->m || !bin->busy) return 0;
+    if (!tw_machine_usable(core, bin->m)) return 0;
+    if (!tw_bin_allowed(bin, &job->s, job->rackmask) || !tw_bin_fits(bin, &job->s)) return 0;
+    if (bound_to_zone(&job->s) && strcmp(bin->yard, placed->m->yard) != 0) return 0;
+    return image_near(core, placed, bin->m) &&
+           tw_bin_leaves_gpus(core, bin, &job->s, job->any_machine);
 }
 
-static double close_gain(const tw_core *c, const machine *m) {
-    const placement *p;
-    int n = 0, batch = 0;
-    DL_FOREACH(m->pls, p) {
-        n += p->on_job && p->job->s.service;
-        batch += p->on_job && !p->job->s.service;
+/* Room for a task elsewhere, where it would start at once; NULL: none. */
+static bin *new_home(const tw_core *core, bins *bins, const placement *placed) {
+    for (int i = 0; i < bins->n; i++)
+        if (is_home(core, &bins->v[i], placed)) return &bins->v[i];
+    return NULL;
+}
+
+typedef struct {
+    bin *bin;
+    const tw_wire_job *spec;
+} taken_room;
+
+/* Takes room for all replicas of a machine; returns 0 if there is none for one of them. */
+static int take_rooms(const tw_core *core, bins *bins, const machine *machine, taken_room *taken,
+                      int *count) {
+    const placement *placed;
+    DL_FOREACH(machine->pls, placed) {
+        const tw_wire_job *spec = &placed->job->s;
+        if (!placed->on_job || !spec->service) continue; /* a batch task ends by itself */
+        if (placed->stage != TW_PIECE_RUNNING || placed->kill) return 0;
+        bin *home = new_home(core, bins, placed);
+        if (!home) return 0;
+        tw_bin_take(home, spec);
+        taken[(*count)++] = (taken_room){home, spec};
     }
-    return c->flavors[m->rack].f.hourly / (1 + n + 2 * batch);
+    return 1;
 }
 
-/* A batch task that saves its progress goes where it starts again at once; it ends where it is if
- * there is no such room. Stopped for nothing, it would wait, and a machine be rented for it. */
-static void move_batch(tw_core *c, bins *bs, placement *p, int *moves) {
-    if (p->job->s.snapshot_s <= 0 || p->stage != TW_PIECE_RUNNING) return;
-    if (p->job->s.gang) return; /* it would stop on all its machines */
-    bin *b = new_home(c, bs, p);
-    if (!b) return;
-    tw_bin_take(b, &p->job->s);
-    tw_placement_kill(c, p, p->job->s.flush_s, 0);
-    (*moves)--;
+/* Whether all that runs on a machine could go elsewhere; the room stays as it was. */
+static int can_empty(const tw_core *core, bins *bins, const machine *machine) {
+    const placement *placed;
+    int capacity = 0;
+    int count = 0;
+    DL_FOREACH(machine->pls, placed) capacity++;
+    taken_room *taken = tw_zalloc((size_t)capacity * sizeof *taken);
+    const int possible = take_rooms(core, bins, machine, taken, &count);
+    for (int i = 0; i < count; i++) tw_bin_give(taken[i].bin, taken[i].spec);
+    free(taken);
+    return possible;
 }
 
-/* Each move ends in a write or two: a share of what may be written in the time between passes. */
-static int moves_allowed(const tw_core *c, double between_s) {
-    return (int)fmax(LEAST_MOVES, ceil(WRITE_SHARE * c->cf->state_write_rps * between_s));
+/* ---- machines that are being emptied ---- */
+
+/* All the room of a machine, as if nothing ran on it. */
+static bin whole_of(const tw_core *core, const machine *machine) {
+    const tw_wire_flavor *type = &core->flavors[machine->rack].f;
+    return (bin){.rack = machine->rack,
+                 .loaner = machine->loaner,
+                 .yard = machine->yard,
+                 .c = type->cores,
+                 .g = type->gpus,
+                 .mem = type->memory_gb};
 }
 
-/* Whether a machine was asked for that is not there yet. */
-static int awaits_machine(const bins *bs) {
-    for (int i = 0; i < bs->n; i++)
-        if (!bs->v[i].m) return 1;
+/* Whether some job waits that may use the machine once there is room: then it is not emptied, for
+ * where no more can be rented nothing would replace it. */
+static int waited_for(const tw_core *core, const machine *machine) {
+    const bin whole = whole_of(core, machine);
+    const job *job;
+    DL_FOREACH(core->active, job) {
+        if (!tw_job_pending(core, job) || !tw_quota_allows(core, job, 1)) continue;
+        if (!tw_bin_allowed(&whole, &job->s, job->rackmask)) continue;
+        if (!tw_bin_fits(&whole, &job->s)) continue;
+        if (!tw_zone_allows(core, job, machine->yard)) continue;
+        if (job->s.gpus > 0 || whole.g <= 0 || job->any_machine) return 1;
+    }
     return 0;
 }
 
-static int service_waits(const tw_core *c) {
-    const job *j;
-    DL_FOREACH(c->active, j)
-    if (j->has_spec && j->s.service && tw_job_pending(c, j)) return 1;
-    return 0;
+void tw_reopen(tw_core *core) {
+    machine *machine;
+    struct machine *next;
+    HASH_ITER(hh, core->machines, machine, next) {
+        if (!machine->closing || machine->release || machine->rack < 0) continue;
+        if (!waited_for(core, machine)) continue;
+        machine->closing = 0;
+        core->sched_dirty = 1;
+        tw_log_info("event=reopened tray=%s", machine->name);
+    }
+}
+
+/* A batch task that saves its progress goes where it starts again at once; it ends where it is if
+ * there is no such room. Stopped for nothing, it would wait, and a machine be rented for it. */
+static void move_batch(tw_core *core, bins *bins, placement *placed, int *moves) {
+    const tw_wire_job *spec = &placed->job->s;
+    if (spec->snapshot_s <= 0 || placed->stage != TW_PIECE_RUNNING) return;
+    if (spec->gang) return; /* it would stop on all its machines */
+    bin *home = new_home(core, bins, placed);
+    if (!home) return;
+    tw_bin_take(home, spec);
+    tw_placement_kill(core, placed, spec->flush_s, 0);
+    (*moves)--;
 }
 
 /* Moves what runs on a machine that is being emptied, a task at a time, so that its start elsewhere
  * is not held up. 0: no more may be moved in this pass. */
-static int move_tasks(tw_core *c, bins *bs, machine *m, int *moves) {
-    placement *p;
+static int move_tasks(tw_core *core, bins *bins, machine *machine, int *moves) {
+    placement *placed;
     placement *next;
-    DL_FOREACH_SAFE(m->pls, p, next) {
+    DL_FOREACH_SAFE(machine->pls, placed, next) {
         if (*moves <= 0) return 0;
-        if (!p->on_job || p->kill) continue;
-        if (!p->job->s.service) {
-            move_batch(c, bs, p, moves);
+        if (!placed->on_job || placed->kill) continue;
+        if (!placed->job->s.service) {
+            move_batch(core, bins, placed, moves);
             continue;
         }
-        bin *room = new_home(c, bs, p);
-        if (!room) {
-            m->closing = 0; /* the room has gone */
+        bin *home = new_home(core, bins, placed);
+        if (!home) {
+            machine->closing = 0; /* the room has gone */
             break;
         }
-        tw_bin_take(room, &p->job->s);
-        tw_log_debug("event=move piece=%s/%d from=%s", p->job->id, p->index, m->name);
-        tw_placement_kill(c, p, 0, 0);
+        tw_bin_take(home, &placed->job->s);
+        tw_log_debug("event=move piece=%s/%d from=%s", placed->job->id, placed->index,
+                     machine->name);
+        tw_placement_kill(core, placed, 0, 0);
         (*moves)--;
     }
     return 1;
 }
 
+/* ---- which machine to empty next ---- */
+
 /* Whether it has been up for long enough, and is not one that was just looked at in vain. */
-static int may_close(const tw_core *c, const machine *m) {
-    if (!tw_machine_usable(c, m) || m->loaner || !m->pls || c->now < m->no_close_until) return 0;
-    double least_up_s = fmax(c->flavors[m->rack].f.startup_s, LEAST_UP_LEASES * c->cf->lease_s);
-    return c->now - m->first_heard >= least_up_s;
+static int may_close(const tw_core *core, const machine *machine) {
+    if (!tw_machine_usable(core, machine) || machine->loaner || !machine->pls) return 0;
+    if (core->now < machine->no_close_until) return 0;
+    const double startup_s = core->flavors[machine->rack].f.startup_s;
+    const double least_up_s = fmax(startup_s, LEAST_UP_LEASES * core->cf->lease_s);
+    return core->now - machine->first_heard >= least_up_s;
+}
+
+/* What returning a machine saves, for what it costs to empty it. */
+static double close_gain(const tw_core *core, const machine *machine) {
+    const placement *placed;
+    int replicas = 0, batch = 0;
+    DL_FOREACH(machine->pls, placed) {
+        replicas += placed->on_job && placed->job->s.service;
+        batch += placed->on_job && !placed->job->s.service;
+    }
+    return core->flavors[machine->rack].f.hourly / (1 + replicas + BATCH_WEIGHT * batch);
 }
 
-static machine *most_to_gain(const tw_core *c) {
-    machine *m;
-    machine *next;
-    machine *best = NULL;
+static machine *most_to_gain(const tw_core *core) {
+    machine *machine;
+    struct machine *next;
+    struct machine *best = NULL;
     double most = 0;
-    HASH_ITER(hh, c->machines, m, next) {
-        if (!may_close(c, m)) continue;
-        double gain = close_gain(c, m);
+    HASH_ITER(hh, core->machines, machine, next) {
+        if (!may_close(core, machine)) continue;
+        const double gain = close_gain(core, machine);
         if (gain <= most) continue;
         most = gain;
-        best = m;
+        best = machine;
     }
     return best;
 }
 
 /* The next machine to empty, of the few that are looked at in a pass; NULL: none. */
-static machine *next_to_close(tw_core *c, bins *bs) {
-    for (int k = 0; k < TRIES; k++) {
-        machine *best = most_to_gain(c);
+static machine *next_to_close(const tw_core *core, bins *bins) {
+    for (int i = 0; i < TRIES; i++) {
+        machine *best = most_to_gain(core);
         if (!best) return NULL;
-        if (!waited_for(c, best) && can_empty(c, bs, best)) return best;
-        best->no_close_until = c->now + RETRY_REPORTS * c->cf->report_s;
+        if (!waited_for(core, best) && can_empty(core, bins, best)) return best;
+        best->no_close_until = core->now + RETRY_REPORTS * core->cf->report_s;
     }
     return NULL;
 }
 
-/* Machines whose replicas fit elsewhere are emptied, one by one, and returned. */
-void tw_consolidate(tw_core *c, bins *bs) {
-    machine *m;
-    machine *next;
-    double between_s = PASS_REPORTS * c->cf->report_s;
-    int moves = moves_allowed(c, between_s);
+/* ---- passes ---- */
+
+/* Each move ends in a write or two: a share of what may be written in the time between passes. */
+static int moves_allowed(const tw_core *core, double between_s) {
+    return (int)fmax(LEAST_MOVES, ceil(WRITE_SHARE * core->cf->state_write_rps * between_s));
+}
+
+/* Whether a machine was asked for that is not there yet. */
+static int awaits_machine(const bins *bins) {
+    for (int i = 0; i < bins->n; i++)
+        if (!bins->v[i].m) return 1;
+    return 0;
+}
+
+static int service_waits(const tw_core *core) {
+    const job *job;
+    DL_FOREACH(core->active, job) {
+        if (job->has_spec && job->s.service && tw_job_pending(core, job)) return 1;
+    }
+    return 0;
+}
+
+static int is_closing(const machine *machine) { return machine->closing && !machine->release; }
+
+void tw_consolidate(tw_core *core, bins *bins) {
+    const double between_s = PASS_REPORTS * core->cf->report_s;
+    if (core->now < core->next_move) return;
+    core->next_move = core->now + between_s;
+    if (awaits_machine(bins) || service_waits(core)) return;
+    machine *machine;
+    struct machine *next;
+    int moves = moves_allowed(core, between_s);
     int closing = 0;
-    if (c->now < c->next_move) return;
-    c->next_move = c->now + between_s;
-    if (awaits_machine(bs) || service_waits(c)) return;
-    HASH_ITER(hh, c->machines, m, next) closing += m->closing && !m->release;
-    HASH_ITER(hh, c->machines, m, next) {
-        if (m->closing && !m->release && !move_tasks(c, bs, m, &moves)) return;
+    HASH_ITER(hh, core->machines, machine, next) closing += is_closing(machine);
+    HASH_ITER(hh, core->machines, machine, next) {
+        if (is_closing(machine) && !move_tasks(core, bins, machine, &moves)) return;
     }
-    if (closing >= 1 + (int)HASH_COUNT(c->machines) / CLOSING_PART) return;
-    machine *best = next_to_close(c, bs);
+    if (closing >= 1 + (int)HASH_COUNT(core->machines) / CLOSING_PART) return;
+    struct machine *best = next_to_close(core, bins);
     if (!best) return;
     best->closing = 1;
     tw_log_info("event=closing tray=%s rack=%s", best->name, best->rack_name);
