Room given back: whole names, and the end of a task by itself

When a task is expected to end is a function of its own, the time until a task starts has a name, the public functions have comments. Behaviour is the same.

--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -791,9 +791,14 @@
 void tw_bin_give(bin *b, const tw_wire_job *s);
 
 /* drain.c */
-void tw_drain_init(tw_core *c, tw_drain *d);
-double tw_drain_start(tw_core *c, tw_drain *d, const job *j, int *from);
-void tw_drain_free(tw_drain *d);
+/* Lists the room that running batch tasks are expected to give back, the earliest first. Free it
+ * with tw_drain_free. */
+void tw_drain_init(tw_core *core, tw_drain *drain);
+/* When a task of the job would start if it waits its turn for room that is given back, which is
+ * taken; INFINITY: there is none that it can use. from: where to begin, the same for all jobs
+ * alike, for room only gets less. */
+double tw_drain_start(tw_core *core, tw_drain *drain, const job *job, int *from);
+void tw_drain_free(tw_drain *drain);
 
 /* move.c */
 /* Notes which machines are idle, and has those returned that were for too long. */
--- a/src/core/drain.c
+++ b/src/core/drain.c
@@ -4,57 +4,67 @@
 #include "core/core_int.h"
 
 #define LEAST_REST 0.1 /* of its run time: a task that is past its estimate ends soon */
+#define START_S 1      /* until a task that does not run yet does */
 
-static int by_time(const void *a, const void *b) {
-    const tw_release *x = a, *y = b;
-    return x->at < y->at ? -1 : x->at > y->at;
+static int by_time(const void *left, const void *right) {
+    const tw_release *a = left, *b = right;
+    return a->at < b->at ? -1 : a->at > b->at;
 }
 
-/* What the end of p is expected to leave on its machine, beside what is free there already. */
-static tw_release release_of(const tw_core *c, const placement *p) {
-    const machine *m = p->m;
-    const tw_wire_job *s = &p->job->s;
-    const tw_wire_flavor *f = &c->flavors[m->rack].f;
-    double est = tw_estimate(p->job) * (m->slowness > 0 ? m->slowness : 1);
-    double from = p->run_at > 0 ? p->run_at : c->now + 1;
-    return (tw_release){.at = fmax(from + est, c->now + LEAST_REST * est),
-                        .room = {.rack = m->rack,
-                                 .loaner = m->loaner,
-                                 .yard = m->yard,
-                                 .c = s->cores + fmax(0, f->cores - m->used_c),
-                                 .g = s->gpus + fmax(0, f->gpus - m->used_g),
-                                 .mem = s->memory_gb + fmax(0, f->memory_gb - m->used_m)}};
+/* When a task is expected to end. */
+static double end_of(const tw_core *core, const placement *placed) {
+    const double slowness = placed->m->slowness > 0 ? placed->m->slowness : 1;
+    const double run_s = tw_estimate(placed->job) * slowness;
+    const double runs_from = placed->run_at > 0 ? placed->run_at : core->now + START_S;
+    return fmax(runs_from + run_s, core->now + LEAST_REST * run_s);
 }
 
-void tw_drain_init(tw_core *c, tw_drain *d) {
-    job *j;
-    int cap = 0;
-    DL_FOREACH(c->active, j) if (j->has_spec && !j->s.service) cap += j->nlive;
-    d->v = tw_zalloc((size_t)cap * sizeof *d->v);
-    d->n = 0;
-    DL_FOREACH(c->active, j) {
-        if (!j->has_spec || j->s.service) continue;
-        const placement *p;
-        DL_FOREACH2(j->live, p, jnext)
-        if (tw_machine_usable(c, p->m)) d->v[d->n++] = release_of(c, p);
+/* What a task's end is expected to leave on its machine, beside what is free there already. */
+static tw_release release_of(const tw_core *core, const placement *placed) {
+    const machine *machine = placed->m;
+    const tw_wire_job *spec = &placed->job->s;
+    const tw_wire_flavor *type = &core->flavors[machine->rack].f;
+    return (tw_release){
+        .at = end_of(core, placed),
+        .room = {.rack = machine->rack,
+                 .loaner = machine->loaner,
+                 .yard = machine->yard,
+                 .c = spec->cores + fmax(0, type->cores - machine->used_c),
+                 .g = spec->gpus + fmax(0, type->gpus - machine->used_g),
+                 .mem = spec->memory_gb + fmax(0, type->memory_gb - machine->used_m)}};
+}
+
+static int gives_back(const job *job) { return job->has_spec && !job->s.service; }
+
+void tw_drain_init(tw_core *core, tw_drain *drain) {
+    job *job;
+    int capacity = 0;
+    DL_FOREACH(core->active, job) if (gives_back(job)) capacity += job->nlive;
+    drain->v = tw_zalloc((size_t)capacity * sizeof *drain->v);
+    drain->n = 0;
+    DL_FOREACH(core->active, job) {
+        if (!gives_back(job)) continue;
+        const placement *placed;
+        DL_FOREACH2(job->live, placed, jnext) {
+            if (!tw_machine_usable(core, placed->m)) continue;
+            drain->v[drain->n++] = release_of(core, placed);
+        }
     }
-    qsort(d->v, (size_t)d->n, sizeof *d->v, by_time);
+    qsort(drain->v, (size_t)drain->n, sizeof *drain->v, by_time);
 }
 
-/* When a task of j would start if it waits its turn for room that is given back; INFINITY: none is
- * that it can use. *from: where to begin, the same for all jobs alike, for room only gets less. */
-double tw_drain_start(tw_core *c, tw_drain *d, const job *j, int *from) {
-    for (; *from < d->n; ++*from) {
-        tw_release *r = &d->v[*from];
-        c->steps++;
-        if (!tw_bin_allowed(&r->room, &j->s, j->rackmask) || !tw_bin_fits(&r->room, &j->s))
-            continue;
+double tw_drain_start(tw_core *core, tw_drain *drain, const job *job, int *from) {
+    for (; *from < drain->n; ++*from) {
+        tw_release *release = &drain->v[*from];
+        core->steps++;
+        if (!tw_bin_allowed(&release->room, &job->s, job->rackmask)) continue;
+        if (!tw_bin_fits(&release->room, &job->s)) continue;
         /* What is given back beside GPUs that stay free is kept for them. */
-        if (!tw_bin_leaves_gpus(c, &r->room, &j->s, j->any_machine)) continue;
-        tw_bin_take(&r->room, &j->s);
-        return fmax(c->now, r->at);
+        if (!tw_bin_leaves_gpus(core, &release->room, &job->s, job->any_machine)) continue;
+        tw_bin_take(&release->room, &job->s);
+        return fmax(core->now, release->at);
     }
     return INFINITY;
 }
 
-void tw_drain_free(tw_drain *d) { free(d->v); }
+void tw_drain_free(tw_drain *drain) { free(drain->v); }
