Arrays grow in one place

Six places (scores, candidates, futile rooms, the recheck's alternatives, bins and their starts) each had the same five lines that double an array. They call tw_grow now, which stands with tw_zalloc behind core/memory.h; first sizes are as they were, so the allocations are the same.

--- a/src/core/bins.c
+++ b/src/core/bins.c
@@ -39,11 +39,7 @@
 }
 
 bin *tw_bins_add(bins *bins) {
-    if (bins->n == bins->cap) {
-        bins->cap = bins->cap ? 2 * bins->cap : FIRST_BINS;
-        bins->v = realloc(bins->v, (size_t)bins->cap * sizeof *bins->v);
-        if (!bins->v) abort();
-    }
+    bins->v = tw_grow(bins->v, bins->n, &bins->cap, FIRST_BINS, sizeof *bins->v);
     return &bins->v[bins->n++];
 }
 
@@ -69,11 +65,8 @@
 static struct bin_start *start_for(bins *bins, const job *job) {
     for (int i = 0; i < bins->nstarts; i++)
         if (same_kind(&bins->starts[i], job)) return &bins->starts[i];
-    if (bins->nstarts == bins->starts_cap) {
-        bins->starts_cap = bins->starts_cap ? 2 * bins->starts_cap : FIRST_STARTS;
-        bins->starts = realloc(bins->starts, (size_t)bins->starts_cap * sizeof *bins->starts);
-        if (!bins->starts) abort();
-    }
+    bins->starts =
+        tw_grow(bins->starts, bins->nstarts, &bins->starts_cap, FIRST_STARTS, sizeof *bins->starts);
     struct bin_start *start = &bins->starts[bins->nstarts++];
     *start = (struct bin_start){.cores = job->s.cores,
                                 .gpus = job->s.gpus,
--- a/src/core/candidates.c
+++ b/src/core/candidates.c
@@ -9,12 +9,8 @@
 } zone_use;
 
 static void add(tw_core *core, machine *machine) {
-    if (core->ncandidates == core->candidates_cap) {
-        core->candidates_cap = core->candidates_cap ? 2 * core->candidates_cap : FIRST_CAPACITY;
-        core->candidates =
-            realloc(core->candidates, (size_t)core->candidates_cap * sizeof *core->candidates);
-        if (!core->candidates) abort();
-    }
+    core->candidates = tw_grow(core->candidates, core->ncandidates, &core->candidates_cap,
+                               FIRST_CAPACITY, sizeof *core->candidates);
     core->candidates[core->ncandidates++] = (tw_candidate){.machine = machine};
 }
 
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -11,12 +11,6 @@
 #define SHORTEST_TICK_S 0.05
 #define LONGEST_TICK_S 0.1
 
-void *tw_zalloc(size_t size) {
-    void *zeroed = calloc(1, size ? size : 1);
-    if (!zeroed) abort();
-    return zeroed;
-}
-
 /* ---- construction ---- */
 
 static void init_peers(tw_core *core) {
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -3,6 +3,7 @@
 #define TW_CORE_INT_H
 #include "core/budget.h"
 #include "core/core.h"
+#include "core/memory.h"
 #include "core/status.h"
 #include "log/log.h"
 #include "wire/wire.h"
@@ -531,10 +532,6 @@
     uint64_t mark;
 };
 
-/* core.c */
-/* Zeroed memory, to be freed by the caller; ends the program if there is none. */
-void *tw_zalloc(size_t size);
-
 /* effects.c: replies to requests, and calls until their responses come. The body is taken. */
 /* retry_after: seconds, 0: none. conn 0: nobody waits for the reply. */
 void tw_reply(tw_core *core, uint64_t conn, int status, double retry_after, char *body);
--- a/src/core/futile.c
+++ b/src/core/futile.c
@@ -39,11 +39,8 @@
 }
 
 void tw_futile_note(tw_core *core, const tw_futile *kind) {
-    if (core->nfutile == core->futile_cap) {
-        core->futile_cap = core->futile_cap ? 2 * core->futile_cap : FIRST_CAPACITY;
-        core->futile = realloc(core->futile, (size_t)core->futile_cap * sizeof *core->futile);
-        if (!core->futile) abort();
-    }
+    core->futile = tw_grow(core->futile, core->nfutile, &core->futile_cap, FIRST_CAPACITY,
+                           sizeof *core->futile);
     core->futile[core->nfutile++] = *kind;
 }
 
--- a/src/core/recheck.c
+++ b/src/core/recheck.c
@@ -32,11 +32,8 @@
 } alternatives;
 
 static void add(alternatives *found, machine *machine, double total_s) {
-    if (found->count == found->capacity) {
-        found->capacity = found->capacity ? 2 * found->capacity : FIRST_CAPACITY;
-        found->items = realloc(found->items, (size_t)found->capacity * sizeof *found->items);
-        if (!found->items) abort();
-    }
+    found->items =
+        tw_grow(found->items, found->count, &found->capacity, FIRST_CAPACITY, sizeof *found->items);
     found->items[found->count++] = (alternative){machine, total_s};
 }
 
--- a/src/core/scores.c
+++ b/src/core/scores.c
@@ -76,11 +76,8 @@
 
 tw_score *tw_scores_add(tw_core *core, tw_score_table *table, const tw_demand *demand,
                         int candidate) {
-    if (table->count == table->capacity) {
-        table->capacity = table->capacity ? 2 * table->capacity : FIRST_CAPACITY;
-        table->items = realloc(table->items, (size_t)table->capacity * sizeof *table->items);
-        if (!table->items) abort();
-    }
+    table->items =
+        tw_grow(table->items, table->count, &table->capacity, FIRST_CAPACITY, sizeof *table->items);
     tw_score *score = &table->items[table->count];
     *score = (tw_score){.candidate = candidate};
     renew(core, demand, score);
