How many tasks fit into room is worked out in one place

src/core/offers.c and src/core/reserve.c each worked out how often a task's amounts are contained in room, and six files had a constant of their own for the same rounding. Both call tw_room_holds behind core/room.h now, where the rounding is TW_ROUNDING; job.c, orders.c, plan.c and preempt.c, which others work on, still have their own.

--- a/src/core/bins.c
+++ b/src/core/bins.c
@@ -2,13 +2,12 @@
  * into. */
 #include "core/provision_int.h"
 
-#define ROUNDING 1e-6 /* sums of amounts drift by less */
 #define FIRST_BINS 64
 #define FIRST_STARTS 16
 
 int tw_bin_fits(const bin *bin, const tw_wire_job *spec) {
-    return bin->c + ROUNDING >= spec->cores && bin->g + ROUNDING >= spec->gpus &&
-           bin->mem + ROUNDING >= spec->memory_gb;
+    return bin->c + TW_ROUNDING >= spec->cores && bin->g + TW_ROUNDING >= spec->gpus &&
+           bin->mem + TW_ROUNDING >= spec->memory_gb;
 }
 
 int tw_bin_allowed(const bin *bin, const tw_wire_job *spec, uint32_t types) {
@@ -23,7 +22,7 @@
     if (spec->gpus > 0 || any_machine || type->gpus <= 0) return 1;
     double cores_per_gpu = core->gpu_cores;
     if (cores_per_gpu <= 0) cores_per_gpu = type->cores / type->gpus;
-    return bin->c - spec->cores + ROUNDING >= bin->g * cores_per_gpu;
+    return bin->c - spec->cores + TW_ROUNDING >= bin->g * cores_per_gpu;
 }
 
 void tw_bin_take(bin *bin, const tw_wire_job *spec) {
--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -2,8 +2,6 @@
  * limit, and what work without GPUs leaves to that with GPUs. */
 #include "core/scheduler_int.h"
 
-#define ROUNDING 1e-6 /* sums of amounts drift by less */
-
 int tw_zone_allows(const tw_core *core, const job *job, const char *zone) {
     (void)core;
     if (*job->s.yard && strcmp(job->s.yard, zone) != 0) return 0;
@@ -24,9 +22,9 @@
     if (job->team < 0) return 0;
     const tw_conf_team *team = &core->cf->teams[job->team];
     return (team->cpus_max <= 0 ||
-            core->team_c[job->team] + tasks * job->s.cores <= team->cpus_max + ROUNDING) &&
+            core->team_c[job->team] + tasks * job->s.cores <= team->cpus_max + TW_ROUNDING) &&
            (team->gpus_max <= 0 ||
-            core->team_g[job->team] + tasks * job->s.gpus <= team->gpus_max + ROUNDING);
+            core->team_g[job->team] + tasks * job->s.gpus <= team->gpus_max + TW_ROUNDING);
 }
 
 /* Cores that a GPU's user takes along with it, at the most; the same for memory. */
@@ -51,8 +49,8 @@
         cores = type->cores / type->gpus;
         memory_gb = type->memory_gb / type->gpus;
     }
-    return type->cores - machine->used_c - tasks * spec->cores + ROUNDING >= free_gpus * cores &&
-           type->memory_gb - machine->used_m - tasks * spec->memory_gb + ROUNDING >=
+    return type->cores - machine->used_c - tasks * spec->cores + TW_ROUNDING >= free_gpus * cores &&
+           type->memory_gb - machine->used_m - tasks * spec->memory_gb + TW_ROUNDING >=
                free_gpus * memory_gb;
 }
 
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -4,6 +4,7 @@
 #include "core/budget.h"
 #include "core/core.h"
 #include "core/memory.h"
+#include "core/room.h"
 #include "core/status.h"
 #include "log/log.h"
 #include "wire/wire.h"
@@ -813,10 +814,11 @@
 void tw_rent_tick(tw_core *c);
 void tw_rent_response(tw_core *c, call *k, int status, const char *body, size_t len);
 
-static inline int tw_fits(const machine *m, const flavor *f, const tw_wire_job *s) {
-    const double e = 1e-6;
-    return f->f.cores - m->used_c + e >= s->cores && f->f.gpus - m->used_g + e >= s->gpus &&
-           f->f.memory_gb - m->used_m + e >= s->memory_gb;
+/* Whether a task fits into what is free on the machine, which is of this type. */
+static inline int tw_fits(const machine *machine, const flavor *type, const tw_wire_job *spec) {
+    return type->f.cores - machine->used_c + TW_ROUNDING >= spec->cores &&
+           type->f.gpus - machine->used_g + TW_ROUNDING >= spec->gpus &&
+           type->f.memory_gb - machine->used_m + TW_ROUNDING >= spec->memory_gb;
 }
 
 #endif
--- a/src/core/offers.c
+++ b/src/core/offers.c
@@ -2,8 +2,6 @@
  * what is asked of the cloud. */
 #include "core/provision_int.h"
 
-#define ROUNDING 1e-6
-#define ANY_NUMBER 1e6
 #define COST_OF_ONE_MORE 0.001 /* of a price, for each machine of the type that the zone has */
 
 const char *tw_offer_yard(const tw_core *core, const offer *offer) {
@@ -16,12 +14,8 @@
 }
 
 double tw_offer_holds(const tw_wire_flavor *type, const tw_wire_job *spec) {
-    double number = ANY_NUMBER;
-    if (spec->cores > 0) number = fmin(number, floor(type->cores / spec->cores + ROUNDING));
-    if (spec->gpus > 0) number = fmin(number, floor(type->gpus / spec->gpus + ROUNDING));
-    if (spec->memory_gb > 0)
-        number = fmin(number, floor(type->memory_gb / spec->memory_gb + ROUNDING));
-    return number;
+    const tw_room room = {type->cores, type->gpus, type->memory_gb};
+    return tw_room_holds(&room, spec);
 }
 
 static int may_rent(const tw_core *core, const offer *offer, const tw_wire_job *spec,
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -15,7 +15,6 @@
 #define OVERDUE_AFTER_S                                                                            \
     (0.5 * TW_BEGIN_S)      /* a job that waits longer for its first task is overdue */
 #define GPU_IN_CORES 16     /* what a GPU counts in a team's use */
-#define ROUNDING 1e-6       /* of sums of cores and GPUs */
 #define SERVED_OVERDUE (-1) /* instead of a group: an overdue job was served last */
 
 /* The jobs of a group or a priority that are still to be served, as a range of an array. */
@@ -86,8 +85,8 @@
             cpus += jobs[to]->s.cores * tasks;
             gpus += jobs[to]->s.gpus * tasks;
         }
-        const int fits = (team->gpus <= 0 || gpus <= team->gpus + ROUNDING) &&
-                         (team->cpus <= 0 || cpus <= team->cpus + ROUNDING);
+        const int fits = (team->gpus <= 0 || gpus <= team->gpus + TW_ROUNDING) &&
+                         (team->cpus <= 0 || cpus <= team->cpus + TW_ROUNDING);
         for (int i = from; i < to; i++)
             jobs[i]->guaranteed = fits && (jobs[i]->s.gpus > 0 ? team->gpus > 0 : team->cpus > 0);
     }
--- a/src/core/reserve.c
+++ b/src/core/reserve.c
@@ -4,35 +4,26 @@
  * are expected of the classes that need more GPUs than it does, until their start objective. */
 #include "core/core_int.h"
 
-#define WARM 3 /* times as many holes, where a task starts in time only beside its image */
-#define ROUNDING 1e-6
-#define ANY_NUMBER 1e6
+#define WARM 3         /* times as many holes, where a task starts in time only beside its image */
 #define ROUND_DOWN 0.3 /* of a task: as little is not rounded up */
 
-typedef struct {
-    double cores, gpus, memory_gb;
-} amounts;
-
 /* How many tasks of a shape fit into this room. */
-static int fit(const amounts *room, const tw_wire_job *spec) {
-    double count = ANY_NUMBER;
-    if (spec->cores > 0) count = fmin(count, floor(room->cores / spec->cores + ROUNDING));
-    if (spec->gpus > 0) count = fmin(count, floor(room->gpus / spec->gpus + ROUNDING));
-    if (spec->memory_gb > 0)
-        count = fmin(count, floor(room->memory_gb / spec->memory_gb + ROUNDING));
+static int fit(const tw_room *room, const tw_wire_job *spec) {
+    const double count = tw_room_holds(room, spec);
     return count > 0 ? (int)count : 0;
 }
 
-/* What a service of the highest rank may have on a machine: free, or held by work of lower rank. */
-static amounts room_on(const tw_core *core, const machine *machine) {
+/* What a service of the highest priority may have on a machine: free, or held by work of lower
+ * priority. */
+static tw_room room_on(const tw_core *core, const machine *machine) {
     const tw_wire_flavor *type = &core->flavors[machine->rack].f;
-    amounts room = {type->cores - machine->used_c + machine->kill_c,
+    tw_room room = {type->cores - machine->used_c + machine->kill_c,
                     type->gpus - machine->used_g + machine->kill_g,
                     type->memory_gb - machine->used_m + machine->kill_m};
-    for (int rank = 0; rank < TW_RANK_PROD; rank++) {
-        room.cores += machine->held[rank].c;
-        room.gpus += machine->held[rank].g;
-        room.memory_gb += machine->held[rank].m;
+    for (int priority = 0; priority < TW_RANK_PROD; priority++) {
+        room.cores += machine->held[priority].c;
+        room.gpus += machine->held[priority].g;
+        room.memory_gb += machine->held[priority].m;
     }
     return room;
 }
@@ -79,7 +70,7 @@
     struct machine *next;
     HASH_ITER(hh, core->machines, machine, next) {
         if (!tw_machine_usable(core, machine)) continue;
-        const amounts room = room_on(core, machine);
+        const tw_room room = room_on(core, machine);
         for (lane *class = core->lanes; class; class = class->hh.next)
             if (counts(class, machine)) class->holes += fit(&room, &class->sample);
     }
@@ -87,8 +78,8 @@
 
 /* How many holes of the class are lost when a task of the job takes room on the machine. */
 static int lost(const tw_core *core, const machine *machine, const job *job, const lane *class) {
-    const amounts before = room_on(core, machine);
-    const amounts after = {before.cores - job->s.cores, before.gpus - job->s.gpus,
+    const tw_room before = room_on(core, machine);
+    const tw_room after = {before.cores - job->s.cores, before.gpus - job->s.gpus,
                            before.memory_gb - job->s.memory_gb};
     return fit(&before, &class->sample) - fit(&after, &class->sample);
 }
--- /dev/null
+++ b/src/core/room.c
@@ -0,0 +1,17 @@
+#include "core/room.h"
+#include <math.h>
+
+#define ANY_NUMBER 1e6 /* of tasks that ask for nothing */
+
+/* As often as an amount is contained in what there is. */
+static double whole_times(double there, double amount) {
+    return floor(there / amount + TW_ROUNDING);
+}
+
+double tw_room_holds(const tw_room *room, const tw_wire_job *spec) {
+    double count = ANY_NUMBER;
+    if (spec->cores > 0) count = fmin(count, whole_times(room->cores, spec->cores));
+    if (spec->gpus > 0) count = fmin(count, whole_times(room->gpus, spec->gpus));
+    if (spec->memory_gb > 0) count = fmin(count, whole_times(room->memory_gb, spec->memory_gb));
+    return count;
+}
--- /dev/null
+++ b/src/core/room.h
@@ -0,0 +1,17 @@
+/* Room for tasks: amounts of what machines have and jobs ask for. Not for other packages. */
+#ifndef TW_CORE_ROOM_H
+#define TW_CORE_ROOM_H
+#include "wire/wire.h"
+
+/* Amounts are sums of many, which drift by less. */
+#define TW_ROUNDING 1e-6
+
+typedef struct {
+    double cores, gpus, memory_gb;
+} tw_room;
+
+/* How many of the job's tasks fit into this room, a whole number; below 0 if it is less than none.
+ */
+double tw_room_holds(const tw_room *room, const tw_wire_job *spec);
+
+#endif
