--- a/src/core/bins.c
+++ b/src/core/bins.c
@@ -2,13 +2,12 @@
  * into. */
 #include "core/provision_int.h"
 
-#define ROUNDING 1e-6 /* sums of amounts drift by less */
 #define FIRST_BINS 64
 #define FIRST_STARTS 16
 
 int tw_bin_fits(const bin *bin, const tw_wire_job *spec) {
-    return bin->c + ROUNDING >= spec->cores && bin->g + ROUNDING >= spec->gpus &&
-           bin->mem + ROUNDING >= spec->memory_gb;
+    return bin->c + TW_ROUNDING >= spec->cores && bin->g + TW_ROUNDING >= spec->gpus &&
+           bin->mem + TW_ROUNDING >= spec->memory_gb;
 }
 
 int tw_bin_allowed(const bin *bin, const tw_wire_job *spec, uint32_t types) {
@@ -23,7 +22,7 @@
     if (spec->gpus > 0 || any_machine || type->gpus <= 0) return 1;
     double cores_per_gpu = core->gpu_cores;
     if (cores_per_gpu <= 0) cores_per_gpu = type->cores / type->gpus;
-    return bin->c - spec->cores + ROUNDING >= bin->g * cores_per_gpu;
+    return bin->c - spec->cores + TW_ROUNDING >= bin->g * cores_per_gpu;
 }
 
 void tw_bin_take(bin *bin, const tw_wire_job *spec) {
@@ -39,11 +38,7 @@
 }
 
 bin *tw_bins_add(bins *bins) {
-    if (bins->n == bins->cap) {
-        bins->cap = bins->cap ? 2 * bins->cap : FIRST_BINS;
-        bins->v = realloc(bins->v, (size_t)bins->cap * sizeof *bins->v);
-        if (!bins->v) abort();
-    }
+    bins->v = tw_grow(bins->v, bins->n, &bins->cap, FIRST_BINS, sizeof *bins->v);
     return &bins->v[bins->n++];
 }
 
@@ -69,11 +64,8 @@
 static struct bin_start *start_for(bins *bins, const job *job) {
     for (int i = 0; i < bins->nstarts; i++)
         if (same_kind(&bins->starts[i], job)) return &bins->starts[i];
-    if (bins->nstarts == bins->starts_cap) {
-        bins->starts_cap = bins->starts_cap ? 2 * bins->starts_cap : FIRST_STARTS;
-        bins->starts = realloc(bins->starts, (size_t)bins->starts_cap * sizeof *bins->starts);
-        if (!bins->starts) abort();
-    }
+    bins->starts =
+        tw_grow(bins->starts, bins->nstarts, &bins->starts_cap, FIRST_STARTS, sizeof *bins->starts);
     struct bin_start *start = &bins->starts[bins->nstarts++];
     *start = (struct bin_start){.cores = job->s.cores,
                                 .gpus = job->s.gpus,
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -3,6 +3,8 @@
 #define TW_CORE_INT_H
 #include "core/budget.h"
 #include "core/core.h"
+#include "core/memory.h"
+#include "core/room.h"
 #include "core/status.h"
 #include "log/log.h"
 #include "wire/wire.h"
@@ -533,12 +535,21 @@
     uint64_t mark;
 };
 
-/* core.c */
-void tw_reply(tw_core *c, uint64_t conn, int status, double retry_after, char *body /* owned */);
-void tw_reply_error(tw_core *c, uint64_t conn, int status, double retry_after, const char *what);
-call *tw_call(tw_core *c, int kind, int to, const char *addr, const char *method, const char *path,
-              char *body /* owned */, double timeout_s);
-void *tw_zalloc(size_t n);
+/* effects.c: replies to requests, and calls until their responses come. The body is taken. */
+/* retry_after: seconds, 0: none. conn 0: nobody waits for the reply. */
+void tw_reply(tw_core *core, uint64_t conn, int status, double retry_after, char *body);
+void tw_reply_error(tw_core *core, uint64_t conn, int status, double retry_after, const char *what);
+/* kind: K_*; to: TW_TO_*. Returns what is known of the call until its response, to be filled in. */
+call *tw_call(tw_core *core, int kind, int to, const char *addr, const char *method,
+              const char *path, char *body, double timeout_s);
+/* The call that a response with this status belongs to, to be freed by tw_call_free; NULL: none is
+ * waited for. */
+call *tw_call_answered(tw_core *core, uint64_t id, int status);
+void tw_call_free(call *sent);
+/* Logs now and then how often the state service was called: its limit is for all nodes together. */
+void tw_calls_log(tw_core *core);
+/* Frees the calls and the effects that nobody took. */
+void tw_effects_free(tw_core *core);
 
 /* election.c */
 void tw_election_init(tw_core *c); /* needs the settings and the time */
@@ -780,14 +791,23 @@
 void tw_bin_give(bin *b, const tw_wire_job *s);
 
 /* drain.c */
-void tw_drain_init(tw_core *c, tw_drain *d);
-double tw_drain_start(tw_core *c, tw_drain *d, const job *j, int *from);
-void tw_drain_free(tw_drain *d);
+/* Lists the room that running batch tasks are expected to give back, the earliest first. Free it
+ * with tw_drain_free. */
+void tw_drain_init(tw_core *core, tw_drain *drain);
+/* When a task of the job would start if it waits its turn for room that is given back, which is
+ * taken; INFINITY: there is none that it can use. from: where to begin, the same for all jobs
+ * alike, for room only gets less. */
+double tw_drain_start(tw_core *core, tw_drain *drain, const job *job, int *from);
+void tw_drain_free(tw_drain *drain);
 
 /* move.c */
-void tw_return_idle(tw_core *c);
-void tw_reopen(tw_core *c);
-void tw_consolidate(tw_core *c, bins *bs);
+/* Notes which machines are idle, and has those returned that were for too long. */
+void tw_return_idle(tw_core *core);
+/* Machines that are being emptied are used again as soon as somebody waits for them. */
+void tw_reopen(tw_core *core);
+/* Machines whose replicas fit elsewhere are emptied, one by one, and returned. The bins are all the
+ * machines there are; room in them is taken for what moves. */
+void tw_consolidate(tw_core *core, bins *bins);
 
 /* offers.c */
 const char *tw_offer_yard(const tw_core *c, const offer *o);
@@ -796,10 +816,11 @@
 void tw_rent_tick(tw_core *c);
 void tw_rent_response(tw_core *c, call *k, int status, const char *body, size_t len);
 
-static inline int tw_fits(const machine *m, const flavor *f, const tw_wire_job *s) {
-    const double e = 1e-6;
-    return f->f.cores - m->used_c + e >= s->cores && f->f.gpus - m->used_g + e >= s->gpus &&
-           f->f.memory_gb - m->used_m + e >= s->memory_gb;
+/* Whether a task fits into what is free on the machine, which is of this type. */
+static inline int tw_fits(const machine *machine, const flavor *type, const tw_wire_job *spec) {
+    return type->f.cores - machine->used_c + TW_ROUNDING >= spec->cores &&
+           type->f.gpus - machine->used_g + TW_ROUNDING >= spec->gpus &&
+           type->f.memory_gb - machine->used_m + TW_ROUNDING >= spec->memory_gb;
 }
 
 #endif
