--- a/src/core/report.c
+++ b/src/core/report.c
@@ -89,16 +89,18 @@
 
 /* A task that the report doesn't name. proper: no answer to direct orders. */
 static void absent(tw_core *core, placement *placed, const tw_wire_report *report, int proper) {
-    if (placed->stage == TW_PIECE_EXITED && placed->seen) {
-        tw_placement_free(core, placed); /* forgotten, as told */
-    } else if (placed->inherited || placed->seen) {
+    /* Only the next report proper tells: an answer to direct orders may have overtaken the answer
+     * that holds the launch. */
+    const int launch_settled = proper && !placed->direct && placed->sent_tick < report->tick;
+    const int is_known = placed->inherited || placed->seen;
+    const int forgotten = placed->stage == TW_PIECE_EXITED && placed->seen;
+    const int done_unseen = !is_known && launch_settled && !placed->on_job; /* with its gang */
+    if (forgotten || done_unseen) {
+        tw_placement_free(core, placed);
+    } else if (is_known) {
         /* Gone, and nothing on the way could still start it: older tokens are refused. */
         if (placed->m->confirmed && !placed->direct) tw_placement_lost(core, placed, "absent");
-    } else if (proper && !placed->direct && placed->sent_tick < report->tick && !placed->on_job) {
-        tw_placement_free(core, placed); /* done with its gang, and never seen */
-    } else if (proper && !placed->direct && placed->sent_tick < report->tick) {
-        /* Only the next report proper tells: an answer to direct orders may have overtaken the
-         * answer that holds the launch. */
+    } else if (launch_settled) {
         not_taken(core, placed);
     }
 }
--- a/src/wire/workers.c
+++ b/src/wire/workers.c
@@ -31,8 +31,8 @@
 
 /* Why a task ended: read once it has, where a cause that is missing or unknown is still one. */
 static int read_cause(const cJSON *value, void *message) {
-    static const char *const words[] = {"",        "done", "stopped", "error",
-                                        "no_room", "busy", "no_such", "peers", "alone", NULL};
+    static const char *const words[] = {"",     "done",    "stopped", "error", "no_room",
+                                        "busy", "no_such", "peers",   "alone", NULL};
     tw_wire_piece *piece = message;
     char word[TW_WIRE_NAME];
     if (piece->stage != TW_PIECE_EXITED) return 0;
