--- a/src/core/gang_hold.c
+++ b/src/core/gang_hold.c
@@ -9,7 +9,6 @@
 
 #define HOLD_AFTER_S (TW_BEGIN_S / 8)
 #define HOLD_MOST_S (TW_BEGIN_S / 4)
-#define ROUNDING 1e-6
 
 typedef struct {
     machine *machine;
--- a/src/core/gang_room.c
+++ b/src/core/gang_room.c
@@ -2,8 +2,6 @@
  * doesn't fit is not placed task by task and taken back in each pass. */
 #include "core/scheduler_int.h"
 
-#define ROUNDING 1e-6
-
 /* How many tasks a zone has room for. */
 typedef struct {
     int free;    /* without stopping anything */
@@ -12,19 +10,16 @@
 
 typedef zone_room zone_rooms[TW_MAX_ZONES + 1]; /* the last one: machines of no known zone */
 
-static int tasks_in(double cores, double gpus, double memory_gb, const tw_wire_job *spec,
-                    int most) {
-    double count = most;
-    if (spec->cores > 0) count = fmin(count, floor(cores / spec->cores + ROUNDING));
-    if (spec->gpus > 0) count = fmin(count, floor(gpus / spec->gpus + ROUNDING));
-    if (spec->memory_gb > 0) count = fmin(count, floor(memory_gb / spec->memory_gb + ROUNDING));
+static int tasks_in(const tw_room *room, const tw_wire_job *spec, int most) {
+    const double count = fmin(most, tw_room_holds(room, spec));
     return count > 0 ? (int)count : 0;
 }
 
 static int free_on(const tw_core *core, const machine *machine, const job *job, int most) {
     const tw_wire_flavor *type = &core->flavors[machine->rack].f;
-    int count = tasks_in(type->cores - machine->used_c, type->gpus - machine->used_g,
-                         type->memory_gb - machine->used_m, &job->s, most);
+    const tw_room room = {type->cores - machine->used_c, type->gpus - machine->used_g,
+                          type->memory_gb - machine->used_m};
+    int count = tasks_in(&room, &job->s, most);
     while (count > 0 && !tw_leaves_gpus(core, machine, job, count)) count--;
     return count;
 }
@@ -37,15 +32,15 @@
 /* Room of tasks that are told to stop is promised to others already. */
 static int vacated_on(const tw_core *core, const machine *machine, const job *job, int most) {
     const tw_wire_flavor *type = &core->flavors[machine->rack].f;
-    double cores = type->cores - machine->used_c + machine->kill_c;
-    double gpus = type->gpus - machine->used_g + machine->kill_g;
-    double memory_gb = type->memory_gb - machine->used_m + machine->kill_m;
+    tw_room room = {type->cores - machine->used_c + machine->kill_c,
+                    type->gpus - machine->used_g + machine->kill_g,
+                    type->memory_gb - machine->used_m + machine->kill_m};
     for (int rank = 0; rank < job->s.rank; rank++) {
-        cores += machine->held[rank].c;
-        gpus += machine->held[rank].g;
-        memory_gb += machine->held[rank].m;
+        room.cores += machine->held[rank].c;
+        room.gpus += machine->held[rank].g;
+        room.memory_gb += machine->held[rank].m;
     }
-    return tasks_in(cores, gpus, memory_gb, &job->s, most);
+    return tasks_in(&room, &job->s, most);
 }
 
 static void add_machine(tw_core *core, const tw_demand *demand, const machine *machine, int tasks,
