Nothing is stopped in vain for a gang; its part of the team's limit is held, too

Cause: the sum of a gang's room counted work that may not be stopped now, and zones that a spreading job may fill by half only; so victims were stopped for the first tasks, the rest found no room, and all was taken back, pass after pass (86 stops in 24 s in gang_apart_in_vain, 47 in gang_preempts_in_vain, before). Room was held for a waiting gang on machines but not under its team's limit (gang_under_limit: not begun after 525 s). Launches put off until an image is near were learned as slow starts; a gang's run was learned for whichever machine told first.

--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -66,9 +66,10 @@
     OPTIONAL("gpus_max", tw_conf_team, gpus_max, 0, 1e9, 0, "most GPUs at a time; 0: no limit"),
 };
 static const tw_setting objective_rows[] = {
-    LABEL("kind", tw_conf_objective, kind, "`wait`, `deadline` or `guarantee`"),
+    LABEL("kind", tw_conf_objective, kind, "`wait`, `deadline`, `finished` or `guarantee`"),
     LABEL("class", tw_conf_objective, cls, "class of jobs that it is for"),
-    OPTIONAL("within_s", tw_conf_objective, within_s, 0, 1e9, 0, "tasks should start within it"),
+    OPTIONAL("within_s", tw_conf_objective, within_s, 0, 1e9, 0,
+             "tasks should start within it, or jobs be finished (`finished`)"),
     OPTIONAL("share", tw_conf_objective, share, 0, 1, 0.9, "share of jobs that should meet it"),
     OPTIONAL("times", tw_conf_objective, times, 0, 1e9, 1, "scales the deadline"),
 };
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -6,7 +6,8 @@
  *   idle       no task may run. Placed whole under a new attempt -> gathering.
  *   gathering  tasks are launched, fetch their image, wait for each other. One tells that it runs
  *              -> running. One that is gone is replaced elsewhere under the same attempt, if room
- *              is found in time; else -> stopping. So is one that shows that the gang had begun.
+ *              is found in time; else -> stopping. One whose end shows that the gang had begun (an
+ *              error, or `peers`) -> stopping.
  *   running    one task is done -> all are, the job is over. One is gone without being done: what
  *              was not saved is lost, the others end by themselves -> stopping, without a grace
  *              period, since that is sooner.
@@ -15,8 +16,9 @@
  *
  * Invariants: all tasks that may run have the attempt of the gang, or it is stopped. A new attempt
  * begins only when no task of the last one may be on a machine; a task is replaced under the same
- * attempt only when it is certainly gone, and never on a machine where it was: a late command for
- * the first try could not be told from one for the second. An orderly stop begins only if every
+ * attempt only when it is certainly gone, and not on a machine where it was: a late command for the
+ * first try could not be told from one for the second. (A new leader doesn't know these machines;
+ * they refuse late commands by its token.) An orderly stop begins only if every
  * machine of the gang has reported lately; else tasks are stopped without a grace period. That a
  * task tells that it runs proves only that the gang had started, for it goes on telling so until it
  * notices that another is gone. */
--- a/src/core/gang_hold.c
+++ b/src/core/gang_hold.c
@@ -2,8 +2,9 @@
  * which needs room for all its tasks at once, might never find it. So the one that has waited
  * longest for longer than HOLD_AFTER_S gets the machines on which room for all of it is expected
  * soonest: work of its priority or a lower one, replicas apart, gets nothing new there until it is
- * placed. That lasts for HOLD_MOST_S at most, and then as long pauses, so that others don't wait
- * without end either. Nothing is held where the running tasks are not expected to end in that time.
+ * placed; in its team only what leaves it its part of the team's limit. That lasts for HOLD_MOST_S
+ * at most, and then as long pauses, so that others don't wait without end either. Nothing is held
+ * where the running tasks are not expected to end in that time.
  */
 #include "core/scheduler_int.h"
 
@@ -121,3 +122,20 @@
     if (!holder || !machine->held_for_gang || holder == job || job->s.service) return 1;
     return job->s.rank > holder->s.rank;
 }
+
+/* What is left of a limit after so many tasks; 0 as a limit: there is none. */
+static int leaves(double limit, double used, double taken, double held) {
+    return limit <= 0 || used + taken + held <= limit + TW_ROUNDING;
+}
+
+int tw_gang_hold_allows_team(const tw_core *core, const job *job) {
+    const struct job *holder = core->holder;
+    if (!holder || holder == job || job->s.service || job->team != holder->team ||
+        job->s.rank > holder->s.rank || job->team < 0)
+        return 1;
+    const tw_conf_team *team = &core->cf->teams[job->team];
+    return leaves(team->cpus_max, core->team_c[job->team], job->s.cores,
+                  holder->s.cores * holder->pieces) &&
+           leaves(team->gpus_max, core->team_g[job->team], job->s.gpus,
+                  holder->s.gpus * holder->pieces);
+}
--- a/src/core/gang_room.c
+++ b/src/core/gang_room.c
@@ -35,10 +35,12 @@
     tw_room room = {type->cores - machine->used_c + machine->kill_c,
                     type->gpus - machine->used_g + machine->kill_g,
                     type->memory_gb - machine->used_m + machine->kill_m};
-    for (int rank = 0; rank < job->s.rank; rank++) {
-        room.cores += machine->held[rank].c;
-        room.gpus += machine->held[rank].g;
-        room.memory_gb += machine->held[rank].m;
+    const placement *placed;
+    DL_FOREACH(machine->pls, placed) {
+        if (!tw_may_stop(core, job, placed)) continue;
+        room.cores += placed->job->s.cores;
+        room.gpus += placed->job->s.gpus;
+        room.memory_gb += placed->job->s.memory_gb;
     }
     return tasks_in(&room, &job->s, most);
 }
@@ -55,6 +57,11 @@
         gains_by_stopping(core, machine, job) ? vacated_on(core, machine, job, tasks) : free;
 }
 
+/* How many tasks of a job that spreads over zones may stand in one; else there is no such limit. */
+static int most_in_zone(const job *job) {
+    return job->s.apart ? (job->pieces + 1) / 2 : job->pieces;
+}
+
 static uint32_t zones_with(const tw_core *core, const zone_rooms rooms, int tasks, int vacated) {
     uint32_t zones = 0;
     for (int zone = 0; zone < core->nyards; zone++)
@@ -62,10 +69,15 @@
     return zones;
 }
 
-static int sum(const tw_core *core, const zone_rooms rooms, int vacated) {
-    int total = vacated ? rooms[TW_MAX_ZONES].vacated : rooms[TW_MAX_ZONES].free;
-    for (int zone = 0; zone < core->nyards; zone++)
-        total += vacated ? rooms[zone].vacated : rooms[zone].free;
+/* Machines of no known zone count towards each: one of them may fill a zone. */
+static int sum(const tw_core *core, const job *job, const zone_rooms rooms, int vacated) {
+    const int most = most_in_zone(job);
+    int total = 0;
+    for (int zone = 0; zone <= TW_MAX_ZONES; zone++) {
+        if (zone >= core->nyards && zone < TW_MAX_ZONES) continue;
+        const int count = vacated ? rooms[zone].vacated : rooms[zone].free;
+        total += count < most ? count : most;
+    }
     return total;
 }
 
@@ -81,7 +93,7 @@
     for (int vacated = 0; vacated <= may_vacate; vacated++) {
         const uint32_t zones = zones_with(core, rooms, tasks, vacated);
         if (job->s.same_place && zones) return zones;
-        if (!job->s.same_place && sum(core, rooms, vacated) >= tasks) return UINT32_MAX;
+        if (!job->s.same_place && sum(core, job, rooms, vacated) >= tasks) return UINT32_MAX;
     }
     return 0;
 }
--- a/src/core/learn.c
+++ b/src/core/learn.c
@@ -45,7 +45,8 @@
     machine *machine = placed->m;
     if (machine->rack < 0 || placed->inherited || !placed->sent) return;
     flavor *type = &core->flavors[machine->rack];
-    const double delay = core->now - placed->made_at;
+    /* A launch that was put off is no delay of the machine. */
+    const double delay = core->now - fmax(placed->made_at, placed->launch_after);
     const double weight = core->cf->tune.ema;
     const double start_s = machine->q < 0 ? type->q : machine->q;
     const double long_gb = type->f.fetch_gb_s * 2 * core->cf->report_s;
@@ -57,6 +58,27 @@
     }
 }
 
+/* Actual over estimated run time of the class, with the machine's slowness taken out. */
+static void learn_estimate(lane *class, double ratio, double weight) {
+    const double own = fmin(RATIO_MOST, fmax(RATIO_LEAST, ratio));
+    class->dev += weight * RUN_WEIGHT * (fabs(own - class->ratio) - class->dev);
+    class->ratio += weight * RUN_WEIGHT * (own - class->ratio);
+}
+
+static double slowness_of(const tw_core *core, const machine *machine) {
+    if (machine->rack < 0) return 1;
+    return machine->slowness < 0 ? core->flavors[machine->rack].slowness : machine->slowness;
+}
+
+/* Of the slowest machine that has a task of the gang; `done` has left its job's list. */
+static double gang_slowness(const tw_core *core, const placement *done) {
+    double slowest = slowness_of(core, done->m);
+    const placement *task;
+    DL_FOREACH2(done->job->live, task, jnext)
+    slowest = fmax(slowest, slowness_of(core, task->m));
+    return slowest;
+}
+
 void tw_learn_run(tw_core *core, const placement *placed) {
     machine *machine = placed->m;
     const job *job = placed->job;
@@ -66,13 +88,15 @@
     const double prior = core->flavors[machine->rack].slowness;
     const double weight = core->cf->tune.ema;
     const double ratio = (core->now - placed->run_at) / job->s.expect_s;
+    if (job->s.gang) { /* it ran at the speed of its slowest machine, whichever that was */
+        learn_estimate(class, ratio / gang_slowness(core, placed), weight);
+        return;
+    }
     const double slow = machine->slowness < 0 ? prior : machine->slowness;
     /* Estimates are often wrong by half: one run tells little of the machine. */
     move_average(&machine->slowness, prior,
                  fmin(RATIO_MOST, fmax(RATIO_LEAST, ratio / class->ratio)), weight * 0.5);
-    const double own = fmin(RATIO_MOST, fmax(RATIO_LEAST, ratio / slow));
-    class->dev += weight * RUN_WEIGHT * (fabs(own - class->ratio) - class->dev);
-    class->ratio += weight * RUN_WEIGHT * (own - class->ratio);
+    learn_estimate(class, ratio / slow, weight);
 }
 
 /* It came up, or is overdue: so many of its type do not come in time. */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -25,7 +25,7 @@
 /* Places one task on the best machine of the zones given, as bits. 0: no room, or not for its
  * team. */
 static int place_task(tw_core *core, job *job, int index, uint64_t attempt, uint32_t among) {
-    if (!tw_quota_allows(core, job, 1)) return 0;
+    if (!tw_quota_allows(core, job, 1) || !tw_gang_hold_allows_team(core, job)) return 0;
     tw_demand demand = tw_demand_of(core, job);
     demand.zones &= among;
     const tw_futile kind = tw_futile_kind(&demand);
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -33,7 +33,7 @@
            !tw_gang_can_save(core, job);
 }
 
-static int may_stop(const tw_core *core, const job *job, const placement *placed) {
+int tw_may_stop(const tw_core *core, const struct job *job, const placement *placed) {
     return placed->on_job && !placed->kill && placed->job->has_spec &&
            placed->job->s.rank < job->s.rank && !would_lose_gang(core, placed);
 }
@@ -87,7 +87,7 @@
     placement *placed;
     *least = INFINITY;
     DL_FOREACH(machine->pls, placed) {
-        if (!may_stop(core, job, placed) || placed->mark == CHOSEN) continue;
+        if (!tw_may_stop(core, job, placed) || placed->mark == CHOSEN) continue;
         if (job->s.gpus > 0 && placed->job->s.gpus <= 0 && room->gpus + ROUNDING < job->s.gpus)
             continue;
         const double cost = gang_is_chosen(machine, placed) ? 0 : cost_of(core, placed);
--- a/src/core/scheduler_int.h
+++ b/src/core/scheduler_int.h
@@ -113,9 +113,14 @@
 /* Whether the job may use the machine although it may be held for another. */
 int tw_gang_hold_allows(const tw_core *core, const struct job *job, const struct machine *machine);
 
+/* Whether a task of the job leaves the gang that waits its part of their team's limit. */
+int tw_gang_hold_allows_team(const tw_core *core, const struct job *job);
+
 /* preempt.c */
 /* A machine where stopping work of lower rank makes room, at the least loss; the work is told to
  * stop. in_time: only one where the deadline is met. *kept is set as in tw_choice. */
+/* Whether the task may be stopped to make room for the job. */
+int tw_may_stop(const tw_core *core, const struct job *job, const placement *placed);
 struct machine *tw_preempt(tw_core *core, const tw_demand *demand, int in_time, int *kept);
 
 #endif
