--- /dev/null
+++ b/src/core/job.h
@@ -0,0 +1,183 @@
+/* Jobs, their classes, and what the whole core may ask of their modules; what these share among
+ * themselves stands in jobs.h. Invariants: a user is told only what is durable; a final stage never
+ * changes; ver grows with each change of the job, and durable_ver is the one that the state service
+ * is known to hold under stamp. Not for other packages. */
+#ifndef TW_CORE_JOB_H
+#define TW_CORE_JOB_H
+#include "core/gang.h"
+#include "core/placement.h"
+#include "wire/wire.h"
+#include <uthash.h>
+
+typedef struct call call;
+typedef struct wish wish;
+
+/* A request whose answer waits until the job is durable, or known to be over. */
+typedef struct waiter {
+    uint64_t conn;
+    int cancels; /* else: a submission */
+    double until;
+    struct waiter *next;
+} waiter;
+
+/* A class of jobs: its objectives, and what its jobs were like lately. */
+typedef struct lane {
+    char name[TW_NAME];
+    double within_s;     /* start objective, 0: none */
+    double finish_s;     /* objective for the end, from the submission; 0: none */
+    int deadline;        /* has a deadline objective */
+    double ratio, dev;   /* EMA of actual over estimated run time, and of its deviation */
+    double rate;         /* EMA of tasks asked per second */
+    double batch_tasks;  /* EMA of tasks per job */
+    double largest_gang; /* tasks of the largest gang so far */
+    double last_arrival;
+    tw_wire_job sample; /* shape of its latest job (no racks) */
+    int has_sample;
+    uint32_t sample_racks;
+    int reserve, holes; /* tasks to keep room for, and that there is room for; see reserve.c */
+    UT_hash_handle hh;
+} lane;
+
+typedef struct job {
+    char id[TW_WIRE_ID];
+    int has_spec;
+    tw_wire_job s;
+    char *spec_text;   /* s as in the record, made once; NULL: not yet */
+    size_t spec_bytes; /* the length of that text; 0: not measured yet */
+    int team;          /* index, -1: unknown */
+    lane *lane;
+    uint32_t rackmask; /* over core->flavors */
+    uint32_t bundle;   /* sum of its image's name */
+    int pieces;
+    int stage; /* TW_STAGE_PENDING while unfinished */
+    int durable_stage;
+    double submitted; /* steady clock */
+    double submitted_wall;
+    uint8_t *st; /* per task; NULL once over */
+    int ndone, nlive;
+    int cursor; /* no free task below it */
+    uint64_t next_try;
+    placement *live;
+    int nplacements; /* that point to it: live, or not yet forgotten by their machines */
+    /* writing */
+    int created; /* its key is known to exist */
+    uint64_t stamp, ver, durable_ver, writing_ver;
+    int inflight, queued, urgent, need_read, reading;
+    int over_sent; /* a record that says it is over may be in the state service */
+    double write_after;
+    char set[TW_WIRE_SET];      /* slices that its record names as last known; "": it is whole */
+    int slices;                 /* how many */
+    struct record_parts *parts; /* of its next record, while they are written; see record_parts.c */
+    int refusals;               /* of its record for its size, in a row */
+    size_t refused_bytes;       /* the length that was refused */
+    int alone;                  /* to be written in a transaction of its own */
+    waiter *waiters;
+    /* errors */
+    int aborting; /* its user cancels it; not yet safe to tell, see tw_abort_safe */
+    uint64_t abort_seq;
+    int errors; /* in a row */
+    double retry_at;
+    struct machine *bad[4]; /* machines it failed on lately, passed over until bad_until */
+    int nbad;
+    double bad_until;
+    double pending_since;
+    int begun;                 /* a task of it has run for a lease */
+    int guaranteed;            /* scratch: within its team's guarantee, see queue.c */
+    int cramped;               /* nothing can be rented for it */
+    int any_machine;           /* without GPUs, but only GPU machines are to be had */
+    int resumed;               /* a task's run time is no longer the whole */
+    gang gang;                 /* of a job whose tasks start together */
+    struct job *prev, *next;   /* core->active */
+    struct job *wprev, *wnext; /* core->dirty */
+    int in_cancelled;
+    struct job *cprev, *cnext; /* core->cancelled */
+    UT_hash_handle hh;
+} job;
+
+/* job.c */
+/* An unfinished job, or one that something still points to; NULL: none of that id. */
+job *tw_job_find(tw_core *core, const char *id);
+/* A job without contents, among the jobs. */
+job *tw_job_new(tw_core *core, const char *id);
+/* Gives the job its contents. */
+void tw_job_spec(tw_core *core, job *job, tw_wire_job *spec /* taken */);
+/* Its record is to be written; urgent: before those that nobody waits for. */
+void tw_job_changed(tw_core *core, job *job, int urgent);
+/* Frees the job, of which no placement may be left. */
+void tw_job_free(tw_core *core, job *job);
+/* A placement of the job is no more; the job may be none either after it. */
+void tw_job_unplaced(tw_core *core, job *job);
+/* The job is over, at this stage; that is not durable yet. */
+void tw_job_finish(tw_core *core, job *job, int stage);
+/* Notes it among the cancelled jobs, which heartbeats tell of. */
+void tw_job_cancelled(tw_core *core, job *job);
+/* Whether some record of it is known to exist. */
+int tw_job_durable(const job *job);
+/* What its user is told; the caller frees it. */
+char *tw_job_answer(const job *job);
+/* Timed work of the leader on all unfinished jobs. */
+void tw_jobs_tick(tw_core *core);
+/* Whether it can never run: refused with TW_HTTP_IMPOSSIBLE. */
+int tw_job_hopeless(tw_core *core, const tw_wire_job *spec);
+/* The machine types that a job allows, a bit each, over core->flavors. */
+uint32_t tw_rack_mask(const tw_core *core, const tw_wire_job *spec);
+
+/* job_class.c */
+/* The class of that name, made when it is first named. */
+lane *tw_lane(tw_core *core, const char *name);
+
+/* job_store.c */
+/* The text of its record; the caller frees it. */
+char *tw_job_record(job *job);
+/* Writes queued records, as far as the limits of writes have room. */
+void tw_jobs_flush(tw_core *core);
+/* The state service answered a write or a read of records. */
+void tw_jobs_response(tw_core *core, call *sent, int status, const char *body, size_t length);
+
+/* turned_away.c */
+/* Forgets a submission that was turned away. */
+void tw_wish_drop(tw_core *core, wish *expected);
+
+/* user_requests.c */
+/* Requests of users: a submission, a query, a cancellation. from_peer: handed on by another node.
+ */
+void tw_submit(tw_core *core, uint64_t conn, const char *body, size_t length, int from_peer);
+void tw_poll(tw_core *core, uint64_t conn, const char *id, int from_peer);
+void tw_abort_job(tw_core *core, uint64_t conn, const char *id, int from_peer);
+/* A call that was made for a user was answered. */
+void tw_users_response(tw_core *core, call *sent, int status, const char *body, size_t length);
+
+/* accepted_elsewhere.c */
+/* Takes over jobs that other nodes accepted, and watches for more. */
+void tw_news_tick(tw_core *core);
+/* The state service answered with their keys, or their removal. */
+void tw_news_response(tw_core *core, call *sent, int status, const char *body, size_t length);
+
+/* task_ranges.c: states of tasks as text, "0-5,7" */
+/* The tasks in the wanted state as text, which the caller frees. */
+char *tw_ranges_text(const uint8_t *states, int count, int want);
+/* Puts the text's tasks into a state; returns how many changed. */
+int tw_ranges_apply(uint8_t *states, int count, const char *text, int to);
+
+/* record_size.c */
+/* Bytes that a record's text may have to be written as one value, under the smaller limit. */
+size_t tw_record_room(const tw_core *core);
+/* How many tasks of the job may be live at once for its record to fit into one value. */
+int tw_max_live(const tw_core *core, job *job);
+
+/* recover.c */
+/* A term begins: the records are read. */
+void tw_recover_begin(tw_core *core);
+/* Asks for the next page, unless that is under way. */
+void tw_recover_tick(tw_core *core);
+/* The state service answered with a page of records. */
+void tw_recover_page(tw_core *core, int status, const char *body, size_t length);
+/* A job as its record has it, among the jobs or, if it is over and nothing of it may run, among the
+ * finished ones. Takes what the job was submitted with out of the record. */
+void tw_adopt(tw_core *core, const char *id, tw_wire_record *record, uint64_t stamp);
+
+/* term.c */
+/* Everything that belongs to a term is forgotten with it. */
+void tw_term_clear(tw_core *core);
+
+#endif
--- /dev/null
+++ b/src/core/machine.h
@@ -0,0 +1,144 @@
+/* Machines, their types and the images on them, and what the whole core may ask of the modules that
+ * follow their reports; what these share among themselves stands in fleet.h. Invariants: a
+ * machine's sums of used amounts are those of the placements in its list; what may run on it counts
+ * until a newer report, its return or the end of its lease says otherwise. Not for other packages.
+ */
+#ifndef TW_CORE_MACHINE_H
+#define TW_CORE_MACHINE_H
+#include "core/job.h"
+#include "core/placement.h"
+#include "core/room.h"
+#include "wire/wire.h"
+#include <uthash.h>
+
+typedef struct call call;
+
+/* An image on a machine, cached or on its way. */
+typedef struct image {
+    char name[TW_WIRE_NAME];
+    uint32_t sum;              /* of the name, compared first */
+    double gb, used, ready_at; /* ready_at 0: cached; else expected */
+    struct image *prev, *next;
+} image;
+
+/* Stages of a machine. */
+enum { M_BOOTING, M_UP };
+typedef struct machine {
+    char name[TW_NAME], endpoint[TW_NAME], yard[TW_NAME];
+    int rack; /* index in core->flavors, -1 unknown */
+    char rack_name[TW_NAME];
+    int loaner, stage;
+    uint64_t shift, tick;
+    double session_at;   /* when we learned of its session: it began no later than that */
+    int confirmed;       /* has seen our token */
+    double confirmed_at; /* when we learned that */
+    double born;         /* known since (rental, or first sight) */
+    double heard;        /* last report that we answered or will answer; 0 never */
+    double contact;      /* last report, also in answer to direct orders */
+    double first_heard;
+    double renewed;      /* an older report was answered then */
+    double warned_until; /* 0: no notice; else when it is taken */
+    int overdue;         /* booting for longer than is usual */
+    int probe_fails;     /* asked in vain, in a row */
+    int unreached;       /* direct orders without an answer, in a row, since the last report */
+    int probed;          /* asked once, since it stood in the list */
+    int listed, missing; /* seen in a list; lists in a row without it */
+    int failed;
+    int cordon;             /* nothing new: sick, deaf, returning */
+    int release, releasing; /* to be returned; call in flight */
+    int lapsed;
+    double no_close_until;
+    int closing;       /* its replicas are being moved, to return it */
+    double idle_since; /* 0: not idle */
+    int keep;          /* scratch: needed as headroom */
+    int deaf;          /* launches in a row that did not take */
+    int blame;         /* errors in a row, of different jobs, weighed: see sick.c */
+    char err_last[TW_WIRE_ID];
+    double failed_at, failed_after_s; /* the last error; the longest that a failed task had run */
+    int trial;                        /* suspect, and tried with one task at a time */
+    double trial_at, sick_pause;
+    double slowness, q, p;         /* EMAs; p in seconds a GB */
+    double step, step_of;          /* what slowness step_of is in steps, see preference.c */
+    double used_c, used_g, used_m; /* by all that may run */
+    double kill_c, kill_g, kill_m; /* part of it that was told to stop for others */
+    struct {
+        double c, g, m;
+    } held[TW_RANK_PROD + 1]; /* the rest of it, by rank */
+    int held_for_gang;        /* scratch of a pass: for core->holder, see gang_hold.c */
+    int zone;                 /* index in core->yards, -1: not known, or too many */
+    int direct_busy, want_direct, want_probe;
+    double direct_after;           /* no direct orders before this */
+    int in_direct;                 /* in core->direct, to be looked at */
+    struct machine *dprev, *dnext; /* there */
+    image *images;
+    placement *pls;
+    UT_hash_handle hh;
+} machine;
+
+/* A machine type, as the cloud lists it, and what was learned of its machines. */
+typedef struct flavor {
+    tw_wire_flavor f;
+    double slowness, q, p; /* priors pooled by type */
+    double p_dev;          /* EMA of |p of a fetch / p - 1|: a rate differs from fetch to fetch */
+    double overdue;        /* EMA of the share of machines that come up late or never */
+    double late_sum;       /* scratch of a plan */
+    double share;          /* EMA, 0 to 1: how much a fetch is slowed by each other one beside it */
+} flavor;
+
+/* machine.c, lapse.c */
+/* The machine of that name; NULL: none is known. */
+machine *tw_machine(tw_core *core, const char *name);
+/* A machine of which nothing but the name is known. */
+machine *tw_machine_new(tw_core *core, const char *name);
+/* Forgets the machine and all on it; why: for the log, NULL: none. */
+void tw_machine_drop(tw_core *core, machine *machine, const char *why);
+/* Notes the machine's zone. */
+void tw_machine_at(tw_core *core, machine *machine, const char *zone);
+/* The number of a machine type; -1: unknown. */
+int tw_rack_index(const tw_core *core, const char *label);
+/* Whether it has not been heard from for so long that its tasks may be given up. */
+int tw_machine_silent(const tw_core *core, const machine *machine);
+/* Whether new tasks may go to it. */
+int tw_machine_usable(const tw_core *core, const machine *machine);
+
+/* image.c */
+/* Sum of an image's name, compared before the names are. */
+uint32_t tw_sum(const char *name);
+/* The job's image on the machine, cached or on its way; NULL: absent. */
+image *tw_image(const machine *machine, const job *job);
+/* How many times as long a fetch takes there beside the others, this one apart. */
+double tw_fetch_slowed(const tw_core *core, const machine *machine, const image *but);
+
+/* report.c, orders.c, fleet.c */
+/* A worker's report. from_peer: handed on by another node. */
+void tw_hello(tw_core *core, uint64_t conn, const char *body, size_t length, int from_peer);
+/* Commands for the machine are to be sent to its own address; a probe asks for its state alone. */
+void tw_want_direct(tw_core *core, machine *machine);
+void tw_want_probe(tw_core *core, machine *machine);
+/* Sends the direct commands that are due. */
+void tw_fleet_direct(tw_core *core);
+/* A machine answered direct commands or a probe. */
+void tw_fleet_response(tw_core *core, call *sent, int status, const char *body, size_t length);
+/* Timed work over all machines. */
+void tw_fleet_tick(tw_core *core);
+
+/* sick.c */
+/* A task failed there; elsewhere: machines on which its job has failed before. */
+void tw_sick_blame(tw_core *core, const placement *placed, int elsewhere);
+/* The machine has shown that it works. */
+void tw_sick_well(tw_core *core, machine *machine);
+/* A task runs: for longer than those that failed, it shows that the machine works. */
+void tw_sick_running(tw_core *core, const placement *placed);
+/* Lets a suspect be tried again when its pause is over. */
+void tw_sick_tick(tw_core *core, machine *machine);
+/* Whether it may get a task: on trial it gets one at a time. */
+int tw_sick_allows(const machine *machine);
+
+/* Whether a task fits into what is free on the machine, which is of this type. */
+static inline int tw_fits(const machine *machine, const flavor *type, const tw_wire_job *spec) {
+    return type->f.cores - machine->used_c + TW_ROUNDING >= spec->cores &&
+           type->f.gpus - machine->used_g + TW_ROUNDING >= spec->gpus &&
+           type->f.memory_gb - machine->used_m + TW_ROUNDING >= spec->memory_gb;
+}
+
+#endif
--- /dev/null
+++ b/src/core/placement.h
@@ -0,0 +1,54 @@
+/* Placements: a task that runs, or may run, on a machine (placement.c). Invariants: a placement
+ * stands in its machine's list until the machine surely doesn't run the task, and its amounts are
+ * in use until then; it stands in its job's list until the task has ended or is lost; no two of a
+ * job have the same attempt and index. Not for other packages. */
+#ifndef TW_CORE_PLACEMENT_H
+#define TW_CORE_PLACEMENT_H
+#include "core/core.h"
+
+typedef struct job job;
+typedef struct machine machine;
+
+enum { PL_SENT_NO, PL_SENT }; /* whether a launch may have reached the machine */
+typedef struct placement {
+    struct job *job;
+    struct machine *m;
+    int index;
+    uint64_t attempt;
+    uint64_t ver;       /* job version that holds it: launchable once that is durable */
+    int inherited;      /* written by a predecessor */
+    int sent;           /* a launch went out */
+    int direct;         /* launches sent to /orders whose fate is unknown */
+    uint64_t sent_tick; /* report to whose response the last launch was attached */
+    uint64_t shift;     /* session it was sent in */
+    int misses;         /* launches that did not take */
+    int sharing;        /* other images the machine fetched when it was placed */
+    int warmth;         /* then: its image was cached (1), absent (0) or on its way (-1) */
+    int seen, stage;    /* from reports: TW_PIECE_* once seen */
+    int cause;
+    int kill;      /* to be stopped */
+    int preempted; /* counts as running until it is gone, but its room is promised */
+    double mercy_s;
+    double made_at, run_at, kill_at; /* run_at 0: not yet */
+    double launch_after;             /* a gang's task: not launched before, see gang.c */
+    uint64_t mark;                   /* scratch: seen in the report in hand */
+    int on_job;                      /* still in the job's list (not exited, not lost) */
+    struct placement *jprev, *jnext; /* job's list */
+    struct placement *prev, *next;   /* machine's list */
+} placement;
+
+/* States of a job's task. */
+enum { T_FREE, T_LIVE, T_DONE };
+
+/* placement.c */
+/* Places a task, whose amounts count from now on; the caller marks the job changed. */
+placement *tw_place(tw_core *core, job *job, int index, machine *machine, uint64_t attempt);
+/* The task is surely not on the machine and not done: it is free again. why: for the log. */
+void tw_placement_lost(tw_core *core, placement *placed, const char *why);
+/* The task is to be stopped, a gang with all its tasks; preempted: its room is promised to others.
+ */
+void tw_placement_kill(tw_core *core, placement *placed, double grace_s, int preempted);
+/* Takes it out of all lists and sums and frees it; a task that was live is free again. */
+void tw_placement_free(tw_core *core, placement *placed);
+
+#endif
