--- a/src/core/job.h
+++ b/src/core/job.h
@@ -126,9 +126,11 @@
 /* The class of that name, made when it is first named. */
 lane *tw_lane(tw_core *core, const char *name);
 
-/* job_store.c */
+/* job_record.c */
 /* The text of its record; the caller frees it. */
 char *tw_job_record(job *job);
+
+/* job_store.c */
 /* Writes queued records, as far as the limits of writes have room. */
 void tw_jobs_flush(tw_core *core);
 /* The state service answered a write or a read of records. */
--- a/src/core/job_store.c
+++ b/src/core/job_store.c
@@ -1,7 +1,7 @@
-/* Records of jobs in the state service: their text, group commit, and reads that settle a record's
- * revision. Whatever a user is told is durable first. Each write is conditioned on the leader's key
- * and on the job's own revision, so that neither a deposed leader nor a late copy of an older write
- * can undo a newer one. */
+/* Records of jobs in the state service: group commit, and reads that settle a record's revision;
+ * their text is made in job_record.c. Whatever a user is told is durable first. Each write is
+ * conditioned on the leader's key and on the job's own revision, so that neither a deposed leader
+ * nor a late copy of an older write can undo a newer one. */
 #include "core/record_parts.h"
 
 /* Most records in a transaction, whatever the state service allows. */
@@ -29,45 +29,6 @@
     char *texts[MAX_RECORDS];
 } batch;
 
-/* ---- text ---- */
-
-/* The tasks that may run; the caller frees them. */
-static tw_wire_live *live_tasks(const job *job, int *count) {
-    const placement *task;
-    *count = 0;
-    DL_FOREACH2(job->live, task, jnext)++ *count;
-    tw_wire_live *tasks = tw_zalloc((size_t)*count * sizeof *tasks);
-    tw_wire_live *at = tasks;
-    DL_FOREACH2(job->live, task, jnext) {
-        at->index = task->index;
-        at->attempt = task->attempt;
-        snprintf(at->tray, sizeof at->tray, "%s", task->m->name);
-        at++;
-    }
-    return tasks;
-}
-
-char *tw_job_record(job *job) {
-    tw_wire_record record = {.stage = job->stage,
-                             .pieces = job->pieces,
-                             .ndone = job->ndone,
-                             .submitted = job->submitted_wall,
-                             .next_try = job->next_try};
-    record.live = live_tasks(job, &record.nlive);
-    /* While something may run, a successor needs the job's amounts for the team's limit. */
-    if (job->has_spec && (job->stage == TW_STAGE_PENDING || record.nlive)) {
-        if (!job->spec_text) job->spec_text = tw_wire_job_text(&job->s);
-        record.has_job = 1;
-        record.job_text = job->spec_text;
-    }
-    if (job->stage == TW_STAGE_PENDING)
-        record.done_ranges = tw_ranges_text(job->st, job->pieces, T_DONE);
-    char *text = tw_wire_record_text(&record);
-    free(record.live);
-    free(record.done_ranges);
-    return text;
-}
-
 /* ---- group commit ---- */
 
 static void enqueue(tw_core *core, job *job) {
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -1,22 +1,16 @@
 /* How many machines to rent. Each round packs what waits, and the spare room that arrivals are
- * expected to need while a machine boots, into the room that is there or coming; what does not fit
- * is to be rented where a task costs least. Room is taken bin by bin, so that a round costs jobs
- * times bins, not tasks times bins. */
+ * expected to need while a machine boots (plan_spare.c), into the room that is there or coming;
+ * what does not fit is to be rented where a task costs least. What differs for gangs stands in
+ * plan_gang.c. Room is taken bin by bin, so that a round costs jobs times bins, not tasks times
+ * bins. */
 #include "core/provision_int.h"
 
-#define NEARLY_FREE 0.02 /* share of the fleet's price */
-#define BOOT_SPREAD 1.2  /* of a type's boot time: most machines are up by then */
-#define RUN_SPREAD 1.1   /* of an estimated run time */
-#define RATE_FADES_S 60  /* without arrivals, before their rate is taken to fall, and how fast */
-#define HALF_SHARE 0.5   /* of expected arrivals that spare room is kept for, beside their root */
-#define ROUND_DOWN 0.3   /* of a task of spare room: as little is not rounded up */
-#define LATE_SHARE 0.5   /* of a start objective: what a gang that has to wait leaves of it */
-#define ROUNDING 1e-6
+#define BOOT_SPREAD 1.2 /* of a type's boot time: most machines are up by then */
+#define RUN_SPREAD 1.1  /* of an estimated run time */
 
 /* ---- packing ---- */
 
-/* When a machine rented now would run a task, at the soonest, from now. */
-static double soonest_s(const tw_core *core, uint32_t types, double image_gb) {
+double tw_plan_soonest_s(const tw_core *core, uint32_t types, double image_gb) {
     double soonest = INFINITY;
     for (int i = 0; i < core->nflavors; i++) {
         const flavor *type = &core->flavors[i];
@@ -29,7 +23,7 @@
 /* Whether to rent for a batch task rather than let it wait until `start`. */
 static int worth_renting(const tw_core *core, const job *job, double start) {
     if (!isfinite(start)) return 1; /* nothing will be given back */
-    if (start <= core->now + soonest_s(core, job->rackmask, job->s.image_gb)) return 0;
+    if (start <= core->now + tw_plan_soonest_s(core, job->rackmask, job->s.image_gb)) return 0;
     return !(start + tw_estimate(job) * RUN_SPREAD <= tw_job_due(core, job));
 }
 
@@ -86,26 +80,15 @@
     int count = job->pieces - job->ndone - job->nlive;
     if (team->gpus_max > 0 && job->s.gpus > 0)
         count = (int)fmin(
-            count, floor((team->gpus_max - core->team_g[job->team]) / job->s.gpus + ROUNDING));
+            count, floor((team->gpus_max - core->team_g[job->team]) / job->s.gpus + TW_ROUNDING));
     if (team->cpus_max > 0 && job->s.cores > 0)
         count = (int)fmin(
-            count, floor((team->cpus_max - core->team_c[job->team]) / job->s.cores + ROUNDING));
+            count, floor((team->cpus_max - core->team_c[job->team]) / job->s.cores + TW_ROUNDING));
     const int most = tw_max_live(core, job) - job->nlive;
     return count > most ? most : count;
 }
 
-/* When a gang would start on room that is given back: with the last of its tasks. */
-static double gang_start(tw_core *core, bins *bins, const job *job, tw_drain *drain, int count) {
-    int *from = tw_bins_first_drained(bins, job);
-    double start = core->now;
-    for (int i = 0; i < count && isfinite(start); i++)
-        start = fmax(start, tw_drain_start(core, drain, job, from));
-    return start;
-}
-
-/* Work without GPUs for which nothing but GPU machines can be rented may use those that are there,
- * and the cores that are kept for their GPUs. Returns whether it may only now. */
-static int open_gpu_machines(tw_core *core, job *job, const offer *best) {
+int tw_plan_open_gpu_machines(tw_core *core, job *job, const offer *best) {
     if (job->s.gpus > 0 || job->any_machine) return 0;
     if (best && core->flavors[best->rack].f.gpus <= 0) return 0;
     job->any_machine = 1;
@@ -113,15 +96,6 @@
     return 1;
 }
 
-/* A gang that would start late on room that is given back takes what there is. */
-static void hurry(tw_core *core, job *job, double start) {
-    const tw_offer_filter filter = {0};
-    const double due = tw_job_start_due(job);
-    const double early = LATE_SHARE * (job->lane ? job->lane->within_s : 0);
-    if (start <= due - early && core->now <= due - early) return;
-    open_gpu_machines(core, job, tw_offer_best(core, &job->s, job->rackmask, &filter));
-}
-
 /* How many of them to find or rent room for: of a batch, those that had better not wait; of a gang,
  * all or none. */
 static int needed(tw_core *core, bins *bins, job *job, tw_drain *drain) {
@@ -131,8 +105,8 @@
     if (count > 0 && !drain->v) tw_drain_init(core, drain); /* mostly no batch waits */
     if (job->s.gang) {
         if (count < job->pieces - job->ndone - job->nlive) return 0; /* its team's limit */
-        const double start = gang_start(core, bins, job, drain, count);
-        hurry(core, job, start);
+        const double start = tw_plan_gang_start(core, bins, job, drain, count);
+        tw_plan_gang_hurry(core, job, start);
         return worth_renting(core, job, start) ? count : 0;
     }
     int *from = tw_bins_first_drained(bins, job);
@@ -151,7 +125,7 @@
         offer *offer = tw_offer_best(core, &job->s, job->rackmask, &filter);
         job->cramped = !offer || offer->refused > 0; /* refused lately: it may be granted again */
         /* Before renting. */
-        if (open_gpu_machines(core, job, offer)) return;
+        if (tw_plan_open_gpu_machines(core, job, offer)) return;
         if (!offer) return;
         const int taken = fill(core, tw_offer_bin(core, bins, offer), job, tasks, need);
         if (!taken) return;
@@ -160,47 +134,12 @@
     }
 }
 
-/* How many tasks of the job the zone's bins hold, at most `most`. */
-static int zone_holds(tw_core *core, bins *bins, const job *job, const char *zone, int most) {
-    int count = 0;
-    for (int i = 0; i < bins->n && count < most; i++) {
-        bin room = bins->v[i];
-        core->steps++;
-        if (strcmp(room.yard, zone) != 0 || !tw_bin_allowed(&room, &job->s, job->rackmask))
-            continue;
-        while (count < most && tw_bin_fits(&room, &job->s) &&
-               tw_bin_leaves_gpus(core, &room, &job->s, job->any_machine)) {
-            tw_bin_take(&room, &job->s);
-            count++;
-        }
-    }
-    return count;
-}
-
-/* The zone for a gang that must stand in one: with room for all of it, else the one with the most
- * of those where the rest can be rented. NULL: none. */
-static const char *gang_zone(tw_core *core, bins *bins, const job *job, int need) {
-    const char *best = NULL;
-    int most = -1;
-    for (int zone = 0; zone < core->nyards; zone++) {
-        const char *name = core->yards[zone];
-        const tw_offer_filter filter = {.only_zone = name};
-        if (!tw_zone_allows(core, job, name)) continue;
-        const int count = zone_holds(core, bins, job, name, need);
-        if (count <= most) continue;
-        if (count < need && !tw_offer_best(core, &job->s, job->rackmask, &filter)) continue;
-        most = count;
-        best = name;
-    }
-    return best;
-}
-
 static void plan_job(tw_core *core, bins *bins, job *job, tw_drain *drain) {
     int need = needed(core, bins, job, drain);
     if (need <= 0) return;
     spread tasks = spread_of(job);
     if (job->s.gang && job->s.same_place && !tasks.used) {
-        const char *zone = gang_zone(core, bins, job, need);
+        const char *zone = tw_plan_gang_zone(core, bins, job, need);
         if (zone) spread_slot(&tasks, zone);
     }
     /* Room that placing has tried is of no use to a task, but may be a part of a gang's. */
@@ -212,93 +151,6 @@
     rent_for(core, bins, job, &tasks, need);
 }
 
-/* ---- spare room ---- */
-
-/* How many tasks to keep room for, of a class whose tasks must start sooner than a machine boots.
- */
-static int spare_tasks(const tw_core *core, const lane *class, double fleet_price) {
-    const tw_wire_job *sample = &class->sample;
-    if (!class->has_sample || class->within_s <= 0 || !(sample->service || sample->gang)) return 0;
-    const double lead_s =
-        fmax(0, soonest_s(core, class->sample_racks, sample->image_gb) - class->within_s);
-    const double quiet_s = core->now - class->last_arrival;
-    double rate = class->rate;
-    if (quiet_s > RATE_FADES_S) rate *= exp(-(quiet_s - RATE_FADES_S) / RATE_FADES_S);
-    const double expected = rate * lead_s;
-    const double group = fmax(1, class->batch_tasks);
-    double tasks = core->cf->tune.headroom * (HALF_SHARE * expected + sqrt(expected * group));
-    /* A late start costs the same whatever the task: where twice the room is nearly free beside
-     * what the fleet costs, twice the room. */
-    double price = INFINITY;
-    for (int i = 0; i < core->nflavors; i++) {
-        const tw_wire_flavor *type = &core->flavors[i].f;
-        if (class->sample_racks & (1U << i))
-            price = fmin(price, type->hourly / tw_offer_holds(type, sample));
-    }
-    if (2 * tasks * price < NEARLY_FREE * fleet_price) tasks *= 2;
-    if (sample->gang) tasks = fmax(tasks, class->largest_gang);
-    return (int)ceil(tasks - ROUND_DOWN);
-}
-
-/* The order in which spare room is looked for. */
-typedef enum { BIN_IN_USE, BIN_IDLE, BIN_COMING, BIN_STATES } bin_state;
-
-static bin_state state_of(const bin *bin) {
-    if (!bin->m || bin->m->stage == M_BOOTING) return BIN_COMING;
-    return bin->busy ? BIN_IN_USE : BIN_IDLE;
-}
-
-/* How many of `want` tasks of the class the bin has spare room for. zone: NULL: any. */
-static int keep(const tw_core *core, bin *bin, const lane *class, int want, const char *zone) {
-    const tw_wire_job *sample = &class->sample;
-    int kept = 0;
-    if (!tw_bin_allowed(bin, sample, class->sample_racks)) return 0;
-    if (zone && strcmp(zone, bin->yard) != 0) return 0;
-    /* Room that placing would not give is no spare room. */
-    if (sample->gpus <= 0 && core->flavors[bin->rack].f.gpus > 0 && !bin->busy) return 0;
-    while (kept < want && tw_bin_fits(bin, sample) && tw_bin_leaves_gpus(core, bin, sample, 0)) {
-        tw_bin_take(bin, sample);
-        if (bin->m) bin->m->keep = 1;
-        kept++;
-    }
-    return kept;
-}
-
-/* Where to keep room for gangs that stand in one zone: where most of it is. NULL: anywhere. */
-static const char *spare_zone(tw_core *core, const bins *bins, const lane *class, int want) {
-    const char *best = NULL;
-    int most = 0;
-    if (!class->sample.gang || !class->sample.same_place) return NULL;
-    for (int zone = 0; zone < core->nyards; zone++) {
-        int count = 0;
-        for (int i = 0; i < bins->n && count < want; i++) {
-            bin room = bins->v[i];
-            room.m = NULL; /* nothing is kept there yet */
-            count += keep(core, &room, class, want - count, core->yards[zone]);
-        }
-        if (count <= most) continue;
-        most = count;
-        best = core->yards[zone];
-    }
-    return best;
-}
-
-static void plan_spare(tw_core *core, bins *bins, const lane *class, int want) {
-    const char *zone = spare_zone(core, bins, class, want);
-    for (bin_state state = BIN_IN_USE; state < BIN_STATES && want > 0; state++)
-        for (int i = 0; i < bins->n && want > 0; i++)
-            if (state_of(&bins->v[i]) == state) want -= keep(core, &bins->v[i], class, want, zone);
-    const tw_offer_filter filter = {.spare = 1, .only_zone = zone};
-    while (want > 0) {
-        offer *offer = tw_offer_best(core, &class->sample, class->sample_racks, &filter);
-        if (!offer) return;
-        bin *bin = tw_offer_bin(core, bins, offer);
-        offer->want++;
-        for (; want > 0 && tw_bin_fits(bin, &class->sample); want--)
-            tw_bin_take(bin, &class->sample);
-    }
-}
-
 /* ---- the round ---- */
 
 /* Whether a machine's room can be counted on. */
@@ -414,7 +266,7 @@
     plan_turned_away(core, &bins, &drain);
     const double price = price_of(core, &bins);
     for (const lane *class = core->lanes; class; class = class->hh.next)
-        plan_spare(core, &bins, class, spare_tasks(core, class, price));
+        tw_plan_spare(core, &bins, class, price);
     const int more = bins.n > there;
     tw_offers_settle(core);
     tw_return_idle(core);
--- /dev/null
+++ b/src/core/plan_gang.c
@@ -0,0 +1,54 @@
+/* What the plan does for gangs, whose tasks are rented for all together or not at all: when one
+ * would start on room that is given back, and the zone for one that must stand in a single one. */
+#include "core/provision_int.h"
+
+#define LATE_SHARE 0.5 /* of a start objective: what a gang that has to wait leaves of it */
+
+double tw_plan_gang_start(tw_core *core, bins *bins, const job *job, tw_drain *drain, int count) {
+    int *from = tw_bins_first_drained(bins, job);
+    double start = core->now;
+    for (int i = 0; i < count && isfinite(start); i++)
+        start = fmax(start, tw_drain_start(core, drain, job, from));
+    return start;
+}
+
+void tw_plan_gang_hurry(tw_core *core, job *job, double start) {
+    const tw_offer_filter filter = {0};
+    const double due = tw_job_start_due(job);
+    const double early = LATE_SHARE * (job->lane ? job->lane->within_s : 0);
+    if (start <= due - early && core->now <= due - early) return;
+    tw_plan_open_gpu_machines(core, job, tw_offer_best(core, &job->s, job->rackmask, &filter));
+}
+
+/* How many tasks of the job the zone's bins hold, at most `most`. */
+static int zone_holds(tw_core *core, bins *bins, const job *job, const char *zone, int most) {
+    int count = 0;
+    for (int i = 0; i < bins->n && count < most; i++) {
+        bin room = bins->v[i];
+        core->steps++;
+        if (strcmp(room.yard, zone) != 0 || !tw_bin_allowed(&room, &job->s, job->rackmask))
+            continue;
+        while (count < most && tw_bin_fits(&room, &job->s) &&
+               tw_bin_leaves_gpus(core, &room, &job->s, job->any_machine)) {
+            tw_bin_take(&room, &job->s);
+            count++;
+        }
+    }
+    return count;
+}
+
+const char *tw_plan_gang_zone(tw_core *core, bins *bins, const job *job, int need) {
+    const char *best = NULL;
+    int most = -1;
+    for (int zone = 0; zone < core->nyards; zone++) {
+        const char *name = core->yards[zone];
+        const tw_offer_filter filter = {.only_zone = name};
+        if (!tw_zone_allows(core, job, name)) continue;
+        const int count = zone_holds(core, bins, job, name, need);
+        if (count <= most) continue;
+        if (count < need && !tw_offer_best(core, &job->s, job->rackmask, &filter)) continue;
+        most = count;
+        best = name;
+    }
+    return best;
+}
--- a/src/core/provision_int.h
+++ b/src/core/provision_int.h
@@ -31,6 +31,27 @@
 /* Turns what the plan wants of each offer into what is asked of the cloud. */
 void tw_offers_settle(tw_core *core);
 
+/* plan.c */
+/* When a machine rented now would run a task, at the soonest, from now. */
+double tw_plan_soonest_s(const tw_core *core, uint32_t types, double image_gb);
+/* Work without GPUs for which nothing but GPU machines can be rented may use those that are there,
+ * and the cores that are kept for their GPUs. Returns whether it may only now. */
+int tw_plan_open_gpu_machines(tw_core *core, job *job, const offer *best);
+
+/* plan_gang.c */
+/* When a gang would start on room that is given back: with the last of so many tasks. */
+double tw_plan_gang_start(tw_core *core, bins *bins, const job *job, tw_drain *drain, int count);
+/* A gang that would start late on room that is given back takes what there is. */
+void tw_plan_gang_hurry(tw_core *core, job *job, double start);
+/* The zone for a gang that must stand in one: with room for all of it, else the one with the most
+ * of those where the rest can be rented. NULL: none. */
+const char *tw_plan_gang_zone(tw_core *core, bins *bins, const job *job, int need);
+
+/* plan_spare.c */
+/* Keeps spare room for the class, and wants machines for what is missing. fleet_price: of all the
+ * room there is or will be. */
+void tw_plan_spare(tw_core *core, bins *bins, const lane *class, double fleet_price);
+
 /* types.c */
 void tw_types_listed(tw_core *core, const char *body, size_t length);
 
