--- a/src/app/main.c
+++ b/src/app/main.c
@@ -243,7 +243,7 @@
     if (listen_on(process, "api_addr", conf->api_addr, TW_PORT_API) ||
         listen_on(process, "peer_bind", conf->peer_bind, TW_PORT_PEER))
         return EXIT_LISTEN;
-    tw_log_info("event=start zone=%s", conf->location);
+    tw_log_info("event=start version=" TW_VERSION " zone=%s", conf->location);
     start_watchers(process);
     ev_run(process->loop, 0);
     tw_log_info("event=end");
--- a/src/core/record_refused.c
+++ b/src/core/record_refused.c
@@ -35,6 +35,7 @@
     const int divides = tw_all_read_divided(core);
     const int heard_old = tw_heard_old_peer(core);
     job *job;
+    if (divides != core->divides) tw_log_info("event=record_format divided=%d", divides);
     if (divides && !core->divides) {
         DL_FOREACH2(core->dirty, job, wnext) {
             if (job->refusals) job->write_after = 0;
