--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -1,6 +1,6 @@
-/* What the modules of jobs share: life cycle (job.c), records (job_record.c, job_store.c), requests of users
- * (user_requests.c), submissions turned away (turned_away.c), jobs that other nodes accepted
- * (accepted_elsewhere.c). Not for other packages. */
+/* What the modules of jobs share: life cycle (job.c), records (job_record.c, job_store.c), requests
+ * of users (user_requests.c), submissions turned away (turned_away.c), jobs that other nodes
+ * accepted (accepted_elsewhere.c). Not for other packages. */
 #ifndef TW_CORE_JOBS_H
 #define TW_CORE_JOBS_H
 #include "core/core_int.h"
