What stood twice stands once: slowness, transactions of slices, amounts of room

Found when the whole change was read again. learn.c had tw_slowness once more, record_parts.c the same transaction twice, orders.c, job.c and preempt.c their own rounding and, two of them, their own type for amounts beside room.h.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -7,8 +7,6 @@
 /* Most memory for finished jobs, as a share of all. */
 #define FINISHED_SHARE 0.25
 #define BYTES_PER_MIB (1024 * 1024)
-/* Amounts that differ by less count as equal. */
-#define ROUNDING 1e-6
 
 job *tw_job_find(tw_core *core, const char *id) {
     job *job;
@@ -253,8 +251,8 @@
 
 /* Whether a machine of the type would hold a task where the job may run. */
 static int type_suits(const tw_wire_flavor *type, const tw_wire_job *spec) {
-    if (type->cores + ROUNDING < spec->cores || type->gpus + ROUNDING < spec->gpus ||
-        type->memory_gb + ROUNDING < spec->memory_gb)
+    if (type->cores + TW_ROUNDING < spec->cores || type->gpus + TW_ROUNDING < spec->gpus ||
+        type->memory_gb + TW_ROUNDING < spec->memory_gb)
         return 0;
     if (!*spec->yard) return 1;
     for (int i = 0; i < type->nyards; i++)
@@ -267,8 +265,8 @@
     if (index < 0) return 1;
     const tw_conf_team *team = &core->cf->teams[index];
     double at_once = spec->service || spec->gang ? spec->pieces : 1; /* what must run at once */
-    if (team->cpus_max > 0 && spec->cores * at_once > team->cpus_max + ROUNDING) return 1;
-    if (team->gpus_max > 0 && spec->gpus * at_once > team->gpus_max + ROUNDING) return 1;
+    if (team->cpus_max > 0 && spec->cores * at_once > team->cpus_max + TW_ROUNDING) return 1;
+    if (team->gpus_max > 0 && spec->gpus * at_once > team->gpus_max + TW_ROUNDING) return 1;
     uint32_t mask = tw_rack_mask(core, spec);
     for (int i = 0; i < core->nflavors; i++)
         if ((mask & (1u << i)) && type_suits(&core->flavors[i].f, spec)) return 0;
--- a/src/core/learn.c
+++ b/src/core/learn.c
@@ -1,6 +1,7 @@
 /* What starts, runs and boots teach: moving averages by machine, with priors pooled by machine type
  * (GoodServe, section 3.3; see docs/design.md for what is learned from which starts). */
 #include "core/fleet.h"
+#include "core/scheduler_int.h"
 
 /* Weights, as shares of the setting's. */
 #define TYPE_WEIGHT 0.2 /* a machine's sample in its type's average */
@@ -65,17 +66,12 @@
     class->ratio += weight * RUN_WEIGHT * (own - class->ratio);
 }
 
-static double slowness_of(const tw_core *core, const machine *machine) {
-    if (machine->rack < 0) return 1;
-    return machine->slowness < 0 ? core->flavors[machine->rack].slowness : machine->slowness;
-}
-
 /* Of the slowest machine that has a task of the gang; `done` has left its job's list. */
 static double gang_slowness(const tw_core *core, const placement *done) {
-    double slowest = slowness_of(core, done->m);
+    double slowest = tw_slowness(core, done->m);
     const placement *task;
     DL_FOREACH2(done->job->live, task, jnext)
-    slowest = fmax(slowest, slowness_of(core, task->m));
+    if (task->m->rack >= 0) slowest = fmax(slowest, tw_slowness(core, task->m));
     return slowest;
 }
 
@@ -92,7 +88,7 @@
         learn_estimate(class, ratio / gang_slowness(core, placed), weight);
         return;
     }
-    const double slow = machine->slowness < 0 ? prior : machine->slowness;
+    const double slow = tw_slowness(core, machine);
     /* Estimates are often wrong by half: one run tells little of the machine. */
     move_average(&machine->slowness, prior,
                  fmin(RATIO_MOST, fmax(RATIO_LEAST, ratio / class->ratio)), weight * 0.5);
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -9,14 +9,8 @@
 #define SILENT_REPORTS 1.5   /* without a report for so long, a machine is asked itself */
 #define PAUSE_MOST_REPORTS 8 /* between direct orders to one that doesn't answer */
 #define MOST_PROBES 4
-#define ROUNDING 1e-6
 
-/* Amounts of a machine. */
-typedef struct {
-    double cores, gpus, memory_gb;
-} amounts;
-
-static void take(amounts *from, const tw_wire_job *s) {
+static void take(tw_room *from, const tw_wire_job *s) {
     from->cores -= s->cores;
     from->gpus -= s->gpus;
     from->memory_gb -= s->memory_gb;
@@ -56,7 +50,7 @@
 }
 
 /* Takes off `room` what tasks that still save hold, though they count as gone. */
-static void stops(const machine *machine, tw_orders *orders, uint64_t tick, amounts *room) {
+static void stops(const machine *machine, tw_orders *orders, uint64_t tick, tw_room *room) {
     const placement *each;
     DL_FOREACH(machine->pls, each) {
         if (!each->on_job || !each->kill) continue;
@@ -75,7 +69,7 @@
 
 /* room: all of the machine's, less what still saves. */
 static void launches(const tw_core *core, machine *machine, tw_orders *orders, uint64_t tick,
-                     amounts room) {
+                     tw_room room) {
     placement *each;
     DL_FOREACH(machine->pls, each) {
         if (!each->on_job || each->preempted) continue;
@@ -87,8 +81,8 @@
         const tw_wire_job *s = &each->job->s;
         if (each->sent && !tick) continue; /* its first launch is on the way */
         if (!each->sent) {
-            if (room.cores + ROUNDING < s->cores || room.gpus + ROUNDING < s->gpus ||
-                room.memory_gb + ROUNDING < s->memory_gb)
+            if (room.cores + TW_ROUNDING < s->cores || room.gpus + TW_ROUNDING < s->gpus ||
+                room.memory_gb + TW_ROUNDING < s->memory_gb)
                 continue;
             take(&room, s);
         }
@@ -120,10 +114,10 @@
  * - a kill names one attempt, which is never started again;
  * - a forget is not sent directly, nor for an attempt with a direct launch still under way. */
 void tw_orders_due(tw_core *core, machine *machine, tw_orders *orders, uint64_t tick) {
-    amounts room = {0, 0, 0};
+    tw_room room = {0, 0, 0};
     if (machine->rack >= 0) {
         const tw_wire_flavor *type = &core->flavors[machine->rack].f;
-        room = (amounts){type->cores, type->gpus, type->memory_gb};
+        room = (tw_room){type->cores, type->gpus, type->memory_gb};
     }
     stops(machine, orders, tick, &room);
     if (!tw_authority(core) || machine->rack < 0) return;
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -1,25 +1,20 @@
 /* Room made by stopping work of lower rank, where that loses least. */
 #include "core/scheduler_int.h"
 
-#define ROUNDING 1e-6     /* amounts may differ by that */
 #define SUM_DRIFT 1e-3    /* sums over many tasks may */
 #define COST_OF_RANK 10   /* task seconds, for each step */
 #define COST_OF_LATE 60   /* where the deadline is missed all the same */
 #define RESTART_TIME 1.3  /* of the estimate, to be done in time if started over */
 #define CHOSEN UINT64_MAX /* mark of a task that would be stopped */
 
-typedef struct {
-    double cores, gpus, memory_gb;
-} amounts;
-
-static amounts free_on(const tw_core *core, const machine *machine) {
+static tw_room free_on(const tw_core *core, const machine *machine) {
     const tw_wire_flavor *type = &core->flavors[machine->rack].f;
-    return (amounts){type->cores - machine->used_c + machine->kill_c,
+    return (tw_room){type->cores - machine->used_c + machine->kill_c,
                      type->gpus - machine->used_g + machine->kill_g,
                      type->memory_gb - machine->used_m + machine->kill_m};
 }
 
-static int is_enough(const amounts *room, const tw_wire_job *spec, double tolerance) {
+static int is_enough(const tw_room *room, const tw_wire_job *spec, double tolerance) {
     return room->cores + tolerance >= spec->cores && room->gpus + tolerance >= spec->gpus &&
            room->memory_gb + tolerance >= spec->memory_gb;
 }
@@ -62,7 +57,7 @@
 
 /* Whether it may be enough at all, from sums alone. */
 static int may_vacate(const tw_core *core, const machine *machine, const job *job) {
-    amounts room = free_on(core, machine);
+    tw_room room = free_on(core, machine);
     for (int rank = 0; rank < job->s.rank; rank++) {
         room.cores += machine->held[rank].c;
         room.gpus += machine->held[rank].g;
@@ -82,13 +77,13 @@
 
 /* The one that costs least of those not chosen yet; NULL: none is left. */
 static placement *cheapest(const tw_core *core, const machine *machine, const job *job,
-                           const amounts *room, double *least) {
+                           const tw_room *room, double *least) {
     placement *best = NULL;
     placement *placed;
     *least = INFINITY;
     DL_FOREACH(machine->pls, placed) {
         if (!tw_may_stop(core, job, placed) || placed->mark == CHOSEN) continue;
-        if (job->s.gpus > 0 && placed->job->s.gpus <= 0 && room->gpus + ROUNDING < job->s.gpus)
+        if (job->s.gpus > 0 && placed->job->s.gpus <= 0 && room->gpus + TW_ROUNDING < job->s.gpus)
             continue;
         const double cost = gang_is_chosen(machine, placed) ? 0 : cost_of(core, placed);
         if (cost < *least) {
@@ -117,9 +112,9 @@
  * not enough, or it costs too much. */
 static int vacate(tw_core *core, const job *job, machine *machine, const cost_limit *limit,
                   double *cost) {
-    amounts room = free_on(core, machine);
+    tw_room room = free_on(core, machine);
     *cost = 0;
-    while (!is_enough(&room, &job->s, ROUNDING)) {
+    while (!is_enough(&room, &job->s, TW_ROUNDING)) {
         double least;
         placement *victim = cheapest(core, machine, job, &room, &least);
         if (!victim) return 0;
--- a/src/core/record_parts.c
+++ b/src/core/record_parts.c
@@ -142,6 +142,20 @@
     job->slices = slices;
 }
 
+/* A transaction of these changes, conditioned on the leader's key alone: what a set holds never
+ * changes. */
+static call *send_changes(tw_core *core, int kind, const tw_wire_write *changes, int count) {
+    tw_take(core, &core->writes, count);
+    tw_take(core, &core->reqs, 1);
+    const tw_wire_cond condition = {TW_LEADER_KEY, core->token};
+    call *sent =
+        tw_call(core, kind, TW_TO_STATE, core->cf->state, "POST", "/txn",
+                tw_wire_txn_text(&condition, 1, changes, (size_t)count), txn_timeout_s(core));
+    sent->n = count;
+    core->ntxns++;
+    return sent;
+}
+
 static void send_slices(tw_core *core, job *job, int most) {
     record_parts *parts = job->parts;
     char keys[MAX_SLICES][PART_KEY_SIZE];
@@ -156,17 +170,10 @@
         writes[count] = (tw_wire_write){keys[count], parts->slices[number], 0};
         count++;
     }
-    tw_take(core, &core->writes, count);
-    tw_take(core, &core->reqs, 1);
-    const tw_wire_cond condition = {TW_LEADER_KEY, core->token};
-    call *sent =
-        tw_call(core, K_PARTS, TW_TO_STATE, core->cf->state, "POST", "/txn",
-                tw_wire_txn_text(&condition, 1, writes, (size_t)count), txn_timeout_s(core));
+    call *sent = send_changes(core, K_PARTS, writes, count);
     snprintf(sent->name, sizeof sent->name, "%s", job->id);
     sent->text = strdup(parts->set);
-    sent->n = count;
     parts->busy = 1;
-    core->ntxns++;
 }
 
 void tw_parts_flush(tw_core *core, int most) {
@@ -216,15 +223,8 @@
         part_key(keys[i], stale->id, stale->set, stale->next + i);
         removals[i] = (tw_wire_write){keys[i], NULL, 0};
     }
-    tw_take(core, &core->writes, count);
-    tw_take(core, &core->reqs, 1);
-    const tw_wire_cond condition = {TW_LEADER_KEY, core->token};
-    call *sent =
-        tw_call(core, K_PARTS_REMOVE, TW_TO_STATE, core->cf->state, "POST", "/txn",
-                tw_wire_txn_text(&condition, 1, removals, (size_t)count), txn_timeout_s(core));
-    sent->n = count;
+    send_changes(core, K_PARTS_REMOVE, removals, count);
     core->stale_busy = 1;
-    core->ntxns++;
 }
 
 void tw_parts_removed(tw_core *core, const call *call, int status) {
