--- a/src/daemon/clients.c
+++ b/src/daemon/clients.c
@@ -43,6 +43,8 @@
 static void take_owner_report(daemon_node *node, const tw_rpc_call *asked) {
     const int decides = tw_standby_decides(node->standby, tw_daemon_steady_s());
     tw_rpc_answer answer = {.verdict = decides ? TW_SHARES_OK : TW_SHARES_NOT_LEADER};
+    tw_standby_heard(node->standby, tw_daemon_steady_s(), asked->owner, asked->position.term,
+                     asked->position.number);
     for (int i = 0; i < asked->nmessages && decides; i++) {
         const tw_rpc_message *message = &asked->messages[i];
         if (message->kind == TW_SHARES_OWNER_SYNC)
@@ -62,8 +64,8 @@
 }
 
 static void answer_follower(daemon_node *node, const tw_rpc_call *asked) {
-    tw_rpc_answer answer = {.message = tw_standby_serve(node->standby, tw_daemon_steady_s(),
-                                                        asked->owner, &asked->position)};
+    tw_rpc_answer answer = {
+        .message = tw_standby_serve(node->standby, tw_daemon_steady_s(), &asked->position)};
     tw_rpc_answer_call(node->server, asked->id, &answer);
     tw_rpc_answer_free(&answer);
 }
--- a/src/daemon/following.c
+++ b/src/daemon/following.c
@@ -8,17 +8,18 @@
 #define FIRST_BACKOFF_RATIO 0.02
 #define MOST_BACKOFF_RATIO 0.2
 #define JITTER 0.5 /* of the backoff */
+#define MS_PER_S 1000.0
 
-/* From 0 to 1, another one for each node and try. */
-static double draw(const daemon_node *node) {
-    double ignored;
-    return modf((double)(node->last_call % 97) * 0.618 + tw_daemon_steady_s() * 1000, &ignored);
+/* From 0 to 1, another one for each node and try: what is below a millisecond of the time. */
+static double draw(void) {
+    double whole;
+    return modf(tw_daemon_steady_s() * MS_PER_S, &whole);
 }
 
-static void open_feed(daemon_node *node, const char *address) {
+/* Of the controller that is followed now, from where this node is. */
+static void open_feed(daemon_node *node) {
     const tw_standby_position position = tw_standby_position_of(node->standby);
-    snprintf(node->followed, sizeof node->followed, "%s", address);
-    tw_subscriber_open(node->subscriber, address, &position);
+    tw_subscriber_open(node->subscriber, node->followed, &position);
 }
 
 /* Opens a feed that has ended again, each time a little later. */
@@ -26,8 +27,8 @@
     const double lease_s = node->settings->lease_s;
     if (now < node->follow_at) return;
     node->backoff_s = fmin(2 * node->backoff_s, MOST_BACKOFF_RATIO * lease_s);
-    node->follow_at = now + node->backoff_s * (1 + JITTER * draw(node));
-    open_feed(node, node->followed);
+    node->follow_at = now + node->backoff_s * (1 + JITTER * draw());
+    open_feed(node);
 }
 
 void tw_daemon_follow(daemon_node *node) {
@@ -37,7 +38,8 @@
     if (strcmp(address, node->followed) != 0) {
         node->backoff_s = FIRST_BACKOFF_RATIO * node->settings->lease_s;
         node->follow_at = now + node->backoff_s;
-        open_feed(node, address);
+        snprintf(node->followed, sizeof node->followed, "%s", address);
+        open_feed(node);
     } else if (address[0] && !tw_subscriber_is_open(node->subscriber)) {
         open_again(node, now);
     }
@@ -50,7 +52,7 @@
         if (message.kind != TW_STANDBY_DENIED)
             node->backoff_s = FIRST_BACKOFF_RATIO * node->settings->lease_s;
         tw_standby_message_free(&message);
-        if (!follows) open_feed(node, node->followed);
+        if (!follows) open_feed(node);
     }
     tw_daemon_settle(node);
 }
--- a/src/daemon/owners.c
+++ b/src/daemon/owners.c
@@ -82,7 +82,8 @@
     if (to_itself || !leader[0] || !tw_reporter_idle(node->reporter)) return;
     tw_rpc_message *messages = tw_daemon_alloc(sizeof *messages * ((size_t)node->nmessages + 1));
     memcpy(messages, node->messages, sizeof *messages * (size_t)node->nmessages);
-    tw_reporter_send(node->reporter, leader, messages, node->nmessages);
+    const tw_standby_position position = tw_standby_position_of(node->standby);
+    tw_reporter_send(node->reporter, leader, &position, messages, node->nmessages);
     node->nmessages = 0;
 }
 
--- a/src/daemon/reporter.c
+++ b/src/daemon/reporter.c
@@ -17,6 +17,7 @@
     int stopping, failed;
     double timeout_s;
     char owner[TW_SHARES_NAME], address[TW_RPC_ADDRESS];
+    tw_standby_position position;
     tw_rpc_message *messages;
     int nmessages;
     tw_rpc_answer answer;
@@ -36,8 +37,10 @@
 }
 
 static void report_once(tw_reporter *reporter) {
-    tw_rpc_call call = {
-        .method = TW_RPC_REPORT, .messages = reporter->messages, .nmessages = reporter->nmessages};
+    tw_rpc_call call = {.method = TW_RPC_REPORT,
+                        .position = reporter->position,
+                        .messages = reporter->messages,
+                        .nmessages = reporter->nmessages};
     tw_rpc_answer answer = {0};
     char address[TW_RPC_ADDRESS];
     snprintf(call.owner, sizeof call.owner, "%s", reporter->owner);
@@ -87,10 +90,11 @@
     return idle;
 }
 
-void tw_reporter_send(tw_reporter *reporter, const char *address, tw_rpc_message *messages,
-                      int count) {
+void tw_reporter_send(tw_reporter *reporter, const char *address,
+                      const tw_standby_position *position, tw_rpc_message *messages, int count) {
     pthread_mutex_lock(&reporter->mutex);
     snprintf(reporter->address, sizeof reporter->address, "%s", address);
+    reporter->position = *position;
     reporter->messages = messages;
     reporter->nmessages = count;
     reporter->state = REPORTER_BUSY;
--- a/src/daemon/reporter.h
+++ b/src/daemon/reporter.h
@@ -10,9 +10,10 @@
                                void *context);
 /* Whether a report may be sent now. */
 int tw_reporter_idle(tw_reporter *reporter);
-/* Takes the messages over, to be freed by the reporter. */
-void tw_reporter_send(tw_reporter *reporter, const char *address, tw_rpc_message *messages,
-                      int count);
+/* position: what this node has of the leader's feed. Takes the messages over, to be freed by the
+ * reporter. */
+void tw_reporter_send(tw_reporter *reporter, const char *address,
+                      const tw_standby_position *position, tw_rpc_message *messages, int count);
 /* The answer to the last report, once; 0: there is none. Free it with tw_rpc_answer_free. */
 int tw_reporter_answer(tw_reporter *reporter, tw_rpc_answer *answer);
 void tw_reporter_stop(tw_reporter *reporter);
--- a/src/rpc/convert.cpp
+++ b/src/rpc/convert.cpp
@@ -155,6 +155,8 @@
     static const tw_shares_owner_effect_kind kinds[] = {
         TW_SHARES_OWNER_SYNC, TW_SHARES_OWNER_DRAINED, TW_SHARES_OWNER_OPENED};
     if (!copy_text(to.owner, from.owner())) return false;
+    to.position.term = from.term();
+    to.position.number = from.number();
     to.messages = new_items<tw_rpc_message>(from.messages_size());
     for (const messages::OwnerMessage &each : from.messages()) {
         if (each.kind() > messages::OwnerMessage::OPENED) continue;
@@ -168,6 +170,8 @@
 
 void write_report(const tw_rpc_call &from, messages::ReportRequest &to) {
     to.set_owner(from.owner);
+    to.set_term(from.position.term);
+    to.set_number(from.position.number);
     for (int i = 0; i < from.nmessages; i++) {
         const tw_rpc_message &message = from.messages[i];
         messages::OwnerMessage *each = to.add_messages();
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -34,7 +34,7 @@
     int show_machines;            /* SHOW */
     tw_shares_request request;    /* CHANGE; its machines belong to the call */
     char owner[TW_SHARES_NAME];   /* REPORT; FOLLOW, PROMOTE: the standby's name */
-    tw_standby_position position; /* FOLLOW */
+    tw_standby_position position; /* FOLLOW; REPORT: term and number */
     tw_rpc_message *messages;     /* REPORT */
     int nmessages;
 } tw_rpc_call;
--- a/src/shares/step.c
+++ b/src/shares/step.c
@@ -114,6 +114,7 @@
         if (each->cell.state == TW_SHARES_ABSENT || each->cell.move || !each->opened) continue;
         if (tw_shares_state_of(shares, each) != TW_SHARES_TAKEN) continue;
         if (each->opened != tw_shares_epoch_of(shares, each)) continue;
+        if (!tw_shares_is_checked(shares, each)) continue;
         if (!tw_shares_has_room(shares, each, CELLS, 0)) continue;
         cell to = each->cell;
         to.state = TW_SHARES_OPEN;
--- a/src/standby/check.c
+++ b/src/standby/check.c
@@ -203,7 +203,10 @@
                                  const tw_standby_machine *answer) {
     tw_standby_refresh(standby, now);
     checked *machine = find(standby, name);
-    if (answer && machine && standby->leads && term == standby->lease.token)
+    /* While the table is read again there is nothing to compare with: the machine is asked again.
+     */
+    const int readable = standby->leads && tw_shares_ready(standby->table);
+    if (answer && machine && readable && term == standby->lease.token)
         take_answer(standby, machine, answer);
     tw_standby_step(standby);
 }
--- a/src/standby/feed.c
+++ b/src/standby/feed.c
@@ -31,18 +31,20 @@
 
 /* ---- active ---- */
 
-static void see_follower(tw_standby *standby, const char *name,
-                         const tw_standby_position *position) {
-    follower *seen;
-    HASH_FIND_STR(standby->followers, name, seen);
-    if (!seen) {
+void tw_standby_heard(tw_standby *standby, double now, const char *name, uint64_t term,
+                      uint64_t number) {
+    follower *heard;
+    tw_standby_refresh(standby, now);
+    if (!standby->leads) return;
+    HASH_FIND_STR(standby->followers, name, heard);
+    if (!heard) {
         if (HASH_COUNT(standby->followers) >= MOST_FOLLOWERS) return;
-        seen = tw_standby_alloc(sizeof *seen);
-        strncpy(seen->name, name, sizeof seen->name - 1);
-        HASH_ADD_STR(standby->followers, name, seen);
+        heard = tw_standby_alloc(sizeof *heard);
+        strncpy(heard->name, name, sizeof heard->name - 1);
+        HASH_ADD_STR(standby->followers, name, heard);
     }
-    seen->seen_at = standby->now;
-    seen->number = position->term == standby->view.term ? position->number : 0;
+    heard->seen_at = now;
+    heard->number = term == standby->view.term ? number : 0;
 }
 
 static void fill_snapshot(tw_standby *standby, tw_standby_message *message, const char *after) {
@@ -84,7 +86,7 @@
     message->count = sent->count;
 }
 
-tw_standby_message tw_standby_serve(tw_standby *standby, double now, const char *name,
+tw_standby_message tw_standby_serve(tw_standby *standby, double now,
                                     const tw_standby_position *position) {
     tw_standby_refresh(standby, now);
     const view *own = &standby->view;
@@ -93,7 +95,6 @@
     if (!standby->leads) return message;
     message.kind = TW_STANDBY_HEARTBEAT;
     message.term = standby->lease.token;
-    see_follower(standby, name, position);
     if (!own->loaded || own->term != standby->lease.token) return message;
     message.number = own->number;
     message.ledger = own->ledger;
--- a/src/standby/standby.c
+++ b/src/standby/standby.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define JITTER_STEPS 16
+#define NAME_FACTOR 31U /* of a polynomial hash of names */
 
 const char *tw_standby_state_name(tw_standby_state state) {
     static const char *const names[] = {"behind",  "following", "suspecting",
@@ -66,13 +67,16 @@
 int tw_standby_is_behind(const tw_standby *standby) {
     const double patience_s = standby->settings.lease_s * SUSPECT_RATIO;
     if (!standby->view.loaded || standby->view.term < standby->heard_term) return 1;
+    /* The lease went on after the feed had ended: there may be changes that were not heard of. */
+    if (standby->now > standby->heard_at + standby->settings.lease_s * (1 + SUSPECT_RATIO))
+        return 1;
     return standby->lag_since > 0 && standby->heard_at > standby->lag_since + patience_s;
 }
 
 /* So that standbys that are equal don't ask at the same time. */
 static double jitter_of(const char *name) {
     unsigned sum = 0;
-    for (; *name; name++) sum = sum * 31 + (unsigned char)*name;
+    for (; *name; name++) sum = sum * NAME_FACTOR + (unsigned char)*name;
     return (double)(sum % JITTER_STEPS) / JITTER_STEPS;
 }
 
--- a/src/standby/standby.h
+++ b/src/standby/standby.h
@@ -130,8 +130,12 @@
 void tw_standby_message_free(tw_standby_message *message);
 
 /* At the active one: the message for a follower at that position. */
-tw_standby_message tw_standby_serve(tw_standby *standby, double now, const char *follower,
+tw_standby_message tw_standby_serve(tw_standby *standby, double now,
                                     const tw_standby_position *position);
+/* A follower said itself what it has. That its feed is read is no sign of life: the connection
+ * takes messages for a process that stands still. */
+void tw_standby_heard(tw_standby *standby, double now, const char *follower, uint64_t term,
+                      uint64_t number);
 /* The position after a message was taken. */
 void tw_standby_advance(tw_standby_position *position, const tw_standby_message *message);
 /* At a standby: what it has, and a message that came. Returns 0 where the next message must be
--- /dev/null
+++ b/tests/daemon/lib.sh
@@ -0,0 +1,82 @@
+# What tests over loopback share: stand-ins, daemons, and questions to them. Sourced with the build directory as $1;
+# the name of the test in $test, the daemons' lease in $lease, replicas in $replicas.
+set -uo pipefail
+build=${1:-target/test}
+out=$(mktemp -d)
+failed=0
+declare -A pids=()
+stop_all() {
+  for name in "${!pids[@]}"; do kill -9 "${pids[$name]}" 2>/dev/null; done
+  wait 2>/dev/null
+  rm -rf "$out"
+}
+trap stop_all EXIT
+
+# The stand-ins, on ports that are free.
+for try in 1 2 3 4 5; do
+  port=$((21000 + ($$ * 97 + try * 211) % 9000))
+  "$build/emu/tw_emu" "$port" "$replicas" "${emu_seconds:-240}" & pids[emu]=$!
+  sleep 0.3
+  kill -0 "${pids[emu]}" 2>/dev/null && break
+done
+control() { echo "127.0.0.1:$((port + 50 + $1))"; }
+machine() { echo "127.0.0.1:$((port + $1))"; }
+start() {
+  "$build/src/daemon/traywalld" --name "c$1" --state "127.0.0.1:$port" --control "$(control "$1")" \
+    --lease "$lease" --drain 2 --grace 1 2>>"$out/c$1.log" & pids[c$1]=$!
+}
+# ask NODE EXPECTED_EXIT EXPECTED_TEXT ARGUMENTS...
+ask() {
+  local node=$1 code=$2 text=$3; shift 3
+  said=$("$build/tools/traywallctl/traywallctl" --server "$(control "$node")" --output json "$@" 2>&1); rc=$?
+  if [ "$rc" != "$code" ] || [[ "$said" != *"$text"* ]]; then
+    echo "FAIL $test: $*: exit $rc, expected $code with $text: $said"; failed=1
+  fi
+}
+# until_says NODE TEXT ARGUMENTS...: asked again until it is said, at most 100 times
+until_says() {
+  local node=$1 text=$2; shift 2
+  for _ in $(seq 100); do
+    said=$("$build/tools/traywallctl/traywallctl" --server "$(control "$node")" --output json "$@" 2>&1)
+    [[ "$said" == *"$text"* ]] && return
+    sleep 0.1
+  done
+  echo "FAIL $test: $*: never $text, but $said"; failed=1
+}
+# http PORT METHOD PATH BODY EXPECTED_STATUS
+http() {
+  exec 3<>"/dev/tcp/127.0.0.1/$1"
+  printf '%s %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' "$2" "$3" "${#4}" "$4" >&3
+  said=$(cat <&3); exec 3<&-
+  [[ "$said" == "HTTP/1.1 $5 "* ]] || { echo "FAIL $test: $2 $3 $4: $said"; failed=1; }
+}
+
+finish() {
+  [ "$failed" = 0 ] || tail -n 5 "$out"/*.log
+  [ "$failed" = 0 ] && echo "ok $test"
+  exit $failed
+}
+# Asks whichever daemon leads: ctl TIMEOUT_S ARGUMENTS...; sets $said and $rc.
+ctl() {
+  local timeout=$1; shift
+  said=$("$build/tools/traywallctl/traywallctl" --server "$(control 0),$(control 1),$(control 2)" --timeout "$timeout" \
+    --output json "$@" 2>/dev/null); rc=$?
+}
+# The state that a daemon says of itself.
+state_of() {
+  local said
+  said=$(timeout 2 "$build/tools/traywallctl/traywallctl" --server "$(control "$1")" --timeout 1 --output json standby 2>/dev/null)
+  said=${said#*'"state":"'}; echo "${said%%'"'*}"
+}
+# until_state NODE STATE
+until_state() {
+  for _ in $(seq 200); do [ "$(state_of "$1")" = "$2" ] && return; sleep 0.1; done
+  echo "FAIL $test: c$1 is $(state_of "$1"), never $2"; failed=1
+}
+# The number of the daemon that decides, looked for among the others than $1; "": none within the bound.
+decider() {
+  for _ in $(seq 100); do
+    for node in 0 1 2; do [ "$node" != "${1:-}" ] && [ "$(state_of $node)" = deciding ] && { echo $node; return; }; done
+    sleep 0.1
+  done
+}
--- a/tests/shares/judge.c
+++ b/tests/shares/judge.c
@@ -163,6 +163,24 @@
     tw_shares_free(reader);
 }
 
+void tw_judge_view(world *world, int at) {
+    const tw_shares *table = world->nodes[at].leader;
+    tw_shares *reader = tw_judge_read(world);
+    if (tw_shares_revision(table) != tw_shares_revision(reader) ||
+        tw_shares_machines(table) != tw_shares_machines(reader))
+        tw_world_fail(world, "stale_view: %s decides by revision %lu of %lu", world->nodes[at].name,
+                      (unsigned long)tw_shares_revision(table),
+                      (unsigned long)tw_shares_revision(reader));
+    for (int i = 0; i < tw_shares_machines(reader) && !world->failure[0]; i++) {
+        const tw_shares_tell has = tw_shares_machine(table, i);
+        const tw_shares_tell recorded = tw_shares_machine(reader, i);
+        if (has.state != recorded.state || has.epoch != recorded.epoch)
+            tw_world_fail(world, "stale_view: %s has %s as %s", world->nodes[at].name,
+                          recorded.machine, tw_shares_state_name(has.state));
+    }
+    tw_shares_free(reader);
+}
+
 /* ---- at the end ---- */
 
 /* Counts how often each machine stands in the table, and that it is open there. */
@@ -174,6 +192,9 @@
         const machine *of = machine_named(world, cell.machine);
         if (cell.state == TW_SHARES_ABSENT || !of) continue;
         seen[of - world->machines]++;
+        if (world->lease_s > 0 && of->alive && of->guard.newest != cell.epoch)
+            tw_world_fail(world, "stuck: %s has epoch %lu open, recorded is %lu", of->name,
+                          (unsigned long)of->guard.newest, (unsigned long)cell.epoch);
         if (cell.state != TW_SHARES_OPEN)
             tw_world_fail(world, "stuck: %s is %s of %s", of->name,
                           tw_shares_state_name(cell.state), cell.owner);
--- a/tests/shares/shares_world.h
+++ b/tests/shares/shares_world.h
@@ -233,6 +233,8 @@
 void tw_judge_use(world *world, int node, int machine, uint64_t epoch);
 void tw_judge_work(world *world, int node, int machine, uint64_t epoch);
 void tw_judge_order(world *world, int machine, uint64_t term);
+/* The node is about to decide: what it has must be what stands in the records. */
+void tw_judge_view(world *world, int node);
 void tw_judge_deciders(world *world);
 void tw_judge_requests(world *world);
 void tw_judge_unanswered(world *world, int request);
