--- a/src/daemon/subscriber.c
+++ b/src/daemon/subscriber.c
@@ -43,7 +43,8 @@
     return 1;
 }
 
-/* Called and returns with the mutex held; it is free while the feed is read. */
+/* Called and returns with the mutex held. It is free while the connection is made and the feed is
+ * read: the daemon's loop, which renews the lease, must never wait for another daemon. */
 static void read_feed(tw_subscriber *subscriber) {
     const uint64_t generation = subscriber->generation;
     const tw_standby_position position = subscriber->position;
--- a/src/rpc/client.cpp
+++ b/src/rpc/client.cpp
@@ -110,6 +110,8 @@
 }
 
 struct tw_rpc_feed {
+    tw_rpc::messages::Control::Stub *stub;
+    tw_rpc::messages::FollowRequest request;
     grpc::ClientContext context;
     std::unique_ptr<grpc::ClientReader<tw_rpc::messages::FollowMessage>> reader;
 };
@@ -117,19 +119,20 @@
 extern "C" tw_rpc_feed *tw_rpc_feed_open(tw_rpc_client *client, const char *node,
                                          const tw_standby_position *position, double pause_s) {
     auto feed = std::make_unique<tw_rpc_feed>();
-    tw_rpc::messages::FollowRequest request;
+    tw_rpc::messages::FollowRequest &request = feed->request;
+    feed->stub = client->stub.get();
     request.set_node(node);
     request.set_term(position->term);
     request.set_number(position->number);
     request.set_after(position->after);
     request.set_snapshot_number(position->snapshot_number);
     request.set_pause_s(pause_s);
-    feed->reader = client->stub->Follow(&feed->context, request);
     return feed.release();
 }
 
 extern "C" int tw_rpc_feed_next(tw_rpc_feed *feed, tw_standby_message *message) {
     tw_rpc::messages::FollowMessage came;
+    if (feed->reader == nullptr) feed->reader = feed->stub->Follow(&feed->context, feed->request);
     if (!feed->reader->Read(&came)) return 0;
     if (tw_rpc::read_feed(came, *message)) return 1;
     tw_standby_message_free(message);
@@ -141,7 +144,7 @@
 extern "C" void tw_rpc_feed_close(tw_rpc_feed *feed) {
     if (feed == nullptr) return;
     feed->context.TryCancel();
-    feed->reader->Finish();
+    if (feed->reader != nullptr) feed->reader->Finish();
     delete feed;
 }
 
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -86,13 +86,15 @@
 /* Sends the call (its id is not used) and waits for the answer, for timeout_s at most. */
 tw_rpc_status tw_rpc_client_call(tw_rpc_client *client, const tw_rpc_call *call, double timeout_s,
                                  tw_rpc_answer *answer);
-/* The feed of the active controller: messages after the position, heartbeats in between. */
+/* The feed of the active controller: messages after the position, heartbeats in between. Opening
+ * it does not block; the connection is made, which may take long where the server stands still, by
+ * the first tw_rpc_feed_next. */
 typedef struct tw_rpc_feed tw_rpc_feed;
 tw_rpc_feed *tw_rpc_feed_open(tw_rpc_client *client, const char *node,
                               const tw_standby_position *position, double pause_s);
 /* Waits for the next message; free it with tw_standby_message_free. 0: the feed has ended. */
 int tw_rpc_feed_next(tw_rpc_feed *feed, tw_standby_message *message);
-/* Ends the feed; may be called from any thread while another one waits. */
+/* Ends the feed, also while its connection is made; may be called from any thread. */
 void tw_rpc_feed_cancel(tw_rpc_feed *feed);
 void tw_rpc_feed_close(tw_rpc_feed *feed);
 /* Calls `each` for every change of the move until it is over, refused, or `each` returns non-zero.
