--- a/tests/shares/runner.c
+++ b/tests/shares/runner.c
@@ -17,6 +17,32 @@
     return text;
 }
 
+/* The scenario with each line `include FILE` replaced by that file, beside it. */
+static char *read_scenario(const char *path) {
+    static const char mark[] = "include ";
+    char *text = read_file(path);
+    char *line = text;
+    while (line && (line = strstr(line, mark))) {
+        char included[TEXT];
+        const char *name = line + sizeof mark - 1;
+        const size_t length = strcspn(name, "\n");
+        const char *slash = strrchr(path, '/');
+        snprintf(included, sizeof included, "%.*s%.*s", slash ? (int)(slash + 1 - path) : 0, path,
+                 (int)length, name);
+        char *inner = read_file(included);
+        if (!inner) return NULL;
+        const size_t before = (size_t)(line - text);
+        char *joined = malloc(strlen(text) + strlen(inner) + 1);
+        if (!joined) abort();
+        sprintf(joined, "%.*s%s%s", (int)before, text, inner, name + length);
+        free(text);
+        free(inner);
+        text = joined;
+        line = text + before;
+    }
+    return text;
+}
+
 /* What the scenario's first line says that must be found; NULL: it must pass. */
 static char *planted_in(const char *text) {
     static const char mark[] = "# fails: ";
@@ -31,7 +57,7 @@
     for (int i = 1; i < count; i++) {
         char why[TEXT];
         char again[TEXT];
-        char *text = read_file(names[i]);
+        char *text = read_scenario(names[i]);
         if (!text) return 2;
         int broken = tw_shares_play(text, why, sizeof why);
         tw_shares_play(text, again, sizeof again);
--- a/tests/shares/script.c
+++ b/tests/shares/script.c
@@ -417,9 +417,23 @@
     return 0;
 }
 
+/* print takeover; print feed */
+static int print_standby(const world *world, const char *what) {
+    if (!strcmp(what, "takeover"))
+        printf("takeover: seconds=%.2f from_term_to_decision=%.3f state_calls=%ld "
+               "state_bytes=%ld\n",
+               world->longest_gap, world->decided_after_s, world->state_calls, world->state_bytes);
+    else
+        printf("feed: changes=%ld bytes_a_change=%.0f cpu_us_a_change=%.1f\n", world->feed_messages,
+               (double)world->feed_bytes / (double)world->feed_messages,
+               1e6 * world->feed_cpu_s / (double)world->feed_messages);
+    return 0;
+}
+
 /* print KEY: what the move took, and what happened since the last count */
 static int do_print(world *world, const words *read) {
     const client *asked = read->count == 2 ? client_by_key(world, read->words[1]) : NULL;
+    if (!asked && read->count == 2) return print_standby(world, read->words[1]);
     if (!asked) return -1;
     printf("%s: machines=%d seconds=%.2f transactions=%d changes=%d completed=%ld ended=%ld "
            "refused=%ld failed=%ld\n",
@@ -436,6 +450,8 @@
     world->completed = world->moved = world->refused = world->failed = 0;
     world->terms = 0;
     world->longest_gap = 0;
+    world->state_calls = world->state_bytes = world->feed_messages = world->feed_bytes = 0;
+    world->feed_cpu_s = 0;
     world->undecided_since = world->now;
     return 0;
 }
--- a/tests/shares/shares_world.h
+++ b/tests/shares/shares_world.h
@@ -182,6 +182,12 @@
     double undecided_since, longest_gap; /* how long no controller decided */
     int terms;                           /* recorded since the count */
     int plant_term, plant_fence, plant_check;
+    /* what is printed by measurements, since the count */
+    long state_calls, state_bytes; /* answered by the state service */
+    long feed_messages, feed_bytes;
+    double feed_cpu_s;      /* of the active controller's process, for the feed */
+    double decided_after_s; /* of the last term, from its record to its first decision */
+    double term_at;
     tw_shares_verdict promoted;
     int promotions;
     long refused, completed, moved, failed;
--- a/tests/shares/world.c
+++ b/tests/shares/world.c
@@ -398,12 +398,15 @@
         handle_transaction(world, call);
         const uint64_t recorded = tw_sim_state_version(&world->state, TW_STANDBY_KEY);
         world->terms += recorded > world->newest_term;
+        if (recorded > world->newest_term) world->term_at = world->now;
         if (recorded > world->newest_term) world->newest_term = recorded;
     } else {
         const int status = tw_sim_state_request(&world->state, world->now, call->method, call->path,
                                                 call->text ? call->text : "", &answer);
         tw_log_debug("t=%.3f node=%s %s %s status=%d", world->now, world->nodes[call->node].name,
                      call->method, call->path, status);
+        world->state_calls++;
+        world->state_bytes += (long)strlen(answer);
         answer_call(world, call, status, answer);
     }
 }
--- a/tests/standby/elections.c
+++ b/tests/standby/elections.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define FIRST_MACHINE_ID ((uint64_t)1 << 40) /* of registrations; clients' are below */
 #define TRY_S 1.0                            /* a client gives a controller so long to answer */
@@ -69,13 +70,31 @@
     asked->position = tw_standby_position_of(world->nodes[at].standby);
 }
 
+static double processor_s(void) {
+    struct timespec used;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return (double)used.tv_sec + (double)used.tv_nsec / 1e9;
+}
+
+static void count_feed(world *world, const tw_standby_message *message, double cpu_s) {
+    if (message->kind != TW_STANDBY_CHANGE) return;
+    world->feed_messages++;
+    world->feed_cpu_s += cpu_s;
+    for (int i = 0; i < message->count; i++) {
+        const tw_wire_entry *entry = &message->entries[i];
+        world->feed_bytes += (long)(strlen(entry->key) + (entry->data ? strlen(entry->data) : 0));
+    }
+}
+
 static void handle_follow(world *world, const event *asked) {
     const int from = asked->number;
     const double now = tw_elections_now(world, asked->node);
     tw_standby *active = world->nodes[asked->node].standby;
     tw_standby_heard(active, now, world->nodes[from].name, asked->position.term,
                      asked->position.number);
+    const double began = processor_s();
     tw_standby_message message = tw_standby_serve(active, now, &asked->position);
+    count_feed(world, &message, processor_s() - began);
     event *sent = to_node(world, asked->node, from, EVENT_FEED);
     if (!sent) {
         tw_standby_message_free(&message);
@@ -256,7 +275,10 @@
             break;
         case TW_STANDBY_LOG_LINE:
             tw_log_debug("t=%.3f node=%s %s", world->now, world->nodes[at].name, effect->line);
-            if (strstr(effect->line, "event=deciding")) tw_judge_view(world, at);
+            if (strstr(effect->line, "event=deciding")) {
+                world->decided_after_s = world->now - world->term_at;
+                tw_judge_view(world, at);
+            }
             break;
         }
         tw_standby_effect_free(effect);
