--- a/src/standby/standby.c
+++ b/src/standby/standby.c
@@ -143,20 +143,9 @@
     standby->heard_at = standby->now - standby->settings.lease_s;
 }
 
-/* A planted fault: acts on suspicion alone, under a term that it made up. */
-static void skip_fencing(tw_standby *standby) {
-    lease *lease = &standby->lease;
-    if (!standby->settings.skip_fencing || !lease->leader_token || !tw_standby_silent(standby))
-        return;
-    lease->state = LEASE_LEADING;
-    lease->token = lease->leader_token + 1;
-    lease->authority_until = standby->now + standby->settings.lease_s;
-}
-
 static int check_is_over(const tw_standby *standby) {
     const double wait_s = standby->settings.lease_s * CHECK_RATIO;
-    return !tw_standby_check_waiting(standby) || standby->now >= standby->checking_since + wait_s ||
-           standby->settings.skip_checking;
+    return !tw_standby_check_waiting(standby) || standby->now >= standby->checking_since + wait_s;
 }
 
 /* Checking begins once the table is read, and ends when the machines have answered or their time is
@@ -173,9 +162,6 @@
                    (unsigned long)standby->lease.token, tw_shares_unchecked(standby->table),
                    standby->differences);
     tw_shares_decide(standby->table, standby->now);
-    for (int i = 0; standby->settings.skip_checking && i < tw_shares_machines(standby->table); i++)
-        tw_shares_checked(standby->table, standby->now,
-                          tw_shares_machine(standby->table, i).machine);
 }
 
 void tw_standby_refresh(tw_standby *standby, double now) {
@@ -211,7 +197,6 @@
 }
 
 void tw_standby_step(tw_standby *standby) {
-    skip_fencing(standby);
     note_key(standby);
     step_lease(standby);
     tw_standby_refresh(standby, standby->now);
--- a/src/standby/standby.h
+++ b/src/standby/standby.h
@@ -33,9 +33,6 @@
 typedef struct {
     const char *name, *control; /* of this node; copied */
     double lease_s;
-    /* Faults for tests of the judge; 0 elsewhere. */
-    int skip_fencing;  /* decides on suspicion, under a term that is not recorded */
-    int skip_checking; /* decides as soon as the term is recorded */
 } tw_standby_settings;
 
 typedef struct tw_standby tw_standby;
--- /dev/null
+++ b/tests/shares/expect.c
@@ -0,0 +1,144 @@
+/* The command expect: what must hold at that time (README.md). */
+#include "script_int.h"
+#include <stdio.h>
+#include <string.h>
+
+static const tw_standby *standby_named(const world *world, const char *name) {
+    const int at = tw_script_node(world, name);
+    return at < 0 || !world->nodes[at].life ? NULL : world->nodes[at].standby;
+}
+
+/* expect leader NODE NAME|nobody: whom the node sends clients to */
+static void expect_leader(world *world, const words *read) {
+    const int at = tw_script_node(world, read->words[2]);
+    char leader[TW_STANDBY_ADDRESS] = "";
+    double retry_after_s = 0;
+    if (at >= 0 && world->nodes[at].life)
+        tw_standby_leader(world->nodes[at].standby, tw_elections_now(world, at), leader,
+                          &retry_after_s);
+    if (strcmp(leader[0] ? leader : "nobody", read->words[3]) != 0)
+        tw_world_fail(world, "%s sends clients to %s", read->words[2], leader);
+    if (!leader[0] && retry_after_s <= 0) tw_world_fail(world, "%s gives no time", read->words[2]);
+}
+
+/* expect state NODE NAME; expect gaps|snapshots|held_back NODE LEAST */
+static int expect_standby(world *world, const words *read) {
+    tw_standby *asked = (tw_standby *)standby_named(world, read->words[2]);
+    if (!asked || read->count != 4) return -1;
+    const int at = tw_script_node(world, read->words[2]);
+    const tw_standby_status status = tw_standby_status_of(asked, tw_elections_now(world, at));
+    if (!strcmp(read->words[1], "state")) {
+        if (strcmp(tw_standby_state_name(status.state), read->words[3]) != 0)
+            tw_world_fail(world, "%s is %s", read->words[2], tw_standby_state_name(status.state));
+        return 0;
+    }
+    const long got = !strcmp(read->words[1], "gaps")        ? status.gaps
+                     : !strcmp(read->words[1], "snapshots") ? status.snapshots
+                                                            : status.held_back;
+    if ((double)got < number(read, 3))
+        tw_world_fail(world, "%s: %ld %s", read->words[2], got, read->words[1]);
+    return 0;
+}
+
+static void expect_range(world *world, const char *what, double got, double least, double most) {
+    if (got < least || got > most)
+        tw_world_fail(world, "expected %s from %g to %g, got %g", what, least, most, got);
+}
+
+static void expect_size(world *world, const words *read) {
+    tw_shares *reader = tw_judge_read(world);
+    int size = -1;
+    for (int i = 0; i < tw_shares_count(reader); i++) {
+        const tw_shares_view view = tw_shares_view_of(reader, i);
+        if (!strcmp(view.name, read->words[2])) size = view.open + view.taken + view.draining;
+    }
+    tw_shares_free(reader);
+    expect_range(world, read->words[2], size, number(read, 3), number(read, 4));
+}
+
+static void expect_owner(world *world, const words *read) {
+    tw_shares *reader = tw_judge_read(world);
+    int found = 0;
+    for (int i = 0; i < tw_shares_machines(reader); i++) {
+        const tw_shares_tell cell = tw_shares_machine(reader, i);
+        if (strcmp(cell.machine, read->words[2]) != 0) continue;
+        found = 1;
+        if (strcmp(cell.share, read->words[3]) != 0)
+            tw_world_fail(world, "%s is in %s", cell.machine, cell.share);
+    }
+    tw_shares_free(reader);
+    if (!found) tw_world_fail(world, "%s is in no share", read->words[2]);
+}
+
+static void expect_answer(world *world, const words *read) {
+    const client *asked = tw_script_client(world, read->words[2]);
+    const char *got = "none";
+    if (asked && asked->answered) got = tw_shares_verdict_name(asked->verdict);
+    if (strcmp(got, read->words[3]) != 0)
+        tw_world_fail(world, "%s was answered %s", read->words[2], got);
+}
+
+/* The same key twice: the last request of that key. */
+static void expect_again(world *world, const words *read) {
+    const char *got = "none";
+    for (int i = 0; i < world->nclients; i++) {
+        const client *each = &world->clients[i];
+        if (!strcmp(each->request.key, read->words[2]) && each->answered)
+            got = tw_shares_verdict_name(each->verdict);
+    }
+    if (strcmp(got, read->words[3]) != 0)
+        tw_world_fail(world, "%s was answered %s at last", read->words[2], got);
+}
+
+static int expect_move(world *world, const words *read) {
+    const client *asked = tw_script_client(world, read->words[2]);
+    const char *what = read->words[1];
+    double got = -1;
+    if (asked && !strcmp(what, "moved")) got = asked->progress.moved;
+    if (asked && !strcmp(what, "returned")) got = asked->progress.returned;
+    if (asked && !strcmp(what, "lost")) got = asked->progress.lost;
+    if (asked && !strcmp(what, "within")) {
+        got = asked->done_at ? asked->done_at - asked->asked_at : world->end;
+        expect_range(world, "seconds of a move", got, 0, number(read, 3));
+        return 0;
+    }
+    expect_range(world, what, got, number(read, 3),
+                 read->count > 4 ? number(read, 4) : number(read, 3));
+    return 0;
+}
+
+int tw_script_expect(world *world, const words *read) {
+    if (read->count < 3) return -1;
+    const char *what = read->words[1];
+    if (!strcmp(what, "size") && read->count == 5)
+        expect_size(world, read);
+    else if (!strcmp(what, "in"))
+        expect_owner(world, read);
+    else if (!strcmp(what, "answer"))
+        expect_answer(world, read);
+    else if (!strcmp(what, "again"))
+        expect_again(world, read);
+    else if (!strcmp(what, "state") || !strcmp(what, "gaps") || !strcmp(what, "snapshots") ||
+             !strcmp(what, "held_back"))
+        return expect_standby(world, read);
+    else if (!strcmp(what, "leader") && read->count == 4)
+        expect_leader(world, read);
+    else if (!strcmp(what, "takeover"))
+        expect_range(world, "seconds without a decider", world->longest_gap, 0, number(read, 2));
+    else if (!strcmp(what, "terms"))
+        expect_range(world, "terms", world->terms, number(read, 2), number(read, 2));
+    else if (!strcmp(what, "promoted")) {
+        const char *got = world->promotions ? tw_shares_verdict_name(world->promoted) : "none";
+        if (strcmp(got, read->words[2]) != 0) tw_world_fail(world, "promotion: %s", got);
+    } else if (!strcmp(what, "changes"))
+        expect_range(world, "changes written", world->changes, 0, number(read, 2));
+    else if (!strcmp(what, "refused"))
+        expect_range(world, "requests refused", (double)world->refused, number(read, 2), 1e9);
+    else if (!strcmp(what, "ended"))
+        expect_range(world, "requests ended early", (double)world->moved, 0, number(read, 2));
+    else if (!strcmp(what, "failed"))
+        expect_range(world, "requests answered 5xx", (double)world->failed, 0, number(read, 2));
+    else
+        return expect_move(world, read);
+    return 0;
+}
--- /dev/null
+++ b/tests/shares/gateways.c
@@ -0,0 +1,135 @@
+/* Gateways, which route the requests of a controller's shares, and users. */
+#include "shares_world.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define SLOTS 8 /* requests that a machine runs at once */
+#define FIRST_SERVICE_S 0.5
+#define USER_LOOKS_S 0.25
+
+/* ---- gateways: a controller routes the requests of its shares ---- */
+
+/* Tells the route under which epoch the machine may get requests now. */
+void tw_world_refresh_replica(world *world, int at, const char *name) {
+    const uint64_t epoch = tw_shares_owner_epoch(world->nodes[at].owner, name);
+    tw_route_replica(world->nodes[at].route, world->now, name, epoch, SLOTS, FIRST_SERVICE_S);
+}
+
+static void send_work(world *world, int at, const tw_route_effect *effect) {
+    const int to = tw_world_machine_index(world, effect->replica);
+    tw_judge_use(world, at, to, effect->epoch);
+    tw_shares_owner_sent(world->nodes[at].owner, effect->replica, effect->epoch);
+    const double after = tw_world_draw(world, FASTEST_S, SLOWEST_S) + world->slow_s;
+    event *sent = tw_world_event(world, after, EVENT_WORK);
+    sent->node = at;
+    sent->life = world->nodes[at].life;
+    sent->machine = to;
+    sent->number = (int)effect->request;
+    sent->attempt = effect->attempt;
+    sent->epoch = effect->epoch;
+}
+
+static void reply_to_user(world *world, int at, const tw_route_effect *effect) {
+    const int times = world->plant_double ? 2 : !world->plant_drop;
+    for (int i = 0; i < times; i++) {
+        const double after = tw_world_draw(world, FASTEST_S, SLOWEST_S);
+        event *reply = tw_world_event(world, after, EVENT_REPLY);
+        reply->number = (int)effect->request;
+        reply->node = at;
+        reply->life = world->nodes[at].life;
+        reply->status = (int)effect->status;
+    }
+    world->plant_double = world->plant_drop = 0;
+}
+
+void tw_world_route_effects(world *world, int at) {
+    tw_route_effect *effect;
+    while ((effect = tw_route_next(world->nodes[at].route))) {
+        if (effect->kind == TW_ROUTE_SEND) send_work(world, at, effect);
+        if (effect->kind == TW_ROUTE_ANSWER) reply_to_user(world, at, effect);
+        free(effect);
+    }
+}
+
+static tw_route_end end_of(int status) {
+    if (status == OK) return TW_ROUTE_DONE;
+    if (status == BAD) return TW_ROUTE_REFUSED;
+    return status ? TW_ROUTE_BROKEN : TW_ROUTE_LOST;
+}
+
+void tw_world_handle_worked(world *world, const event *answer) {
+    const node *at = &world->nodes[answer->node];
+    const char *name = world->machines[answer->machine].name;
+    if (answer->status == BAD) {
+        tw_shares_owner_refused(at->owner, name, answer->epoch);
+        tw_world_refresh_replica(world, answer->node, name);
+    }
+    tw_shares_owner_ended(at->owner, name, answer->epoch);
+    tw_route_ended(at->route, world->now, (uint64_t)answer->number, answer->attempt,
+                   end_of(answer->status));
+}
+
+/* ---- users ---- */
+
+/* The node that owns the share by the records; -1: none. */
+static int read_owner(world *world, const char *share) {
+    tw_shares *reader = tw_judge_read(world);
+    int owner = -1;
+    for (int i = 0; i < tw_shares_count(reader); i++) {
+        const tw_shares_view view = tw_shares_view_of(reader, i);
+        for (int j = 0; j < world->nnodes; j++)
+            if (!strcmp(view.name, share) && !strcmp(view.owner, world->nodes[j].name)) owner = j;
+    }
+    tw_shares_free(reader);
+    return owner;
+}
+
+static int owner_of(world *world, load *of) {
+    if (of->owner_known_at != world->transactions + 1) {
+        of->owner = read_owner(world, of->share);
+        of->owner_known_at = world->transactions + 1;
+    }
+    return of->owner;
+}
+
+void tw_world_handle_arrival(world *world, const event *due) {
+    const load *of = &world->loads[due->number];
+    if (world->now > of->until) return;
+    tw_world_event(world, 1 / of->rate, EVENT_ARRIVAL)->number = due->number;
+    if (world->nrequests == world->requests_room) {
+        world->requests_room = world->requests_room ? 2 * world->requests_room : TEXT;
+        world->requests =
+            realloc(world->requests, sizeof *world->requests * (size_t)world->requests_room);
+        if (!world->requests) abort();
+    }
+    world->requests[world->nrequests] = (user_request){.load = due->number};
+    tw_world_event(world, 0, EVENT_REQUEST)->number = world->nrequests++;
+}
+
+/* Sends the request, and again where the connection broke or nothing came for longer than the
+ * deadline. Only the last try's answer is heard, since its connection is the only open one. */
+void tw_world_handle_request(world *world, const event *due) {
+    user_request *asked = &world->requests[due->number];
+    load *of = &world->loads[asked->load];
+    if (asked->answers) return;
+    tw_world_event(world, USER_LOOKS_S, EVENT_REQUEST)->number = due->number;
+    const int open = asked->life && world->nodes[asked->node].life == asked->life;
+    if (open) tw_judge_unanswered(world, due->number);
+    if (open && world->now < asked->sent_at + 2 * USER_DEADLINE_S) return;
+    const int to = owner_of(world, of);
+    if (to < 0 || !world->nodes[to].life || world->nodes[to].hung_until > world->now) return;
+    asked->node = to;
+    asked->life = world->nodes[to].life;
+    asked->sent_at = world->now;
+    tw_route_request(world->nodes[to].route, world->now, (uint64_t)due->number, of->share,
+                     world->now + USER_DEADLINE_S);
+    tw_world_route_effects(world, to);
+}
+
+void tw_world_handle_reply(world *world, const event *reply) {
+    user_request *asked = &world->requests[reply->number];
+    if (asked->node != reply->node || asked->life != reply->life) return;
+    asked->answers++;
+    asked->status = reply->status;
+    world->failed += reply->status != OK;
+}
--- a/tests/shares/judge.c
+++ b/tests/shares/judge.c
@@ -3,6 +3,9 @@
  *     the records nor on the machine;
  *   - within one epoch a recorded state never goes back;
  *   - a machine runs requests of one controller at a time;
+ *   - no order of an earlier term is taken after a later one's, none of a term that isn't recorded,
+ *     and no floor for another life of the machine; at most one controller decides; it begins with
+ *     the view that stands in the records, and changes no machine that has not heard its term;
  *   - in the end every move is over, every machine is open in one share, every client is answered.
  */
 #include "shares_world.h"
@@ -10,7 +13,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define OK 200
 #define PATH_SIZE 512
 #define JUDGED_ALWAYS 300 /* machines; with more, only some transactions are judged */
 #define JUDGED_EVERY 40
@@ -224,12 +226,21 @@
     return progress;
 }
 
+static int is_defined(const tw_shares *reader, const char *share) {
+    for (int i = 0; i < tw_shares_count(reader); i++)
+        if (!strcmp(tw_shares_view_of(reader, i).name, share)) return 1;
+    return 0;
+}
+
 static void judge_client(world *world, tw_shares *reader, const client *asked) {
     tw_shares_verdict verdict;
     if (!asked->answered) {
         tw_world_fail(world, "unanswered: %s %s", asked->request.key, asked->request.share);
         return;
     }
+    if (asked->request.kind == TW_SHARES_DEFINE && asked->verdict == TW_SHARES_OK &&
+        !is_defined(reader, asked->request.share))
+        tw_world_fail(world, "lost: share %s was accepted", asked->request.share);
     if (asked->request.kind != TW_SHARES_MOVE || asked->verdict != TW_SHARES_OK) return;
     const tw_shares_progress progress = watch(world, reader, asked->request.key, &verdict);
     if (verdict == TW_SHARES_UNKNOWN_MOVE) return; /* over for long */
--- a/tests/shares/script.c
+++ b/tests/shares/script.c
@@ -1,20 +1,13 @@
 /* Scenarios: reads them, and carries out their commands (README.md). */
-#include "shares_world.h"
+#include "script_int.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define MOST_WORDS 12
-#define WORD 160
 #define DEFAULT_SEED 1
 #define DEFAULT_VALUE_BYTES 8192
 #define FIRST_LEADER_S 0.01
 
-typedef struct {
-    char words[MOST_WORDS][WORD];
-    int count;
-} words;
-
 static words split(const char *line) {
     words read = {.count = 0};
     while (read.count < MOST_WORDS) {
@@ -27,11 +20,9 @@
     return read;
 }
 
-static double number(const words *read, int i) { return strtod(read->words[i], NULL); }
-
 static void copy_name(char *to, const char *from) { snprintf(to, TW_SHARES_NAME, "%s", from); }
 
-static int node_index(const world *world, const char *name) {
+int tw_script_node(const world *world, const char *name) {
     for (int i = 0; !strcmp(name, "leader") && world->lease_s > 0 && i < world->nnodes; i++) {
         const node *each = &world->nodes[i];
         if (each->life && tw_standby_decides(each->standby, tw_elections_now(world, i))) return i;
@@ -41,7 +32,7 @@
 
 /* ---- requests of clients ---- */
 
-static client *client_by_key(world *world, const char *key) {
+client *tw_script_client(world *world, const char *key) {
     for (int i = 0; i < world->nclients; i++)
         if (!strcmp(world->clients[i].request.key, key)) return &world->clients[i];
     return NULL;
@@ -135,7 +126,7 @@
 /* ---- troubles ---- */
 
 static int do_node(world *world, const words *read) {
-    const int at = read->count > 1 ? node_index(world, read->words[1]) : -1;
+    const int at = read->count > 1 ? tw_script_node(world, read->words[1]) : -1;
     const double seconds = read->count > 2 ? number(read, 2) : -1;
     if (at < 0) return -1;
     if (!strcmp(read->words[0], "kill"))
@@ -153,7 +144,7 @@
 
 /* killlead NODE S, hanglead NODE S: the leader ends (hangs), and NODE leads at once. */
 static int do_succession(world *world, const words *read) {
-    const int at = read->count == 3 ? node_index(world, read->words[1]) : -1;
+    const int at = read->count == 3 ? tw_script_node(world, read->words[1]) : -1;
     if (at < 0) return -1;
     if (!strcmp(read->words[0], "killlead"))
         tw_world_end_node(world, world->leading, number(read, 2));
@@ -224,9 +215,9 @@
 /* cut NODE NODE|state|machines S */
 static int do_cut(world *world, const words *read) {
     if (read->count != 4 || world->ncuts == MOST_CUTS) return -1;
-    const int one = node_index(world, read->words[1]);
+    const int one = tw_script_node(world, read->words[1]);
     const char *other = read->words[2];
-    int end = node_index(world, other);
+    int end = tw_script_node(world, other);
     if (!strcmp(other, "state")) end = END_STATE;
     if (!strcmp(other, "machines")) end = END_MACHINES;
     if (one < 0 || (end < 0 && strcmp(other, "state") != 0 && strcmp(other, "machines") != 0))
@@ -235,9 +226,16 @@
     return 0;
 }
 
+/* spoil N: the next N changes of the feed lose a record on their way */
+static int do_spoil(world *world, const words *read) {
+    if (read->count != 2) return -1;
+    world->spoil_changes = (int)number(read, 1);
+    return 0;
+}
+
 /* clock NODE RATE STEP_S: its clocks run at that rate, and its time of day jumps */
 static int do_clock(world *world, const words *read) {
-    const int at = read->count == 4 ? node_index(world, read->words[1]) : -1;
+    const int at = read->count == 4 ? tw_script_node(world, read->words[1]) : -1;
     if (at < 0) return -1;
     world->nodes[at].rate = number(read, 2);
     world->nodes[at].wall_step_s = number(read, 3);
@@ -248,154 +246,12 @@
 static int do_promote(world *world, const words *read) {
     if (read->count != 2) return -1;
     event *asked = tw_world_event(world, 0, EVENT_PROMOTE);
-    asked->node = node_index(world, "leader");
+    asked->node = tw_script_node(world, "leader");
     asked->text = strdup(read->words[1]);
     if (!asked->text) abort();
     return 0;
 }
 
-/* ---- expectations ---- */
-
-static const tw_standby *standby_named(const world *world, const char *name) {
-    const int at = node_index(world, name);
-    return at < 0 || !world->nodes[at].life ? NULL : world->nodes[at].standby;
-}
-
-/* expect leader NODE NAME|nobody: whom the node sends clients to */
-static void expect_leader(world *world, const words *read) {
-    const int at = node_index(world, read->words[2]);
-    char leader[TW_STANDBY_ADDRESS] = "";
-    double retry_after_s = 0;
-    if (at >= 0 && world->nodes[at].life)
-        tw_standby_leader(world->nodes[at].standby, tw_elections_now(world, at), leader,
-                          &retry_after_s);
-    if (strcmp(leader[0] ? leader : "nobody", read->words[3]) != 0)
-        tw_world_fail(world, "%s sends clients to %s", read->words[2], leader);
-    if (!leader[0] && retry_after_s <= 0) tw_world_fail(world, "%s gives no time", read->words[2]);
-}
-
-/* expect state NODE NAME; expect gaps|snapshots|held_back NODE LEAST */
-static int expect_standby(world *world, const words *read) {
-    tw_standby *asked = (tw_standby *)standby_named(world, read->words[2]);
-    if (!asked || read->count != 4) return -1;
-    const int at = node_index(world, read->words[2]);
-    const tw_standby_status status = tw_standby_status_of(asked, tw_elections_now(world, at));
-    if (!strcmp(read->words[1], "state")) {
-        if (strcmp(tw_standby_state_name(status.state), read->words[3]) != 0)
-            tw_world_fail(world, "%s is %s", read->words[2], tw_standby_state_name(status.state));
-        return 0;
-    }
-    const long got = !strcmp(read->words[1], "gaps")        ? status.gaps
-                     : !strcmp(read->words[1], "snapshots") ? status.snapshots
-                                                            : status.held_back;
-    if ((double)got < number(read, 3))
-        tw_world_fail(world, "%s: %ld %s", read->words[2], got, read->words[1]);
-    return 0;
-}
-
-static void expect_range(world *world, const char *what, double got, double least, double most) {
-    if (got < least || got > most)
-        tw_world_fail(world, "expected %s from %g to %g, got %g", what, least, most, got);
-}
-
-static void expect_size(world *world, const words *read) {
-    tw_shares *reader = tw_judge_read(world);
-    int size = -1;
-    for (int i = 0; i < tw_shares_count(reader); i++) {
-        const tw_shares_view view = tw_shares_view_of(reader, i);
-        if (!strcmp(view.name, read->words[2])) size = view.open + view.taken + view.draining;
-    }
-    tw_shares_free(reader);
-    expect_range(world, read->words[2], size, number(read, 3), number(read, 4));
-}
-
-static void expect_owner(world *world, const words *read) {
-    tw_shares *reader = tw_judge_read(world);
-    int found = 0;
-    for (int i = 0; i < tw_shares_machines(reader); i++) {
-        const tw_shares_tell cell = tw_shares_machine(reader, i);
-        if (strcmp(cell.machine, read->words[2]) != 0) continue;
-        found = 1;
-        if (strcmp(cell.share, read->words[3]) != 0)
-            tw_world_fail(world, "%s is in %s", cell.machine, cell.share);
-    }
-    tw_shares_free(reader);
-    if (!found) tw_world_fail(world, "%s is in no share", read->words[2]);
-}
-
-static void expect_answer(world *world, const words *read) {
-    const client *asked = client_by_key(world, read->words[2]);
-    const char *got = "none";
-    if (asked && asked->answered) got = tw_shares_verdict_name(asked->verdict);
-    if (strcmp(got, read->words[3]) != 0)
-        tw_world_fail(world, "%s was answered %s", read->words[2], got);
-}
-
-/* The same key twice: the last request of that key. */
-static void expect_again(world *world, const words *read) {
-    const char *got = "none";
-    for (int i = 0; i < world->nclients; i++) {
-        const client *each = &world->clients[i];
-        if (!strcmp(each->request.key, read->words[2]) && each->answered)
-            got = tw_shares_verdict_name(each->verdict);
-    }
-    if (strcmp(got, read->words[3]) != 0)
-        tw_world_fail(world, "%s was answered %s at last", read->words[2], got);
-}
-
-static int expect_move(world *world, const words *read) {
-    const client *asked = client_by_key(world, read->words[2]);
-    const char *what = read->words[1];
-    double got = -1;
-    if (asked && !strcmp(what, "moved")) got = asked->progress.moved;
-    if (asked && !strcmp(what, "returned")) got = asked->progress.returned;
-    if (asked && !strcmp(what, "lost")) got = asked->progress.lost;
-    if (asked && !strcmp(what, "within")) {
-        got = asked->done_at ? asked->done_at - asked->asked_at : world->end;
-        expect_range(world, "seconds of a move", got, 0, number(read, 3));
-        return 0;
-    }
-    expect_range(world, what, got, number(read, 3),
-                 read->count > 4 ? number(read, 4) : number(read, 3));
-    return 0;
-}
-
-static int do_expect(world *world, const words *read) {
-    if (read->count < 3) return -1;
-    const char *what = read->words[1];
-    if (!strcmp(what, "size") && read->count == 5)
-        expect_size(world, read);
-    else if (!strcmp(what, "in"))
-        expect_owner(world, read);
-    else if (!strcmp(what, "answer"))
-        expect_answer(world, read);
-    else if (!strcmp(what, "again"))
-        expect_again(world, read);
-    else if (!strcmp(what, "state") || !strcmp(what, "gaps") || !strcmp(what, "snapshots") ||
-             !strcmp(what, "held_back"))
-        return expect_standby(world, read);
-    else if (!strcmp(what, "leader") && read->count == 4)
-        expect_leader(world, read);
-    else if (!strcmp(what, "takeover"))
-        expect_range(world, "seconds without a decider", world->longest_gap, 0, number(read, 2));
-    else if (!strcmp(what, "terms"))
-        expect_range(world, "terms", world->terms, number(read, 2), number(read, 2));
-    else if (!strcmp(what, "promoted")) {
-        const char *got = world->promotions ? tw_shares_verdict_name(world->promoted) : "none";
-        if (strcmp(got, read->words[2]) != 0) tw_world_fail(world, "promotion: %s", got);
-    } else if (!strcmp(what, "changes"))
-        expect_range(world, "changes written", world->changes, 0, number(read, 2));
-    else if (!strcmp(what, "refused"))
-        expect_range(world, "requests refused", (double)world->refused, number(read, 2), 1e9);
-    else if (!strcmp(what, "ended"))
-        expect_range(world, "requests ended early", (double)world->moved, 0, number(read, 2));
-    else if (!strcmp(what, "failed"))
-        expect_range(world, "requests answered 5xx", (double)world->failed, 0, number(read, 2));
-    else
-        return expect_move(world, read);
-    return 0;
-}
-
 /* holds MACHINE IMAGE: the leader hears that the machine holds the image */
 static int do_holds(world *world, const words *read) {
     tw_shares *leader = world->nodes[world->leading].leader;
@@ -411,7 +267,6 @@
     if (!strcmp(read->words[1], "double")) world->plant_double = 1;
     if (!strcmp(read->words[1], "old")) world->plant_old = 1;
     if (!strcmp(read->words[1], "term")) world->plant_term = 1;
-    /* of controllers that start from here on */
     if (!strcmp(read->words[1], "fence")) world->plant_fence = 1;
     if (!strcmp(read->words[1], "check")) world->plant_check = 1;
     return 0;
@@ -432,7 +287,7 @@
 
 /* print KEY: what the move took, and what happened since the last count */
 static int do_print(world *world, const words *read) {
-    const client *asked = read->count == 2 ? client_by_key(world, read->words[1]) : NULL;
+    const client *asked = read->count == 2 ? tw_script_client(world, read->words[1]) : NULL;
     if (!asked && read->count == 2) return print_standby(world, read->words[1]);
     if (!asked) return -1;
     printf("%s: machines=%d seconds=%.2f transactions=%d changes=%d completed=%ld ended=%ld "
@@ -462,16 +317,37 @@
     const char *name;
     int (*carry_out)(world *, const words *);
 } commands[] = {
-    {"move", do_move},           {"cancel", do_cancel},     {"share", do_share},
-    {"machines", do_machines},   {"take", do_machine},      {"restart", do_machine},
-    {"kill", do_node},           {"hang", do_node},         {"lead", do_node},
-    {"start", do_node},          {"elected", do_node},      {"killlead", do_succession},
-    {"hanglead", do_succession}, {"losewrites", do_writes}, {"dropwrites", do_writes},
-    {"latewrites", do_writes},   {"loss", do_network},      {"late", do_network},
-    {"slow", do_network},        {"outage", do_outage},     {"load", do_load},
-    {"expect", do_expect},       {"count", do_count},       {"print", do_print},
-    {"plant", do_plant},         {"holds", do_holds},       {"cut", do_cut},
-    {"reboot", do_machine},      {"clock", do_clock},       {"promote", do_promote},
+    {"move", do_move},
+    {"cancel", do_cancel},
+    {"share", do_share},
+    {"machines", do_machines},
+    {"take", do_machine},
+    {"restart", do_machine},
+    {"kill", do_node},
+    {"hang", do_node},
+    {"lead", do_node},
+    {"start", do_node},
+    {"elected", do_node},
+    {"killlead", do_succession},
+    {"hanglead", do_succession},
+    {"losewrites", do_writes},
+    {"dropwrites", do_writes},
+    {"latewrites", do_writes},
+    {"loss", do_network},
+    {"late", do_network},
+    {"slow", do_network},
+    {"outage", do_outage},
+    {"load", do_load},
+    {"expect", tw_script_expect},
+    {"count", do_count},
+    {"print", do_print},
+    {"plant", do_plant},
+    {"holds", do_holds},
+    {"cut", do_cut},
+    {"reboot", do_machine},
+    {"spoil", do_spoil},
+    {"clock", do_clock},
+    {"promote", do_promote},
 };
 
 int tw_script_command(world *world, char *line) {
--- a/tests/shares/shares_world.h
+++ b/tests/shares/shares_world.h
@@ -11,6 +11,11 @@
 #include <gsl/gsl_rng.h>
 
 #define USER_DEADLINE_S 10.0 /* of a user's request */
+/* How long a message takes. */
+#define FASTEST_S 0.001
+#define SLOWEST_S 0.02
+#define CALLS_IN_LEASE 3.0 /* a call that is not answered lasts so much of the lease */
+enum { OK = 200, BAD = 400, ABSENT = 404, CONFLICT = 409 };
 enum { MOST_NODES = 4, MOST_MACHINES = 5000, MOST_REQUESTS = 256, MOST_TRIGGERS = 32, TEXT = 256 };
 enum { MOST_CUTS = 32 };
 /* Ends of a link beside nodes, which are named by their index. */
@@ -182,6 +187,7 @@
     double undecided_since, longest_gap; /* how long no controller decided */
     int terms;                           /* recorded since the count */
     int plant_term, plant_fence, plant_check;
+    int spoil_changes; /* of the feed, the next ones */
     /* what is printed by measurements, since the count */
     long state_calls, state_bytes; /* answered by the state service */
     long feed_messages, feed_bytes;
@@ -209,6 +215,8 @@
 /* A message that takes its time; NULL: it is lost. */
 event *tw_world_message(world *world, event_kind kind);
 void tw_world_free_event(event *event);
+/* A copy, "" for NULL. */
+char *tw_world_text(const char *text);
 void tw_world_effects(world *world, int node);
 void tw_world_call_state(world *world, int node, event *call);
 void tw_world_take_answer(world *world, const tw_shares_effect *effect);
@@ -218,6 +226,21 @@
 /* A machine's verdict on an order, with the judge's own record and planted faults. Returns whether
  * it was taken. */
 int tw_world_order(world *world, int machine, uint64_t term, tw_shares_guard_verdict verdict);
+/* state_calls.c: calls to the state service and their answers */
+void tw_world_handle_state(world *world, const event *call);
+void tw_world_handle_answer(world *world, const event *answer);
+/* machines.c */
+void tw_world_handle_open(world *world, const event *order);
+void tw_world_handle_work(world *world, const event *order);
+void tw_world_handle_finish(world *world, const event *due);
+void tw_world_handle_stop(world *world, const event *order);
+/* gateways.c: a controller routes the requests of its shares; users */
+void tw_world_refresh_replica(world *world, int at, const char *name);
+void tw_world_route_effects(world *world, int at);
+void tw_world_handle_worked(world *world, const event *answer);
+void tw_world_handle_arrival(world *world, const event *due);
+void tw_world_handle_request(world *world, const event *due);
+void tw_world_handle_reply(world *world, const event *reply);
 /* ../standby/elections.c: controllers that elect their leader and follow it */
 void tw_elections_start(world *world, int node);
 void tw_elections_end(world *world, int node);
--- /dev/null
+++ b/tests/shares/state_calls.c
@@ -0,0 +1,169 @@
+/* Calls of controllers to the state service, what strikes them, and their answers. */
+#include "shares_world.h"
+#include "log/log.h"
+#include "wire/wire.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void strike(world *world, const char *body) {
+    for (int i = 0; i < world->ntriggers; i++) {
+        trigger *set = &world->triggers[i];
+        if (set->used || world->now < set->from || !strstr(body, set->text)) continue;
+        set->used = 1;
+        tw_script_command(world, set->command);
+    }
+}
+
+static int struck(int *left, const world *world, const char *body) {
+    if (!*left || !strstr(body, world->strike_text)) return 0;
+    --*left;
+    return 1;
+}
+
+static void answer_call(world *world, const event *call, int status, char *text) {
+    double after = tw_world_draw(world, FASTEST_S, SLOWEST_S);
+    const int cut = world->lease_s > 0 && tw_elections_is_cut(world, call->node, END_STATE);
+    if (cut || (!status && world->lease_s > 0)) {
+        after = world->lease_s / CALLS_IN_LEASE;
+        status = 0;
+        free(text);
+        text = NULL;
+    }
+    event *answer = tw_world_event(world, after, EVENT_ANSWER);
+    answer->node = call->node;
+    answer->life = call->life;
+    answer->id = call->id;
+    answer->flag = call->flag;
+    answer->status = status;
+    answer->text = text;
+}
+
+static void put_late(world *world, const event *call) {
+    event *late = tw_world_event(world, world->late_write_s, EVENT_STATE);
+    late->node = call->node;
+    late->flag = 1;
+    late->number = 1; /* nobody waits for the answer */
+    late->text = tw_world_text(call->text);
+    if (call->path) late->path = tw_world_text(call->path);
+}
+
+static void handle_transaction(world *world, const event *call) {
+    char *answer = NULL;
+    if (!call->number && struck(&world->drop_writes, world, call->text)) {
+        answer_call(world, call, 0, NULL);
+        return;
+    }
+    if (!call->number && struck(&world->late_writes, world, call->text)) {
+        put_late(world, call);
+        answer_call(world, call, 0, NULL);
+        return;
+    }
+    const int lost = !call->number && struck(&world->lose_answers, world, call->text);
+    const int status =
+        tw_sim_state_request(&world->state, world->now, "POST", "/txn", call->text, &answer);
+    tw_log_debug("t=%.3f node=%s status=%d txn=%.600s", world->now, world->nodes[call->node].name,
+                 status, call->text);
+    /* A leader's key that comes late is refused with its lease, which is over by then. */
+    const int of_lease = strstr(call->text, "\"write\":\"" TW_STANDBY_KEY "\"") != NULL;
+    if (status == BAD && !of_lease)
+        tw_world_fail(world, "the state service refuses: %.150s", call->text);
+    if (status == OK) {
+        world->transactions++;
+        world->last_change_s = world->now;
+        for (const char *at = call->text; (at = strstr(at, "{\"write\"")); at++) world->changes++;
+        tw_judge_records(world);
+    }
+    if (!call->number) answer_call(world, call, lost ? 0 : status, lost ? NULL : answer);
+    if (call->number || lost) free(answer);
+    if (status == OK) strike(world, call->text);
+}
+
+/* A planted fault: to a standby the leader's key seems gone, and its own one recorded. Returns the
+ * status of the answer that it gets; 0: the call is none of these. */
+static int skip_fence(const world *world, const event *call, char **answer) {
+    const char *key = TW_STANDBY_KEY;
+    char text[TEXT];
+    const uint64_t recorded = tw_sim_state_version(&world->state, key);
+    const int reads = !strcmp(call->path, "/kv/" TW_STANDBY_KEY);
+    const int writes = !strcmp(call->path, "/txn") && strstr(call->text, "\"write\":\"traywalld/");
+    const tw_standby *asks = world->nodes[call->node].standby;
+    const int active = asks && !strcmp(tw_standby_active(asks), world->nodes[call->node].name);
+    if (!world->plant_fence || active || !recorded || (!reads && !writes)) return 0;
+    snprintf(text, sizeof text, "{\"ledger\":%lu}", (unsigned long)recorded + 1);
+    *answer = tw_world_text(text);
+    return reads ? ABSENT : OK;
+}
+
+/* A call of a controller that elects: the path says what it is. */
+static void handle_call(world *world, const event *call) {
+    char *answer = NULL;
+    const int late = call->number; /* it was sent long ago, and nobody waits for its answer */
+    const int skipped = skip_fence(world, call, &answer);
+    if (!late && tw_elections_is_cut(world, call->node, END_STATE)) {
+        answer_call(world, call, 0, NULL);
+        free(answer);
+    } else if (skipped) {
+        answer_call(world, call, skipped, answer);
+    } else if (!strcmp(call->path, "/txn")) {
+        handle_transaction(world, call);
+        const uint64_t recorded = tw_sim_state_version(&world->state, TW_STANDBY_KEY);
+        world->terms += recorded > world->newest_term;
+        if (recorded > world->newest_term) world->term_at = world->now;
+        if (recorded > world->newest_term) world->newest_term = recorded;
+    } else {
+        const int status = tw_sim_state_request(&world->state, world->now, call->method, call->path,
+                                                call->text ? call->text : "", &answer);
+        tw_log_debug("t=%.3f node=%s %s %s status=%d", world->now, world->nodes[call->node].name,
+                     call->method, call->path, status);
+        world->state_calls++;
+        world->state_bytes += (long)strlen(answer);
+        answer_call(world, call, status, answer);
+    }
+}
+
+void tw_world_handle_state(world *world, const event *call) {
+    char *answer = NULL;
+    if (call->path) {
+        handle_call(world, call);
+        return;
+    }
+    if (call->flag) {
+        handle_transaction(world, call);
+        return;
+    }
+    const int status =
+        tw_sim_state_request(&world->state, world->now, "GET", call->text, "", &answer);
+    answer_call(world, call, status, answer);
+}
+
+static tw_shares_outcome outcome_of(int status) {
+    if (status == OK) return TW_SHARES_APPLIED;
+    if (status == CONFLICT || status == BAD) return TW_SHARES_REFUSED;
+    return status ? TW_SHARES_PUT_OFF : TW_SHARES_UNKNOWN;
+}
+
+void tw_world_handle_answer(world *world, const event *answer) {
+    node *at = &world->nodes[answer->node];
+    const char *text = answer->text ? answer->text : "";
+    uint64_t revision = 0;
+    if (at->standby) {
+        tw_standby_answered(at->standby, tw_elections_now(world, answer->node), answer->id,
+                            answer->status, text, strlen(text));
+        return;
+    }
+    if (answer->flag) {
+        const tw_shares_outcome outcome = outcome_of(answer->status);
+        if (outcome == TW_SHARES_APPLIED) tw_wire_ledger_parse(&revision, text, strlen(text));
+        /* a node that finds the leader's key changed gives up, as the service's election does */
+        if (outcome == TW_SHARES_REFUSED &&
+            tw_sim_state_version(&world->state, "leader") != at->token) {
+            at->token = 0;
+            tw_shares_resign(at->leader);
+        }
+        tw_shares_written(at->leader, world->now, answer->id, outcome, revision);
+    } else {
+        const int has = answer->status == OK;
+        tw_shares_page(at->leader, world->now, answer->id, has ? text : NULL, strlen(text));
+    }
+}
--- a/tests/shares/world.c
+++ b/tests/shares/world.c
@@ -8,18 +8,9 @@
 #include <string.h>
 
 #define TICK_S 0.1
-#define FASTEST_S 0.001
-#define SLOWEST_S 0.02
 #define CLIENT_RETRY_S 1.0
 #define FOLLOW_S 0.1 /* between a client's looks at a move that was accepted */
-#define OK 200
-#define SLOTS 8 /* requests that a machine runs at once */
-#define FIRST_SERVICE_S 0.5
-#define USER_LOOKS_S 0.25
-#define CONFLICT 409
-#define BAD 400
 #define PATH_SIZE 512
-#define CALLS_IN_LEASE 3.0 /* a call that is not answered lasts so much of the lease */
 #define FIRST_MACHINE_ID ((uint64_t)1 << 40) /* of registrations; clients' are below */
 #define AUTHORITY_S 0.5
 #define ELECTION_S 0.7 /* the old leader's authority is over by then */
@@ -66,7 +57,7 @@
     return tw_world_event(world, after, kind);
 }
 
-static char *text_of(const char *text) {
+char *tw_world_text(const char *text) {
     char *copy = strdup(text ? text : "");
     if (!copy) abort();
     return copy;
@@ -82,12 +73,12 @@
     call->id = effect->id;
     call->flag = effect->kind == TW_SHARES_WRITE;
     if (call->flag) {
-        call->text = text_of(effect->text);
+        call->text = tw_world_text(effect->text);
         return;
     }
     snprintf(path, sizeof path, "/kv?starts=%s%s%s&most=%d", TW_SHARES_PREFIX,
              effect->text[0] ? "&since=" : "", effect->text, TW_SHARES_PAGE);
-    call->text = text_of(path);
+    call->text = tw_world_text(path);
 }
 
 void tw_world_take_answer(world *world, const tw_shares_effect *effect) {
@@ -169,7 +160,7 @@
     sent->number = (int)kind;
     sent->machine = from;
     sent->epoch = epoch;
-    sent->text = text_of(name);
+    sent->text = tw_world_text(name);
 }
 
 static void owner_effects(world *world, int at) {
@@ -190,8 +181,6 @@
     }
 }
 
-static void route_effects(world *world, int at);
-
 /* Where leaders are named by the scenario, machines need not be asked by them. */
 static void decide_at_once(world *world, int at) {
     tw_shares *table = world->nodes[at].leader;
@@ -231,7 +220,7 @@
     else
         table_effects(world, at);
     owner_effects(world, at);
-    route_effects(world, at);
+    tw_world_route_effects(world, at);
 }
 
 /* ---- life of nodes ---- */
@@ -260,7 +249,7 @@
     char line[TEXT];
     snprintf(line, sizeof line, "elected %s", world->nodes[at].name);
     world->electing = 1;
-    tw_world_event(world, ELECTION_S, EVENT_COMMAND)->text = text_of(line);
+    tw_world_event(world, ELECTION_S, EVENT_COMMAND)->text = tw_world_text(line);
 }
 
 void tw_world_end_node(world *world, int at, double back_after_s) {
@@ -280,7 +269,7 @@
     event *back = tw_world_event(world, back_after_s, EVENT_COMMAND);
     char line[TEXT];
     snprintf(line, sizeof line, "start %s", ended->name);
-    back->text = text_of(line);
+    back->text = tw_world_text(line);
 }
 
 /* The node has won an election: the leader's key has a new revision. The one before isn't told. */
@@ -313,150 +302,6 @@
     tw_world_effects(world, at);
 }
 
-/* ---- the state service ---- */
-
-static void strike(world *world, const char *body) {
-    for (int i = 0; i < world->ntriggers; i++) {
-        trigger *set = &world->triggers[i];
-        if (set->used || world->now < set->from || !strstr(body, set->text)) continue;
-        set->used = 1;
-        tw_script_command(world, set->command);
-    }
-}
-
-static int struck(int *left, const world *world, const char *body) {
-    if (!*left || !strstr(body, world->strike_text)) return 0;
-    --*left;
-    return 1;
-}
-
-static void answer_call(world *world, const event *call, int status, char *text) {
-    double after = tw_world_draw(world, FASTEST_S, SLOWEST_S);
-    const int cut = world->lease_s > 0 && tw_elections_is_cut(world, call->node, END_STATE);
-    if (cut || (!status && world->lease_s > 0)) {
-        after = world->lease_s / CALLS_IN_LEASE;
-        status = 0;
-        free(text);
-        text = NULL;
-    }
-    event *answer = tw_world_event(world, after, EVENT_ANSWER);
-    answer->node = call->node;
-    answer->life = call->life;
-    answer->id = call->id;
-    answer->flag = call->flag;
-    answer->status = status;
-    answer->text = text;
-}
-
-static void put_late(world *world, const event *call) {
-    event *late = tw_world_event(world, world->late_write_s, EVENT_STATE);
-    late->node = call->node;
-    late->flag = 1;
-    late->number = 1; /* nobody waits for the answer */
-    late->text = text_of(call->text);
-    if (call->path) late->path = text_of(call->path);
-}
-
-static void handle_transaction(world *world, const event *call) {
-    char *answer = NULL;
-    if (!call->number && struck(&world->drop_writes, world, call->text)) {
-        answer_call(world, call, 0, NULL);
-        return;
-    }
-    if (!call->number && struck(&world->late_writes, world, call->text)) {
-        put_late(world, call);
-        answer_call(world, call, 0, NULL);
-        return;
-    }
-    const int lost = !call->number && struck(&world->lose_answers, world, call->text);
-    const int status =
-        tw_sim_state_request(&world->state, world->now, "POST", "/txn", call->text, &answer);
-    tw_log_debug("t=%.3f node=%s status=%d txn=%.600s", world->now, world->nodes[call->node].name,
-                 status, call->text);
-    /* A leader's key that comes late is refused with its lease, which is over by then. */
-    const int of_lease = strstr(call->text, "\"write\":\"" TW_STANDBY_KEY "\"") != NULL;
-    if (status == BAD && !of_lease)
-        tw_world_fail(world, "the state service refuses: %.150s", call->text);
-    if (status == OK) {
-        world->transactions++;
-        world->last_change_s = world->now;
-        for (const char *at = call->text; (at = strstr(at, "{\"write\"")); at++) world->changes++;
-        tw_judge_records(world);
-    }
-    if (!call->number) answer_call(world, call, lost ? 0 : status, lost ? NULL : answer);
-    if (call->number || lost) free(answer);
-    if (status == OK) strike(world, call->text);
-}
-
-/* A call of a controller that elects: the path says what it is. */
-static void handle_call(world *world, const event *call) {
-    char *answer = NULL;
-    const int late = call->number; /* it was sent long ago, and nobody waits for its answer */
-    if (!late && tw_elections_is_cut(world, call->node, END_STATE)) {
-        answer_call(world, call, 0, NULL);
-    } else if (!strcmp(call->path, "/txn")) {
-        handle_transaction(world, call);
-        const uint64_t recorded = tw_sim_state_version(&world->state, TW_STANDBY_KEY);
-        world->terms += recorded > world->newest_term;
-        if (recorded > world->newest_term) world->term_at = world->now;
-        if (recorded > world->newest_term) world->newest_term = recorded;
-    } else {
-        const int status = tw_sim_state_request(&world->state, world->now, call->method, call->path,
-                                                call->text ? call->text : "", &answer);
-        tw_log_debug("t=%.3f node=%s %s %s status=%d", world->now, world->nodes[call->node].name,
-                     call->method, call->path, status);
-        world->state_calls++;
-        world->state_bytes += (long)strlen(answer);
-        answer_call(world, call, status, answer);
-    }
-}
-
-static void handle_state(world *world, const event *call) {
-    char *answer = NULL;
-    if (call->path) {
-        handle_call(world, call);
-        return;
-    }
-    if (call->flag) {
-        handle_transaction(world, call);
-        return;
-    }
-    const int status =
-        tw_sim_state_request(&world->state, world->now, "GET", call->text, "", &answer);
-    answer_call(world, call, status, answer);
-}
-
-static tw_shares_outcome outcome_of(int status) {
-    if (status == OK) return TW_SHARES_APPLIED;
-    if (status == CONFLICT || status == BAD) return TW_SHARES_REFUSED;
-    return status ? TW_SHARES_PUT_OFF : TW_SHARES_UNKNOWN;
-}
-
-static void handle_answer(world *world, const event *answer) {
-    node *at = &world->nodes[answer->node];
-    const char *text = answer->text ? answer->text : "";
-    uint64_t revision = 0;
-    if (at->standby) {
-        tw_standby_answered(at->standby, tw_elections_now(world, answer->node), answer->id,
-                            answer->status, text, strlen(text));
-        return;
-    }
-    if (answer->flag) {
-        const tw_shares_outcome outcome = outcome_of(answer->status);
-        if (outcome == TW_SHARES_APPLIED) tw_wire_ledger_parse(&revision, text, strlen(text));
-        /* a node that finds the leader's key changed gives up, as the service's election does */
-        if (outcome == TW_SHARES_REFUSED &&
-            tw_sim_state_version(&world->state, "leader") != at->token) {
-            at->token = 0;
-            tw_shares_resign(at->leader);
-        }
-        tw_shares_written(at->leader, world->now, answer->id, outcome, revision);
-    } else {
-        const int has = answer->status == OK;
-        tw_shares_page(at->leader, world->now, answer->id, has ? text : NULL, strlen(text));
-    }
-}
-
 /* ---- owners and the leader ---- */
 
 static void handle_report(world *world, const event *said) {
@@ -522,237 +367,6 @@
     again->life = due->life;
 }
 
-/* ---- machines ---- */
-
-/* What a machine says of a request to the node that sent it; 0: the connection broke. */
-static void answer_work(world *world, const served *about, int at, int status) {
-    event *sent = tw_world_event(world, tw_world_draw(world, FASTEST_S, SLOWEST_S), EVENT_WORKED);
-    sent->node = about->node;
-    sent->life = about->life;
-    sent->machine = at;
-    sent->number = about->request;
-    sent->attempt = about->attempt;
-    sent->epoch = about->epoch;
-    sent->status = status;
-}
-
-void tw_world_end_running(world *world, int at, int status) {
-    machine *ends = &world->machines[at];
-    for (int i = 0; i < ends->nrunning; i++) answer_work(world, &ends->running[i], at, status);
-    world->moved += ends->nrunning;
-    ends->nrunning = 0;
-    ends->life++; /* their ends no longer count */
-}
-
-int tw_world_order(world *world, int at, uint64_t term, tw_shares_guard_verdict verdict) {
-    machine *takes = &world->machines[at];
-    if (verdict != TW_SHARES_GUARD_RAISED && verdict != TW_SHARES_GUARD_REPEATED) return 0;
-    tw_judge_order(world, at, term);
-    takes->judged_term = term;
-    return 1;
-}
-
-/* A planted fault: the machine takes any term. */
-static void forget_term(const world *world, machine *at) {
-    if (world->plant_term) at->guard.term = 0;
-}
-
-static void handle_open(world *world, const event *order) {
-    machine *opened = &world->machines[order->machine];
-    if (!opened->alive || !opened->registered) return;
-    forget_term(world, opened);
-    const tw_shares_guard_verdict verdict =
-        tw_shares_guard_open(&opened->guard, order->term, order->epoch);
-    if (!tw_world_order(world, order->machine, order->term, verdict)) return;
-    if (verdict == TW_SHARES_GUARD_RAISED) tw_world_end_running(world, order->machine, CONFLICT);
-    if (order->epoch < opened->judged_epoch)
-        tw_world_fail(world, "%s confirms epoch %lu after %lu", opened->name,
-                      (unsigned long)order->epoch, (unsigned long)opened->judged_epoch);
-    opened->judged_epoch = order->epoch;
-    event *sent = tw_world_message(world, EVENT_OPENED);
-    if (!sent) return;
-    sent->node = order->node;
-    sent->life = order->life;
-    sent->epoch = order->epoch;
-    sent->text = text_of(opened->name);
-}
-
-static void handle_work(world *world, const event *order) {
-    machine *at = &world->machines[order->machine];
-    const served work = {.request = order->number,
-                         .attempt = order->attempt,
-                         .node = order->node,
-                         .life = order->life,
-                         .epoch = order->epoch};
-    const int accepts = tw_shares_guard_accepts(&at->guard, order->epoch) || world->plant_old;
-    if (!at->alive || !accepts) {
-        world->refused += at->alive;
-        answer_work(world, &work, order->machine, BAD);
-        return;
-    }
-    tw_judge_work(world, order->node, order->machine, order->epoch);
-    at->running = realloc(at->running, sizeof *at->running * (size_t)(at->nrunning + 1));
-    if (!at->running) abort();
-    at->running[at->nrunning++] = work;
-    const double service_s = world->loads[world->requests[order->number].load].service_s;
-    event *finish = tw_world_event(world, service_s, EVENT_FINISH);
-    finish->machine = order->machine;
-    finish->number = order->number;
-    finish->attempt = order->attempt;
-    finish->life = at->life;
-}
-
-static void handle_finish(world *world, const event *due) {
-    machine *at = &world->machines[due->machine];
-    if (at->life != due->life) return;
-    for (int i = 0; i < at->nrunning; i++) {
-        if (at->running[i].request != due->number || at->running[i].attempt != due->attempt)
-            continue;
-        world->completed++;
-        world->requests[due->number].completions++;
-        answer_work(world, &at->running[i], due->machine, OK);
-        at->running[i] = at->running[--at->nrunning];
-        return;
-    }
-}
-
-static void handle_stop(world *world, const event *order) {
-    machine *at = &world->machines[order->machine];
-    forget_term(world, at);
-    const tw_shares_guard_verdict verdict =
-        tw_shares_guard_stop(&at->guard, order->term, order->epoch);
-    if (!tw_world_order(world, order->machine, order->term, verdict)) return;
-    if (at->nrunning && at->running[0].epoch == order->epoch)
-        tw_world_end_running(world, order->machine, CONFLICT);
-}
-
-/* ---- gateways: a controller routes the requests of its shares ---- */
-
-/* Tells the route under which epoch the machine may get requests now. */
-static void refresh_replica(world *world, int at, const char *name) {
-    const uint64_t epoch = tw_shares_owner_epoch(world->nodes[at].owner, name);
-    tw_route_replica(world->nodes[at].route, world->now, name, epoch, SLOTS, FIRST_SERVICE_S);
-}
-
-static void send_work(world *world, int at, const tw_route_effect *effect) {
-    const int to = tw_world_machine_index(world, effect->replica);
-    tw_judge_use(world, at, to, effect->epoch);
-    tw_shares_owner_sent(world->nodes[at].owner, effect->replica, effect->epoch);
-    const double after = tw_world_draw(world, FASTEST_S, SLOWEST_S) + world->slow_s;
-    event *sent = tw_world_event(world, after, EVENT_WORK);
-    sent->node = at;
-    sent->life = world->nodes[at].life;
-    sent->machine = to;
-    sent->number = (int)effect->request;
-    sent->attempt = effect->attempt;
-    sent->epoch = effect->epoch;
-}
-
-static void reply_to_user(world *world, int at, const tw_route_effect *effect) {
-    const int times = world->plant_double ? 2 : !world->plant_drop;
-    for (int i = 0; i < times; i++) {
-        const double after = tw_world_draw(world, FASTEST_S, SLOWEST_S);
-        event *reply = tw_world_event(world, after, EVENT_REPLY);
-        reply->number = (int)effect->request;
-        reply->node = at;
-        reply->life = world->nodes[at].life;
-        reply->status = (int)effect->status;
-    }
-    world->plant_double = world->plant_drop = 0;
-}
-
-static void route_effects(world *world, int at) {
-    tw_route_effect *effect;
-    while ((effect = tw_route_next(world->nodes[at].route))) {
-        if (effect->kind == TW_ROUTE_SEND) send_work(world, at, effect);
-        if (effect->kind == TW_ROUTE_ANSWER) reply_to_user(world, at, effect);
-        free(effect);
-    }
-}
-
-static tw_route_end end_of(int status) {
-    if (status == OK) return TW_ROUTE_DONE;
-    if (status == BAD) return TW_ROUTE_REFUSED;
-    return status ? TW_ROUTE_BROKEN : TW_ROUTE_LOST;
-}
-
-static void handle_worked(world *world, const event *answer) {
-    const node *at = &world->nodes[answer->node];
-    const char *name = world->machines[answer->machine].name;
-    if (answer->status == BAD) {
-        tw_shares_owner_refused(at->owner, name, answer->epoch);
-        refresh_replica(world, answer->node, name);
-    }
-    tw_shares_owner_ended(at->owner, name, answer->epoch);
-    tw_route_ended(at->route, world->now, (uint64_t)answer->number, answer->attempt,
-                   end_of(answer->status));
-}
-
-/* ---- users ---- */
-
-/* The node that owns the share by the records; -1: none. */
-static int read_owner(world *world, const char *share) {
-    tw_shares *reader = tw_judge_read(world);
-    int owner = -1;
-    for (int i = 0; i < tw_shares_count(reader); i++) {
-        const tw_shares_view view = tw_shares_view_of(reader, i);
-        for (int j = 0; j < world->nnodes; j++)
-            if (!strcmp(view.name, share) && !strcmp(view.owner, world->nodes[j].name)) owner = j;
-    }
-    tw_shares_free(reader);
-    return owner;
-}
-
-static int owner_of(world *world, load *of) {
-    if (of->owner_known_at != world->transactions + 1) {
-        of->owner = read_owner(world, of->share);
-        of->owner_known_at = world->transactions + 1;
-    }
-    return of->owner;
-}
-
-static void handle_arrival(world *world, const event *due) {
-    const load *of = &world->loads[due->number];
-    if (world->now > of->until) return;
-    tw_world_event(world, 1 / of->rate, EVENT_ARRIVAL)->number = due->number;
-    if (world->nrequests == world->requests_room) {
-        world->requests_room = world->requests_room ? 2 * world->requests_room : TEXT;
-        world->requests =
-            realloc(world->requests, sizeof *world->requests * (size_t)world->requests_room);
-        if (!world->requests) abort();
-    }
-    world->requests[world->nrequests] = (user_request){.load = due->number};
-    tw_world_event(world, 0, EVENT_REQUEST)->number = world->nrequests++;
-}
-
-/* Sends the request, and again where the connection broke or nothing came for longer than the
- * deadline. Only the last try's answer is heard, since its connection is the only open one. */
-static void handle_request(world *world, const event *due) {
-    user_request *asked = &world->requests[due->number];
-    load *of = &world->loads[asked->load];
-    if (asked->answers) return;
-    tw_world_event(world, USER_LOOKS_S, EVENT_REQUEST)->number = due->number;
-    const int open = asked->life && world->nodes[asked->node].life == asked->life;
-    if (open) tw_judge_unanswered(world, due->number);
-    if (open && world->now < asked->sent_at + 2 * USER_DEADLINE_S) return;
-    const int to = owner_of(world, of);
-    if (to < 0 || !world->nodes[to].life || world->nodes[to].hung_until > world->now) return;
-    asked->node = to;
-    asked->life = world->nodes[to].life;
-    asked->sent_at = world->now;
-    tw_route_request(world->nodes[to].route, world->now, (uint64_t)due->number, of->share,
-                     world->now + USER_DEADLINE_S);
-    route_effects(world, to);
-}
-
-static void handle_reply(world *world, const event *reply) {
-    user_request *asked = &world->requests[reply->number];
-    if (asked->node != reply->node || asked->life != reply->life) return;
-    asked->answers++;
-    asked->status = reply->status;
-    world->failed += reply->status != OK;
-}
-
 /* ---- dispatch ---- */
 
 static void handle_tick(world *world, const event *due) {
@@ -847,44 +461,44 @@
         handle_tick(world, event);
         break;
     case EVENT_STATE:
-        handle_state(world, event);
+        tw_world_handle_state(world, event);
         break;
     case EVENT_ANSWER:
-        handle_answer(world, event);
+        tw_world_handle_answer(world, event);
         break;
     case EVENT_TELL:
         tw_shares_owner_told(world->nodes[event->node].owner, world->now, &event->tell);
-        refresh_replica(world, event->node, event->tell.machine);
+        tw_world_refresh_replica(world, event->node, event->tell.machine);
         break;
     case EVENT_REPORT:
         handle_report(world, event);
         break;
     case EVENT_OPEN:
-        handle_open(world, event);
+        tw_world_handle_open(world, event);
         break;
     case EVENT_OPENED:
         tw_shares_owner_confirmed(world->nodes[event->node].owner, event->text, event->epoch);
         break;
     case EVENT_WORK:
-        handle_work(world, event);
+        tw_world_handle_work(world, event);
         break;
     case EVENT_WORKED:
-        handle_worked(world, event);
+        tw_world_handle_worked(world, event);
         break;
     case EVENT_STOP:
-        handle_stop(world, event);
+        tw_world_handle_stop(world, event);
         break;
     case EVENT_ARRIVAL:
-        handle_arrival(world, event);
+        tw_world_handle_arrival(world, event);
         break;
     case EVENT_REQUEST:
-        handle_request(world, event);
+        tw_world_handle_request(world, event);
         break;
     case EVENT_REPLY:
-        handle_reply(world, event);
+        tw_world_handle_reply(world, event);
         break;
     case EVENT_FINISH:
-        handle_finish(world, event);
+        tw_world_handle_finish(world, event);
         break;
     case EVENT_CLIENT:
         handle_client(world, event);
--- a/tests/standby/elections.c
+++ b/tests/standby/elections.c
@@ -33,11 +33,8 @@
 void tw_elections_start(world *world, int at) {
     node *started = &world->nodes[at];
     if (started->rate <= 0) started->rate = 1;
-    const tw_standby_settings settings = {.name = started->name,
-                                          .control = started->name,
-                                          .lease_s = world->lease_s,
-                                          .skip_fencing = world->plant_fence,
-                                          .skip_checking = world->plant_check};
+    const tw_standby_settings settings = {
+        .name = started->name, .control = started->name, .lease_s = world->lease_s};
     started->standby = tw_standby_new(&settings, started->leader, tw_elections_now(world, at));
 }
 
@@ -106,7 +103,15 @@
     *sent->feed = message;
 }
 
+/* A record of the change is missing, though its number is the next one. */
+static void spoil(world *world, tw_standby_message *message) {
+    if (!world->spoil_changes || message->kind != TW_STANDBY_CHANGE || !message->count) return;
+    world->spoil_changes--;
+    free(message->entries[--message->count].data);
+}
+
 static void handle_feed(world *world, const event *came) {
+    spoil(world, came->feed);
     tw_standby_take(world->nodes[came->node].standby, tw_elections_now(world, came->node),
                     came->feed);
     if (came->feed->kind == TW_STANDBY_CHANGE || came->feed->kind == TW_STANDBY_SNAPSHOT)
@@ -137,7 +142,32 @@
 
 /* ---- machines ---- */
 
+static tw_standby_machine machine_says(const machine *at, int taken) {
+    return (tw_standby_machine){.taken = taken,
+                                .term = at->guard.term,
+                                .life = at->guard.life,
+                                .floor = at->guard.floor,
+                                .newest = at->guard.newest,
+                                .started = at->guard.started,
+                                .running = at->nrunning};
+}
+
+/* A planted fault: the controller takes it that the machine has answered, and has not asked it. */
+static void skip_check(world *world, int at, const tw_standby_effect *effect) {
+    const int asked = tw_world_machine_index(world, effect->machine);
+    event *answer = tw_world_event(world, FASTEST_S, EVENT_ORDERED);
+    answer->node = at;
+    answer->life = world->nodes[at].life;
+    answer->machine = asked;
+    answer->term = effect->term;
+    answer->said = machine_says(&world->machines[asked], 1);
+}
+
 static void order_machine(world *world, int at, const tw_standby_effect *effect) {
+    if (world->plant_check && effect->kind == TW_STANDBY_CHECK) {
+        skip_check(world, at, effect);
+        return;
+    }
     event *sent =
         tw_elections_is_cut(world, at, END_MACHINES) ? NULL : tw_world_message(world, EVENT_ORDER);
     if (!sent) return;
@@ -172,13 +202,7 @@
     answer->life = order->life;
     answer->machine = order->machine;
     answer->term = order->term;
-    answer->said = (tw_standby_machine){.taken = taken,
-                                        .term = guard->term,
-                                        .life = guard->life,
-                                        .floor = guard->floor,
-                                        .newest = guard->newest,
-                                        .started = guard->started,
-                                        .running = at->nrunning};
+    answer->said = machine_says(at, taken);
 }
 
 void tw_elections_machine(world *world, const tw_shares_request *request) {
@@ -236,7 +260,7 @@
 /* ---- effects ---- */
 
 static void call_state(world *world, int at, tw_standby_effect *effect) {
-    event *call = tw_world_event(world, tw_world_draw(world, 0.001, 0.02), EVENT_STATE);
+    event *call = tw_world_event(world, tw_world_draw(world, FASTEST_S, SLOWEST_S), EVENT_STATE);
     call->node = at;
     call->life = world->nodes[at].life;
     call->id = effect->id;
--- /dev/null
+++ b/tools/traywallctl/print.c
@@ -0,0 +1,142 @@
+/* How answers are shown, as text or as one JSON object a line. */
+#include "print.h"
+#include <cjson/cJSON.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static void print_json(cJSON *object) {
+    char *text = cJSON_PrintUnformatted(object);
+    if (text) puts(text);
+    free(text);
+    cJSON_Delete(object);
+}
+
+void print_shares_text(const tw_rpc_answer *answer) {
+    printf("revision %lu\n", (unsigned long)answer->revision);
+    printf("%-20s %-20s %6s %6s %6s %8s\n", "SHARE", "OWNER", "LEAST", "OPEN", "TAKEN", "DRAINING");
+    for (int i = 0; i < answer->nshares; i++) {
+        const tw_shares_view *each = &answer->shares[i];
+        printf("%-20s %-20s %6d %6d %6d %8d%s\n", each->name, each->owner, each->least, each->open,
+               each->taken, each->draining, each->spread ? " spread" : "");
+    }
+    if (answer->ntells)
+        printf("%-24s %-20s %-20s %-9s %s\n", "MACHINE", "SHARE", "OWNER", "STATE", "EPOCH");
+    for (int i = 0; i < answer->ntells; i++) {
+        const tw_shares_tell *each = &answer->tells[i];
+        printf("%-24s %-20s %-20s %-9s %lu\n", each->machine, each->share, each->owner,
+               tw_shares_state_name(each->state), (unsigned long)each->epoch);
+    }
+}
+
+static cJSON *share_json(const tw_shares_view *share) {
+    cJSON *object = cJSON_CreateObject();
+    cJSON_AddStringToObject(object, "name", share->name);
+    cJSON_AddStringToObject(object, "owner", share->owner);
+    cJSON_AddNumberToObject(object, "least", share->least);
+    cJSON_AddBoolToObject(object, "spread", share->spread);
+    cJSON_AddNumberToObject(object, "open", share->open);
+    cJSON_AddNumberToObject(object, "taken", share->taken);
+    cJSON_AddNumberToObject(object, "draining", share->draining);
+    return object;
+}
+
+static cJSON *machine_json(const tw_shares_tell *machine) {
+    cJSON *object = cJSON_CreateObject();
+    cJSON_AddStringToObject(object, "name", machine->machine);
+    cJSON_AddStringToObject(object, "share", machine->share);
+    cJSON_AddStringToObject(object, "owner", machine->owner);
+    cJSON_AddStringToObject(object, "state", tw_shares_state_name(machine->state));
+    cJSON_AddNumberToObject(object, "epoch", (double)machine->epoch);
+    return object;
+}
+
+void print_shares_json(const tw_rpc_answer *answer) {
+    cJSON *object = cJSON_CreateObject();
+    cJSON_AddNumberToObject(object, "revision", (double)answer->revision);
+    cJSON *shares = cJSON_AddArrayToObject(object, "shares");
+    for (int i = 0; i < answer->nshares; i++)
+        cJSON_AddItemToArray(shares, share_json(&answer->shares[i]));
+    cJSON *machines = cJSON_AddArrayToObject(object, "machines");
+    for (int i = 0; i < answer->ntells; i++)
+        cJSON_AddItemToArray(machines, machine_json(&answer->tells[i]));
+    print_json(object);
+}
+
+static void print_change_json(const tw_rpc_answer *answer) {
+    const tw_shares_progress *progress = &answer->progress;
+    cJSON *object = cJSON_CreateObject();
+    cJSON_AddStringToObject(object, "verdict", tw_shares_verdict_name(answer->verdict));
+    if (answer->verdict == TW_SHARES_NOT_LEADER)
+        cJSON_AddStringToObject(object, "leader", answer->leader);
+    cJSON_AddNumberToObject(object, "revision", (double)answer->revision);
+    cJSON_AddBoolToObject(object, "done", progress->done);
+    cJSON_AddNumberToObject(object, "wanted", progress->wanted);
+    cJSON_AddNumberToObject(object, "draining", progress->draining);
+    cJSON_AddNumberToObject(object, "released", progress->released);
+    cJSON_AddNumberToObject(object, "taken", progress->taken);
+    cJSON_AddNumberToObject(object, "moved", progress->moved);
+    cJSON_AddNumberToObject(object, "returned", progress->returned);
+    cJSON_AddNumberToObject(object, "lost", progress->lost);
+    print_json(object);
+}
+
+void print_change(int json, const tw_rpc_answer *answer) {
+    const tw_shares_progress *progress = &answer->progress;
+    if (json) {
+        print_change_json(answer);
+    } else if (answer->verdict != TW_SHARES_OK) {
+        printf("refused: %s%s%s\n", tw_shares_verdict_name(answer->verdict),
+               answer->leader[0] ? ", leader " : "", answer->leader);
+    } else if (progress->wanted) {
+        printf("%s: %d of %d moved, %d draining, %d released, %d taken, %d returned, %d lost\n",
+               progress->done ? "done" : "under way", progress->moved, progress->wanted,
+               progress->draining, progress->released, progress->taken, progress->returned,
+               progress->lost);
+    } else {
+        printf("ok, revision %lu\n", (unsigned long)answer->revision);
+    }
+    fflush(stdout);
+}
+
+/* ---- standbys ---- */
+
+void print_standby_text(const tw_rpc_answer *answer, const char *address) {
+    const tw_standby_status *status = &answer->status;
+    printf("%-22s %-12s %-10s term %lu, change %lu, lag %lu, revision %lu, digest %016lx, "
+           "%d records, %d held back\n",
+           address, answer->node, tw_standby_state_name(status->state), (unsigned long)status->term,
+           (unsigned long)status->number, (unsigned long)status->lag, (unsigned long)status->ledger,
+           (unsigned long)status->digest, status->records, status->held_back);
+    for (int i = 0; i < answer->nfollowers; i++)
+        printf("    followed by %-12s lag %lu, heard %.1f s ago\n", answer->followers[i].name,
+               (unsigned long)answer->followers[i].lag, answer->followers[i].silent_s);
+}
+
+void print_standby_json(const tw_rpc_answer *answer, const char *address) {
+    const tw_standby_status *status = &answer->status;
+    char digest[TW_SHARES_NAME];
+    cJSON *object = cJSON_CreateObject();
+    snprintf(digest, sizeof digest, "%016lx", (unsigned long)status->digest);
+    cJSON_AddStringToObject(object, "server", address);
+    cJSON_AddStringToObject(object, "node", answer->node);
+    cJSON_AddStringToObject(object, "state", tw_standby_state_name(status->state));
+    cJSON_AddStringToObject(object, "leader", answer->leader);
+    cJSON_AddNumberToObject(object, "term", (double)status->term);
+    cJSON_AddNumberToObject(object, "number", (double)status->number);
+    cJSON_AddNumberToObject(object, "lag", (double)status->lag);
+    cJSON_AddNumberToObject(object, "revision", (double)status->ledger);
+    cJSON_AddStringToObject(object, "digest", digest);
+    cJSON_AddNumberToObject(object, "records", status->records);
+    cJSON_AddNumberToObject(object, "held_back", status->held_back);
+    cJSON_AddNumberToObject(object, "differences", (double)status->differences);
+    cJSON_AddNumberToObject(object, "snapshots", (double)status->snapshots);
+    cJSON_AddNumberToObject(object, "gaps", (double)status->gaps);
+    cJSON *followers = cJSON_AddArrayToObject(object, "followers");
+    for (int i = 0; i < answer->nfollowers; i++) {
+        cJSON *each = cJSON_CreateObject();
+        cJSON_AddStringToObject(each, "name", answer->followers[i].name);
+        cJSON_AddNumberToObject(each, "lag", (double)answer->followers[i].lag);
+        cJSON_AddItemToArray(followers, each);
+    }
+    print_json(object);
+}
--- /dev/null
+++ b/tools/traywallctl/print.h
@@ -0,0 +1,14 @@
+/* How answers are shown, as text or as one JSON object a line. */
+#ifndef TW_CTL_PRINT_H
+#define TW_CTL_PRINT_H
+#include "rpc/rpc.h"
+
+void print_shares_text(const tw_rpc_answer *answer);
+void print_shares_json(const tw_rpc_answer *answer);
+/* A verdict, and how far a move is. */
+void print_change(int json, const tw_rpc_answer *answer);
+/* What the daemon at that address is. */
+void print_standby_text(const tw_rpc_answer *answer, const char *address);
+void print_standby_json(const tw_rpc_answer *answer, const char *address);
+
+#endif
