Standby: a late answer of an earlier life no longer counts as that of a started machine

Cause: while a machine was being started, any answer that was not a refusal counted as its floor having been taken: one to an earlier question, or of an earlier life of the machine, too. It then stayed closed while the records had it as open. Seen once the simulated world registers a machine only until it was accepted, as an operator does; before, each machine asked again and hid it. A registration that came while the table was being read was recorded and never started; it is asked for afterwards now.

--- a/src/daemon/calls.c
+++ b/src/daemon/calls.c
@@ -68,7 +68,7 @@
 static int read_machine(tw_standby_machine *to, int status, const char *body, size_t length) {
     uint64_t running = 0;
     cJSON *object = cJSON_ParseWithLength(body, length);
-    *to = (tw_standby_machine){.taken = status == OK};
+    *to = (tw_standby_machine){0};
     const int failed =
         (status != OK && status != CONFLICT) || read_number(object, "term", &to->term) ||
         read_number(object, "life", &to->life) || read_number(object, "floor", &to->floor) ||
--- a/src/standby/check.c
+++ b/src/standby/check.c
@@ -83,20 +83,24 @@
     return kept;
 }
 
-int tw_standby_register(tw_standby *standby, const tw_shares_request *request) {
-    const int comes = request->kind == TW_SHARES_ADD || request->kind == TW_SHARES_RENEW;
-    if (!comes || !tw_shares_deciding(standby->table) || !request->machine[0]) return 0;
-    keep(standby, request);
-    ask(standby, make(standby, request->machine));
-    return 1;
-}
-
 static void pass_to_table(tw_standby *standby, registration *kept, uint64_t life) {
     kept->passed = 1;
     kept->life = life;
     tw_shares_request_in(standby->table, standby->now, &kept->request);
 }
 
+int tw_standby_register(tw_standby *standby, const tw_shares_request *request) {
+    const int comes = request->kind == TW_SHARES_ADD || request->kind == TW_SHARES_RENEW;
+    if (!comes || !standby->leads || !request->machine[0]) return 0;
+    registration *kept = keep(standby, request);
+    /* A table that is being read takes the request up later; the machine is asked after that. */
+    if (tw_shares_deciding(standby->table))
+        ask(standby, make(standby, request->machine));
+    else
+        pass_to_table(standby, kept, 0);
+    return 1;
+}
+
 /* What waits for the machine's life; 0: it has not answered, and is asked further. */
 static int pass_waiting(tw_standby *standby, const char *name, uint64_t life) {
     registration *each;
@@ -185,14 +189,21 @@
     }
 }
 
+/* Whether the machine has the floor that was sent; an answer of an earlier life of it, which may
+ * come late, says nothing of this one. */
+static void take_started(tw_standby *standby, checked *machine, const tw_standby_machine *answer) {
+    const int same_life = answer->life == machine->life;
+    if (same_life && answer->started)
+        accept(standby, machine);
+    else if (!same_life)
+        ask(standby, machine); /* it has restarted since, or had before */
+}
+
 static void take_answer(tw_standby *standby, checked *machine, const tw_standby_machine *answer) {
     if (answer->term > standby->lease.token) {
         hold_back(standby, machine, "later_term");
     } else if (machine->step == MACHINE_STARTING) {
-        if (answer->taken)
-            accept(standby, machine);
-        else
-            ask(standby, machine); /* it has restarted since it was asked */
+        take_started(standby, machine, answer);
     } else if (machine->step == MACHINE_ASKED &&
                !pass_waiting(standby, machine->name, answer->life)) {
         judge(standby, machine, answer);
--- a/src/standby/standby.h
+++ b/src/standby/standby.h
@@ -86,9 +86,8 @@
 
 /* ---- machines ---- */
 
-/* What a machine answered to CHECK or START. */
+/* What a machine has, by its answer to CHECK or START, taken or refused. */
 typedef struct {
-    int taken; /* else it refused the order */
     uint64_t term, life, floor, newest;
     int started, running;
 } tw_standby_machine;
--- a/tests/shares/script.c
+++ b/tests/shares/script.c
@@ -115,7 +115,7 @@
     machine *struck = &world->machines[at];
     tw_world_end_running(world, at, 0);
     struck->boot++;
-    struck->registered = 0;
+    struck->registered = struck->accepted = 0;
     struck->judged_term = 0; /* it knows of none in this life */
     tw_shares_guard_boot(&struck->guard, struck->boot + 1);
     struck->alive = strcmp(read->words[0], "take") != 0;
--- a/tests/shares/shares_world.h
+++ b/tests/shares/shares_world.h
@@ -90,6 +90,7 @@
     char name[TW_SHARES_NAME], share[TW_SHARES_NAME], zone[TW_SHARES_NAME];
     tw_shares_guard guard;
     int alive, registered;
+    int accepted;          /* whoever registered it heard so, and does not ask again */
     uint64_t boot;         /* counts its starts */
     uint64_t life;         /* changes when what runs there is ended */
     uint64_t judged_epoch; /* the highest that it confirmed */
--- a/tests/shares/world.c
+++ b/tests/shares/world.c
@@ -351,7 +351,8 @@
     tw_shares_request request = {.kind = about->alive ? TW_SHARES_ADD : TW_SHARES_REMOVE,
                                  .id = FIRST_MACHINE_ID + about->boot * MOST_MACHINES +
                                        (uint64_t)due->machine};
-    if (due->life != about->boot || (about->alive && about->registered)) return;
+    if (due->life != about->boot || about->accepted) return;
+    if (about->alive && about->registered) return;
     snprintf(request.machine, sizeof request.machine, "%s", about->name);
     snprintf(request.share, sizeof request.share, "%s", about->share);
     snprintf(request.zone, sizeof request.zone, "%s", about->zone);
--- a/tests/standby/elections.c
+++ b/tests/standby/elections.c
@@ -142,9 +142,8 @@
 
 /* ---- machines ---- */
 
-static tw_standby_machine machine_says(const machine *at, int taken) {
-    return (tw_standby_machine){.taken = taken,
-                                .term = at->guard.term,
+static tw_standby_machine machine_says(const machine *at) {
+    return (tw_standby_machine){.term = at->guard.term,
                                 .life = at->guard.life,
                                 .floor = at->guard.floor,
                                 .newest = at->guard.newest,
@@ -160,7 +159,7 @@
     answer->life = world->nodes[at].life;
     answer->machine = asked;
     answer->term = effect->term;
-    answer->said = machine_says(&world->machines[asked], 1);
+    answer->said = machine_says(&world->machines[asked]);
 }
 
 static void order_machine(world *world, int at, const tw_standby_effect *effect) {
@@ -202,7 +201,7 @@
     answer->life = order->life;
     answer->machine = order->machine;
     answer->term = order->term;
-    answer->said = machine_says(at, taken);
+    answer->said = machine_says(at);
 }
 
 void tw_elections_machine(world *world, const tw_shares_request *request) {
@@ -277,6 +276,10 @@
         world->promotions++;
     } else if (answer->id < FIRST_MACHINE_ID) {
         tw_world_take_answer(world, answer);
+    } else if (answer->verdict == TW_SHARES_OK) {
+        const uint64_t id = answer->id - FIRST_MACHINE_ID;
+        machine *registered = &world->machines[id % MOST_MACHINES];
+        if (id / MOST_MACHINES == registered->boot) registered->accepted = 1;
     }
 }
 
