--- a/src/standby/check.c
+++ b/src/standby/check.c
@@ -49,7 +49,7 @@
     send_order(standby, machine);
 }
 
-static void start(tw_standby *standby, checked *machine, uint64_t life, uint64_t floor) {
+static void start_machine(tw_standby *standby, checked *machine, uint64_t life, uint64_t floor) {
     machine->step = MACHINE_STARTING;
     machine->life = life;
     machine->floor = floor;
@@ -128,7 +128,7 @@
     if (answer->verdict == TW_SHARES_OK) {
         checked *machine = make(standby, answered->request.machine);
         if (answered->life)
-            start(standby, machine, answered->life, answer->floor);
+            start_machine(standby, machine, answered->life, answer->floor);
         else
             ask(standby, machine);
         return;
@@ -173,7 +173,8 @@
 }
 
 /* Compares what the machine has open with its record. */
-static void judge(tw_standby *standby, checked *machine, const tw_standby_machine *answer) {
+static void compare_with_record(tw_standby *standby, checked *machine,
+                                const tw_standby_machine *answer) {
     const tw_shares_tell recorded = tw_shares_machine_named(standby->table, machine->name);
     const int was_open = recorded.state == TW_SHARES_OPEN || recorded.state == TW_SHARES_DRAINING;
     if (recorded.state == TW_SHARES_ABSENT) {
@@ -206,7 +207,7 @@
         take_started(standby, machine, answer);
     } else if (machine->step == MACHINE_ASKED &&
                !pass_waiting(standby, machine->name, answer->life)) {
-        judge(standby, machine, answer);
+        compare_with_record(standby, machine, answer);
     }
 }
 
--- a/src/standby/standby.c
+++ b/src/standby/standby.c
@@ -124,19 +124,23 @@
     tw_shares_lead(standby->table, standby->now, TW_STANDBY_KEY, standby->lease.token);
 }
 
-/* Nothing that was to be ordered under the term goes out any more. */
-static void end_term(tw_standby *standby) {
+static void forget_followers(tw_standby *standby) {
     follower *each;
     follower *after;
+    HASH_ITER(hh, standby->followers, each, after) {
+        HASH_DEL(standby->followers, each);
+        free(each);
+    }
+}
+
+/* Nothing that was to be ordered under the term goes out any more. */
+static void end_term(tw_standby *standby) {
     tw_standby_say(standby, "event=step_down");
     standby->leads = 0;
     tw_shares_resign(standby->table);
     tw_standby_check_clear(standby);
     tw_standby_log_clear(&standby->log);
-    HASH_ITER(hh, standby->followers, each, after) {
-        HASH_DEL(standby->followers, each);
-        free(each);
-    }
+    forget_followers(standby);
     standby->read_call = standby->write_call = standby->confirm_call = 0;
     standby->position = (tw_standby_position){0};
     standby->lag_since = 0;
@@ -213,17 +217,18 @@
     tw_standby_step(standby);
 }
 
+static void answer_promotion(tw_standby *standby, uint64_t id, tw_shares_verdict verdict) {
+    tw_shares_effect *answer = tw_standby_alloc(sizeof *answer);
+    *answer = (tw_shares_effect){.kind = TW_SHARES_ANSWER, .id = id, .verdict = verdict};
+    tw_standby_emit(standby, TW_STANDBY_ANSWER)->table = answer;
+}
+
 /* The client that asked for a promotion is told, whatever became of the release: this node has
  * stopped deciding. */
 static void release_answered(tw_standby *standby, int status) {
     const int released = status == STATUS_OK || status == STATUS_ABSENT;
     if (!standby->promotion) return;
-    tw_shares_effect *answer = calloc(1, sizeof *answer);
-    if (!answer) abort();
-    answer->kind = TW_SHARES_ANSWER;
-    answer->id = standby->promotion;
-    answer->verdict = released ? TW_SHARES_OK : TW_SHARES_NOT_LEADER;
-    tw_standby_emit(standby, TW_STANDBY_ANSWER)->table = answer;
+    answer_promotion(standby, standby->promotion, released ? TW_SHARES_OK : TW_SHARES_NOT_LEADER);
     standby->promotion = 0;
 }
 
@@ -283,10 +288,7 @@
     tw_standby_refresh(standby, now);
     const tw_shares_verdict verdict = judge_promotion(standby, node);
     if (verdict != TW_SHARES_OK || !strcmp(node, standby->settings.name)) {
-        tw_shares_effect *answer = calloc(1, sizeof *answer);
-        if (!answer) abort();
-        *answer = (tw_shares_effect){.kind = TW_SHARES_ANSWER, .id = id, .verdict = verdict};
-        tw_standby_emit(standby, TW_STANDBY_ANSWER)->table = answer;
+        answer_promotion(standby, id, verdict);
         return;
     }
     tw_standby_say(standby, "event=hand_over to=%s number=%lu", node,
@@ -340,15 +342,10 @@
 
 void tw_standby_free(tw_standby *standby) {
     tw_standby_effect *effect;
-    follower *each;
-    follower *after;
     if (!standby) return;
     tw_standby_check_clear(standby);
     while ((effect = tw_standby_next(standby))) tw_standby_effect_free(effect);
-    HASH_ITER(hh, standby->followers, each, after) {
-        HASH_DEL(standby->followers, each);
-        free(each);
-    }
+    forget_followers(standby);
     tw_standby_log_clear(&standby->log);
     tw_standby_view_clear(&standby->view);
     tw_standby_view_clear(&standby->staged);
