traywallctl: a wait for a move goes on at the daemon that leads now

Need: `--wait` and `watch` ended with "nobody answers" where their daemon ended or gave way in the middle of the move, though the move goes on at the next one.

--- a/tools/traywallctl/main.c
+++ b/tools/traywallctl/main.c
@@ -125,16 +125,32 @@
 static int watched(void *context, const tw_rpc_answer *answer) {
     watching *watch = context;
     watch->last = *answer;
-    print_change(watch->chosen->json, answer);
+    if (answer->verdict != TW_SHARES_NOT_LEADER) print_change(watch->chosen->json, answer);
     return 0;
 }
 
+/* Whether the watch ended because its daemon did, or gave way, and not because the move is over. */
+static int interrupted(tw_rpc_status status, const tw_rpc_answer *last) {
+    return status != TW_RPC_OK || last->verdict == TW_SHARES_NOT_LEADER;
+}
+
+/* Goes on at the daemon that leads now, as long as one is found within the time limit. */
 static int follow_move(const options *chosen, const char *server, const char *key) {
-    watching watch = {.chosen = chosen};
-    tw_rpc_client *client = tw_rpc_client_new(server);
-    const tw_rpc_status status = tw_rpc_client_watch(client, key, WATCH_TIMEOUT_S, watched, &watch);
-    tw_rpc_client_free(client);
-    return exit_code(status, &watch.last);
+    tw_rpc_call call = {.method = TW_RPC_CHANGE, .request.kind = TW_SHARES_WATCH};
+    char asked[TW_RPC_ADDRESS];
+    snprintf(call.request.key, sizeof call.request.key, "%s", key);
+    snprintf(asked, sizeof asked, "%s", server);
+    for (;;) {
+        watching watch = {.chosen = chosen};
+        tw_rpc_client *client = tw_rpc_client_new(asked);
+        tw_rpc_status status = tw_rpc_client_watch(client, key, WATCH_TIMEOUT_S, watched, &watch);
+        tw_rpc_client_free(client);
+        if (!interrupted(status, &watch.last)) return exit_code(status, &watch.last);
+        status = ask_leader(&chosen->servers, &call, &watch.last, asked);
+        if (status == TW_RPC_OK && watch.last.verdict == TW_SHARES_OK) continue;
+        if (status == TW_RPC_OK) print_change(chosen->json, &watch.last);
+        return exit_code(status, &watch.last);
+    }
 }
 
 static int change(const options *chosen, const tw_shares_request *request) {
