Soak: controllers as processes over loopback, with faults between all parties

Change: tests/soak (plan from a seed; links that lose, hold, refuse; late copies, commands and writes; users that ask at all controllers and cancel), on the stand-ins and the judge of sim/. tests/loopback has the processes, shared with the end-to-end test, whose own copy is gone. No behaviour of the service changes.

--- /dev/null
+++ b/tests/loopback/processes.c
@@ -0,0 +1,104 @@
+#define _GNU_SOURCE
+#include "processes.h"
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define PATH_SIZE 300
+#define EXIT_NO_PROGRAM 127
+#define LOG_MODE 0644
+
+int tw_loopback_write(const char *path, const tw_loopback_settings *settings) {
+    FILE *file = fopen(path, "w");
+    if (!file) return 0;
+    fprintf(file, "host_name = \"%s\"\nlocation = \"%s\"\napi_addr = \"%s\"\npeer_bind = \"%s\"\n",
+            settings->name, settings->zone, settings->api_address, settings->peer_address);
+    for (int i = 0; i < settings->peer_count; i++) {
+        const tw_loopback_peer *peer = &settings->peers[i];
+        fprintf(file, "[[known]]\nhost_name = \"%s\"\nlocation = \"%s\"\nendpoint = \"%s\"\n",
+                peer->name, peer->zone, peer->endpoint);
+    }
+    fprintf(file,
+            "[external]\ncloud = \"%s\"\nstate = \"%s\"\n[settings]\n%s"
+            "[settings.workers]\nreport_s = %g\nlease_s = %g\ncancel_s = %g\n",
+            settings->cloud, settings->state, settings->teams, settings->report_s,
+            settings->lease_s, settings->cancel_s);
+    if (settings->gang_wait_s > 0)
+        fprintf(file, "gang_wait_s = %g\ngang_peer_s = %g\n", settings->gang_wait_s,
+                settings->gang_peer_s);
+    fprintf(file,
+            "[settings.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n"
+            "[settings.cloud]\nrps = 20.0\nlist_lag_s = %g\n"
+            "[settings.limits]\ncpu_share = 1.0\nmem_mb = 512.0\nsockets = %d\n",
+            settings->list_lag_s, settings->sockets);
+    return fclose(file) == 0;
+}
+
+/* In the child: its log goes to a file, and it ends with the test, also when that is killed. */
+static void become_controller(const tw_loopback_nodes *nodes, int node, const char *settings_path,
+                              pid_t parent) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) _exit(EXIT_NO_PROGRAM);
+    if (nodes->log_directory) {
+        char path[PATH_SIZE];
+        snprintf(path, sizeof path, "%s/node-%d.log", nodes->log_directory, node);
+        const int log = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, LOG_MODE);
+        if (log >= 0) dup2(log, STDERR_FILENO);
+    }
+    execl(nodes->program, nodes->program, "--config", settings_path, (char *)NULL);
+    _exit(EXIT_NO_PROGRAM);
+}
+
+int tw_loopback_start(tw_loopback_nodes *nodes, int node, const char *settings_path) {
+    const pid_t parent = getpid();
+    const pid_t pid = fork();
+    if (pid < 0) return 0;
+    if (pid == 0) become_controller(nodes, node, settings_path, parent);
+    nodes->pid[node] = pid;
+    return 1;
+}
+
+int tw_loopback_kill(tw_loopback_nodes *nodes, int node) {
+    if (!nodes->pid[node]) return 0;
+    kill(nodes->pid[node], SIGKILL);
+    waitpid(nodes->pid[node], NULL, 0);
+    nodes->pid[node] = 0;
+    return 1;
+}
+
+void tw_loopback_signal(const tw_loopback_nodes *nodes, int node, int signal_number) {
+    if (nodes->pid[node]) kill(nodes->pid[node], signal_number);
+}
+
+int tw_loopback_ended(tw_loopback_nodes *nodes, int *status) {
+    for (int node = 0; node < TW_LOOPBACK_NODES; node++) {
+        if (!nodes->pid[node] || waitpid(nodes->pid[node], status, WNOHANG) <= 0) continue;
+        nodes->pid[node] = 0;
+        return node;
+    }
+    return -1;
+}
+
+static int ended_well(pid_t pid, int node) {
+    int status = 0;
+    waitpid(pid, &status, 0);
+    if (WIFEXITED(status) && WEXITSTATUS(status) == 0) return 1;
+    printf("FAIL: controller %d ended with status %d\n", node, status);
+    return 0;
+}
+
+int tw_loopback_stop(tw_loopback_nodes *nodes) {
+    int well = 1;
+    for (int node = 0; node < TW_LOOPBACK_NODES; node++) {
+        tw_loopback_signal(nodes, node, SIGTERM);
+        tw_loopback_signal(nodes, node, SIGCONT);
+    }
+    for (int node = 0; node < TW_LOOPBACK_NODES; node++) {
+        if (nodes->pid[node] && !ended_well(nodes->pid[node], node)) well = 0;
+        nodes->pid[node] = 0;
+    }
+    return well;
+}
--- /dev/null
+++ b/tests/loopback/processes.h
@@ -0,0 +1,54 @@
+/* Controllers as real processes on loopback, for tests: their settings, starts and ends. Each has a
+ * settings file and, where a directory is named for it, a log in that directory. */
+#ifndef TW_LOOPBACK_PROCESSES_H
+#define TW_LOOPBACK_PROCESSES_H
+#include <stdio.h>
+#include <sys/types.h>
+
+#define TW_LOOPBACK_NODES 8
+#define TW_LOOPBACK_TEXT 64
+
+/* Another controller, as one of them knows it. */
+typedef struct {
+    char name[TW_LOOPBACK_TEXT], zone[TW_LOOPBACK_TEXT], endpoint[TW_LOOPBACK_TEXT];
+} tw_loopback_peer;
+
+/* What one controller's settings file says. Addresses are `IP:PORT`. */
+typedef struct {
+    char name[TW_LOOPBACK_TEXT], zone[TW_LOOPBACK_TEXT];
+    char api_address[TW_LOOPBACK_TEXT], peer_address[TW_LOOPBACK_TEXT];
+    char cloud[TW_LOOPBACK_TEXT], state[TW_LOOPBACK_TEXT];
+    tw_loopback_peer peers[TW_LOOPBACK_NODES];
+    int peer_count;
+    const char *teams; /* TOML text of the teams and objectives */
+    double report_s, lease_s, cancel_s, gang_wait_s, gang_peer_s, list_lag_s;
+    int sockets;
+} tw_loopback_settings;
+
+typedef struct {
+    const char *program;
+    const char *log_directory;    /* NULL: logs go where the test's standard error goes */
+    pid_t pid[TW_LOOPBACK_NODES]; /* 0: not started, or killed */
+} tw_loopback_nodes;
+
+/* Writes the settings file; returns 0 if it can't. */
+int tw_loopback_write(const char *path, const tw_loopback_settings *settings);
+
+/* Starts a controller with that settings file; it ends when the test does. Returns 0 if it can't.
+ */
+int tw_loopback_start(tw_loopback_nodes *nodes, int node, const char *settings_path);
+
+/* Kills a controller without a warning and waits for its end; returns 0 if it doesn't run. */
+int tw_loopback_kill(tw_loopback_nodes *nodes, int node);
+
+/* Sends a signal to a controller that runs. */
+void tw_loopback_signal(const tw_loopback_nodes *nodes, int node, int signal_number);
+
+/* A controller that ended by itself, with its wait status; -1: none did. It counts as not started
+ * from then on. */
+int tw_loopback_ended(tw_loopback_nodes *nodes, int *status);
+
+/* Asks all that run to end and waits for them; returns 0 and prints why if one ended badly. */
+int tw_loopback_stop(tw_loopback_nodes *nodes);
+
+#endif
--- a/tests/runner/e2e.c
+++ b/tests/runner/e2e.c
@@ -1,8 +1,8 @@
 /* End to end over loopback: three real processes against the stand-ins; a job is accepted, run and
  * told done; the leader is killed; what ran goes on; a cancel holds. The order of events is waited
  * for, no time is asserted; a generous limit ends a run that hangs. */
-#include "e2e_nodes.h"
 #include "net/net.h"
+#include "processes.h"
 #include "world.h"
 #include <cjson/cJSON.h>
 #include <signal.h>
@@ -12,11 +12,21 @@
 #include <time.h>
 #include <unistd.h>
 
+#define NODES 3
+/* Ports after the run's base: nodes from 0, their peers' ports, then the stand-ins. */
+#define PEER_PORTS 10
+#define STAND_IN_PORTS 20
+/* The stand-ins that nodes call, by the number of their port; each worker has one of its own. */
+enum { PORT_STATE, PORT_CLOUD, PORT_WORKER };
+
 #define WORKERS 2
 #define MAX_CALLS 100000
 #define ADDRESS_SIZE 64
 #define REPORT_S 0.4
 #define LEASE_S 8
+#define CANCEL_S 20
+#define LIST_LAG_S 0.5
+#define SOCKETS 200 /* of a node */
 #define LIMIT_S 120 /* of the whole run */
 #define TICK_S 0.05
 #define ACT_EVERY_S 0.2
@@ -66,7 +76,8 @@
 
 static tw_sim_world world;
 static tw_net *net;
-static e2e_nodes nodes;
+static tw_loopback_nodes nodes;
+static int base_port;
 static enum step step;
 static int user_waits; /* a user's request has no answer yet */
 static double started_at;
@@ -84,7 +95,7 @@
 
 /* Stops the nodes and ends the program. A run without a failure fails if a node ends badly. */
 static _Noreturn void finish(const char *failure) {
-    const int ended_well = e2e_nodes_stop(&nodes);
+    const int ended_well = tw_loopback_stop(&nodes);
     if (failure) printf("FAIL end_to_end: step %d: %s\n", (int)step, failure);
     if (failure || !ended_well) exit(EXIT_FAILURE);
     printf("ok end_to_end\n");
@@ -99,13 +110,13 @@
     (void)ctx;
     (void)len;
     world.now = now();
-    if (port == E2E_STATE)
+    if (port == PORT_STATE)
         status = tw_sim_state_request(&world.state, world.now, method, path, body, &answer);
-    else if (port == E2E_CLOUD)
+    else if (port == PORT_CLOUD)
         status = tw_sim_cloud_request(&world, method, path, body, &answer);
     else
-        status = tw_sim_worker_request(&world, world.workers[port - E2E_WORKER], method, path, body,
-                                       &answer);
+        status = tw_sim_worker_request(&world, world.workers[port - PORT_WORKER], method, path,
+                                       body, &answer);
     tw_net_reply(net, conn, status, 0, answer, strlen(answer));
     free(answer);
 }
@@ -115,7 +126,7 @@
                                    double timeout_s) {
     char address[ADDRESS_SIZE];
     if (++call_count >= MAX_CALLS) finish("too many calls");
-    snprintf(address, sizeof address, "127.0.0.1:%d", nodes.base_port + node);
+    snprintf(address, sizeof address, "127.0.0.1:%d", base_port + node);
     tw_net_call(net, call_count, address, CONNECTIONS_PER_ADDRESS, method, path, body, timeout_s);
     return &calls[call_count];
 }
@@ -173,7 +184,7 @@
 
 /* The index of a node by its name; -1: none of them. */
 static int node_of(const char *name) {
-    for (int node = 0; node < E2E_NODES; node++)
+    for (int node = 0; node < NODES; node++)
         if (strcmp(world.nodes[node], name) == 0) return node;
     return -1;
 }
@@ -181,7 +192,7 @@
 static void kill_leader(void) {
     read_leader(killed_leader);
     const int node = node_of(killed_leader);
-    if (node < 0 || !e2e_node_kill(&nodes, node)) return;
+    if (node < 0 || !tw_loopback_kill(&nodes, node)) return;
     step++;
 }
 
@@ -201,8 +212,8 @@
 /* The node that is asked next: each one that runs in turn. */
 static int next_node(void) {
     static int node;
-    node = (node + 1) % E2E_NODES;
-    if (!nodes.pid[node]) node = (node + 1) % E2E_NODES;
+    node = (node + 1) % NODES;
+    if (!nodes.pid[node]) node = (node + 1) % NODES;
     return node;
 }
 
@@ -283,8 +294,8 @@
     tw_sim_world_init(&world);
     world.report_s = REPORT_S;
     world.lease_s = LEASE_S;
-    world.nnodes = E2E_NODES;
-    for (int node = 0; node < E2E_NODES; node++)
+    world.nnodes = NODES;
+    for (int node = 0; node < NODES; node++)
         snprintf(world.nodes[node], TW_SIM_NAME, "tray-%d", node);
     world.ntypes = 1;
     world.types[0] = (tw_wire_flavor){.label = "cpu",
@@ -304,19 +315,19 @@
 
 /* Whether all stand-ins got their ports after the base. */
 static int listen_at(int base) {
-    for (int i = 0; i < E2E_WORKER + WORKERS; i++) {
+    for (int i = 0; i < PORT_WORKER + WORKERS; i++) {
         char address[ADDRESS_SIZE];
-        snprintf(address, sizeof address, "127.0.0.1:%d", base + E2E_STAND_IN_PORTS + i);
+        snprintf(address, sizeof address, "127.0.0.1:%d", base + STAND_IN_PORTS + i);
         if (tw_net_listen(net, address, i)) return 0;
     }
     return 1;
 }
 
 static void choose_ports(void) {
-    nodes.base_port = FIRST_PORT + (int)(getpid() % FIRST_CHOICES) * PORTS_PER_RUN;
-    while (!listen_at(nodes.base_port)) {
-        if (nodes.base_port > LAST_PORT) finish("no free ports");
-        nodes.base_port += PORTS_PER_RUN;
+    base_port = FIRST_PORT + (int)(getpid() % FIRST_CHOICES) * PORTS_PER_RUN;
+    while (!listen_at(base_port)) {
+        if (base_port > LAST_PORT) finish("no free ports");
+        base_port += PORTS_PER_RUN;
     }
 }
 
@@ -324,10 +335,39 @@
     for (int i = 0; i < WORKERS; i++) {
         tw_sim_worker *worker = tw_sim_rent(&world, 0, i ? "b" : "a", 0, 0);
         snprintf(worker->endpoint, sizeof worker->endpoint, "127.0.0.1:%d",
-                 nodes.base_port + E2E_STAND_IN_PORTS + E2E_WORKER + i);
+                 base_port + STAND_IN_PORTS + PORT_WORKER + i);
     }
 }
 
+static const char *zone_of(int node) { return node == 1 ? "b" : "a"; }
+
+static void name_peer(tw_loopback_peer *peer, int node) {
+    snprintf(peer->name, sizeof peer->name, "tray-%d", node);
+    snprintf(peer->zone, sizeof peer->zone, "%s", zone_of(node));
+    snprintf(peer->endpoint, sizeof peer->endpoint, "127.0.0.1:%d", base_port + PEER_PORTS + node);
+}
+
+static int start_node(int node) {
+    tw_loopback_settings settings = {.teams = "[[settings.teams]]\nname = \"crew\"\n",
+                                     .report_s = REPORT_S,
+                                     .lease_s = LEASE_S,
+                                     .cancel_s = CANCEL_S,
+                                     .list_lag_s = LIST_LAG_S,
+                                     .sockets = SOCKETS};
+    const int stand_ins = base_port + STAND_IN_PORTS;
+    char path[ADDRESS_SIZE];
+    snprintf(settings.name, sizeof settings.name, "tray-%d", node);
+    snprintf(settings.zone, sizeof settings.zone, "%s", zone_of(node));
+    snprintf(settings.api_address, ADDRESS_SIZE, "127.0.0.1:%d", base_port + node);
+    snprintf(settings.peer_address, ADDRESS_SIZE, "127.0.0.1:%d", base_port + PEER_PORTS + node);
+    snprintf(settings.cloud, ADDRESS_SIZE, "127.0.0.1:%d", stand_ins + PORT_CLOUD);
+    snprintf(settings.state, ADDRESS_SIZE, "127.0.0.1:%d", stand_ins + PORT_STATE);
+    for (int peer = 0; peer < NODES; peer++)
+        if (peer != node) name_peer(&settings.peers[settings.peer_count++], peer);
+    snprintf(path, sizeof path, "/tmp/tw_e2e_%d_%d.toml", (int)getpid(), node);
+    return tw_loopback_write(path, &settings) && tw_loopback_start(&nodes, node, path);
+}
+
 int main(int argc, char **argv) {
     if (argc != 2) {
         fprintf(stderr, "usage: tw_e2e PROGRAM\n");
@@ -344,8 +384,8 @@
     init_world();
     choose_ports();
     rent_workers();
-    for (int node = 0; node < E2E_NODES; node++)
-        if (!e2e_node_start(&nodes, node)) finish("can't start a node");
+    for (int node = 0; node < NODES; node++)
+        if (!start_node(node)) finish("can't start a node");
     ev_timer tick;
     ev_timer_init(&tick, on_tick, TICK_S, TICK_S);
     ev_timer_start(loop, &tick);
--- /dev/null
+++ b/tests/soak/calls.c
@@ -0,0 +1,37 @@
+/* What the harness asks of controllers, and the answers to it. */
+#include "soak.h"
+#include <stdlib.h>
+
+#define CONNECTIONS_PER_ADDRESS 1000
+
+typedef struct soak_call {
+    uint64_t id;
+    soak_answered *answered;
+    void *data;
+    UT_hash_handle hh;
+} soak_call;
+
+void soak_call_node(soak *run, int node, int port, const char *method, const char *path,
+                    const char *body, double timeout_s, soak_answered *answered, void *data) {
+    char address[SOAK_TEXT];
+    soak_call *call = tw_sim_zeroed(sizeof *call);
+    call->id = ++run->last_call;
+    call->answered = answered;
+    call->data = data;
+    HASH_ADD(hh, run->calls, id, sizeof call->id, call);
+    soak_address(run, address, SOAK_NODE_HOST + node, port);
+    tw_net_call(run->net, call->id, address, CONNECTIONS_PER_ADDRESS, method, path, body,
+                timeout_s);
+}
+
+void soak_response(void *context, uint64_t id, int status, const char *body, size_t length) {
+    soak *run = context;
+    soak_call *call;
+    (void)length;
+    run->world.now = soak_now() - run->started_at;
+    HASH_FIND(hh, run->calls, &id, sizeof id, call);
+    if (!call) return;
+    HASH_DEL(run->calls, call);
+    call->answered(run, call->data, status, body);
+    free(call);
+}
--- /dev/null
+++ b/tests/soak/plan.c
@@ -0,0 +1,102 @@
+/* Which faults strike when, drawn from the seed alone: a seed gives the same plan, though not the
+ * same interleaving of messages. */
+#include "soak.h"
+#include <gsl/gsl_rng.h>
+
+#define FIRST_FAULT_S 4.0
+#define LEAST_PAUSE_S 0.4
+#define MOST_PAUSE_S 4.0
+#define LONGEST_LEASES 1.6
+
+static const char *const names[FAULT_KINDS] = {
+    "kill",         "kill_all",     "freeze",        "leaders",      "cut_peers",
+    "cut_state",    "cut_workers",  "island",        "refuse_state", "outage",
+    "late_reports", "kept_reports", "late_commands", "late_writes",  "lost_answers",
+    "deaf",         "mute",         "hang",          "sessions",     "fast_boots"};
+
+/* How often each kind is drawn. */
+static const int weights[FAULT_KINDS] = {
+    [FAULT_KILL] = 6,          [FAULT_KILL_ALL] = 1,     [FAULT_FREEZE] = 6,
+    [FAULT_LEADERS] = 3,       [FAULT_CUT_PEERS] = 4,    [FAULT_CUT_STATE] = 5,
+    [FAULT_CUT_WORKERS] = 4,   [FAULT_ISLAND] = 2,       [FAULT_REFUSE_STATE] = 4,
+    [FAULT_OUTAGE] = 2,        [FAULT_LATE_REPORTS] = 3, [FAULT_KEPT_REPORTS] = 4,
+    [FAULT_LATE_COMMANDS] = 3, [FAULT_LATE_WRITES] = 3,  [FAULT_LOST_ANSWERS] = 2,
+    [FAULT_DEAF] = 2,          [FAULT_MUTE] = 2,         [FAULT_HANG] = 4,
+    [FAULT_SESSIONS] = 2,      [FAULT_FAST_BOOTS] = 1};
+
+const char *soak_fault_name(soak_fault_kind kind) { return names[kind]; }
+
+static double draw(gsl_rng *rng, double from, double to) {
+    return from + (to - from) * gsl_rng_uniform(rng);
+}
+
+static int draw_index(gsl_rng *rng, int count) {
+    return (int)gsl_rng_uniform_int(rng, (unsigned long)count);
+}
+
+static soak_fault_kind draw_kind(gsl_rng *rng) {
+    int all = 0;
+    for (int kind = 0; kind < FAULT_KINDS; kind++) all += weights[kind];
+    int left = draw_index(rng, all);
+    int kind = 0;
+    while (left >= weights[kind]) left -= weights[kind++];
+    return (soak_fault_kind)kind;
+}
+
+/* Kinds that last for over a lease whatever was drawn. */
+static double length_of(gsl_rng *rng, soak_fault_kind kind, double lease_s) {
+    switch (kind) {
+    case FAULT_KILL:
+    case FAULT_KILL_ALL:
+        return draw(rng, 0.1, 0.6 * lease_s);
+    case FAULT_SESSIONS:
+        return draw(rng, 1.05, 1.3) * lease_s;
+    case FAULT_LATE_REPORTS:
+    case FAULT_KEPT_REPORTS:
+    case FAULT_LATE_COMMANDS:
+        return draw(rng, 1, 3) * lease_s;
+    default:
+        return draw(rng, 0.1, LONGEST_LEASES) * lease_s;
+    }
+}
+
+static soak_fault draw_fault(gsl_rng *rng, const soak_plan *plan, double at_s, double lease_s) {
+    soak_fault fault = {.at_s = at_s, .kind = draw_kind(rng)};
+    fault.lasts_s = length_of(rng, fault.kind, lease_s);
+    fault.moment = (soak_moment)draw_index(rng, MOMENT_CANCEL + 1);
+    fault.node = gsl_rng_uniform(rng) < 0.6 ? -1 : draw_index(rng, plan->nodes);
+    fault.other = draw_index(rng, plan->nodes);
+    fault.direction = draw_index(rng, 3);
+    fault.held = draw_index(rng, 2);
+    fault.share = draw(rng, 0.1, 0.9);
+    return fault;
+}
+
+void soak_plan_make(soak_plan *plan, unsigned seed, double troubles_s, double lease_s) {
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    gsl_rng_set(rng, seed);
+    static const int sizes[] = {3, 3, 3, 5, 5, 7};
+    plan->nodes = sizes[draw_index(rng, (int)(sizeof sizes / sizeof *sizes))];
+    plan->zones = 2 + draw_index(rng, 2);
+    plan->machines = draw_index(rng, 10) ? 10 + draw_index(rng, 40) : 120;
+    double at_s = FIRST_FAULT_S;
+    while (at_s < troubles_s && plan->fault_count < SOAK_MOST_FAULTS) {
+        plan->faults[plan->fault_count++] = draw_fault(rng, plan, at_s, lease_s);
+        at_s += draw(rng, LEAST_PAUSE_S, MOST_PAUSE_S);
+    }
+    gsl_rng_free(rng);
+}
+
+void soak_plan_print(const soak_plan *plan, FILE *to) {
+    static const char *const moments[] = {"now", "launch", "leader", "cancel"};
+    static const char *const directions[] = {"both", "from", "to"};
+    fprintf(to, "nodes %d zones %d machines %d\n", plan->nodes, plan->zones, plan->machines);
+    for (int i = 0; i < plan->fault_count; i++) {
+        const soak_fault *fault = &plan->faults[i];
+        fprintf(
+            to,
+            "at %.2f %s lasts=%.2f moment=%s node=%d other=%d direction=%s held=%d share=%.2f\n",
+            fault->at_s, names[fault->kind], fault->lasts_s, moments[fault->moment], fault->node,
+            fault->other, directions[fault->direction], fault->held, fault->share);
+    }
+}
--- /dev/null
+++ b/tests/soak/stand_ins.c
@@ -0,0 +1,318 @@
+/* What controllers ask of the state service, the cloud, machines and each other: it passes a link,
+ * is carried out by the stand-ins of sim/ or handed to the other controller, and its answer passes
+ * the link back. */
+#include "soak.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define PEER_TIMEOUT_S 6.0
+#define LEAST_HELD_S 1.0
+#define MOST_HELD_S 7.0
+#define KNOWN_PORTS 100000 /* ports of listeners are caller * this + target */
+#define SNAPSHOT_S 0.25
+#define LIST_LAG_S 1.5
+#define MOST_MACHINES 900
+#define FIRST_HOST_DIGIT 3 /* stand-ins' hosts have three digits, see soak_address */
+
+/* A request of a controller on its way. */
+typedef struct {
+    uint64_t conn;
+    int caller, target;
+    int unanswered; /* its answer gets lost */
+    char method[8];
+    char *path, *body;
+    int status; /* of the answer on its way */
+    char *answer;
+} passage;
+
+typedef struct soak_watch {
+    passage *request;
+    double until;
+    uint64_t looked_at;
+    struct soak_watch *next;
+} soak_watch;
+
+static void end(passage *request) {
+    free(request->path);
+    free(request->body);
+    free(request->answer);
+    free(request);
+}
+
+/* ---- answers ---- */
+
+static void answer_arrives(soak *run, void *data) {
+    passage *request = data;
+    tw_net_reply(run->net, request->conn, request->status, 0, request->answer,
+                 strlen(request->answer));
+    end(request);
+}
+
+/* Takes the body. */
+static void answer(soak *run, passage *request, int status, char *body) {
+    request->status = status;
+    request->answer = body;
+    const double seconds = soak_travel(run, request->target, request->caller);
+    soak_note(run, "party", request->target, "node", request->caller,
+              seconds < 0 || request->unanswered ? "answer lost" : "answer", body);
+    if (seconds < 0 || request->unanswered)
+        end(request);
+    else if (seconds > 0)
+        soak_after(run, seconds, answer_arrives, request);
+    else
+        answer_arrives(run, request);
+}
+
+/* ---- the state service ---- */
+
+static int is_refused(const soak *run, int node) {
+    return run->world.now < run->refused_until[node];
+}
+
+static void look_for_leader(soak *run) {
+    const uint64_t version = tw_sim_state_version(&run->world.state, "leader");
+    if (!version || version == run->leader_version) return;
+    run->leader_version = version;
+    run->leaders++;
+    soak_new_leader(run);
+    soak_moment_came(run, MOMENT_LEADER);
+}
+
+static void watch(soak *run, passage *request) {
+    const char *hold = strstr(request->path, "holdMs=");
+    soak_watch *added = tw_sim_zeroed(sizeof *added);
+    added->request = request;
+    added->until = run->world.now + (hold ? tw_sim_number(hold + strlen("holdMs=")) / 1000 : 0);
+    added->next = run->watches;
+    run->watches = added;
+}
+
+/* Whether the watch has ended, and was answered. */
+static int watch_over(soak *run, soak_watch *watched) {
+    passage *request = watched->request;
+    tw_sim_state *state = &run->world.state;
+    const int open = run->world.now < watched->until;
+    if (is_refused(run, request->caller) || state->down_since >= 0) return 0;
+    tw_sim_state_expire(state, run->world.now);
+    if (open && state->revision == watched->looked_at) return 0;
+    char *body;
+    const int status = tw_sim_state_request(state, run->world.now, "GET", request->path, "", &body);
+    if (open && strstr(body, "\"log\":[]")) {
+        watched->looked_at = state->revision;
+        free(body);
+        return 0;
+    }
+    answer(run, request, status, body);
+    return 1;
+}
+
+static void watches_tick(soak *run) {
+    for (soak_watch **at = &run->watches; *at;) {
+        soak_watch *watched = *at;
+        if (!watch_over(run, watched)) {
+            at = &watched->next;
+            continue;
+        }
+        *at = watched->next;
+        free(watched);
+    }
+}
+
+static void carry_out_state(soak *run, void *data) {
+    passage *request = data;
+    char *body;
+    const int status = tw_sim_state_request(&run->world.state, run->world.now, request->method,
+                                            request->path, request->body, &body);
+    look_for_leader(run);
+    answer(run, request, status, body);
+}
+
+static void ask_state(soak *run, passage *request) {
+    const int changes = !strcmp(request->path, "/txn");
+    if (!strncmp(request->path, "/follow?", strlen("/follow?"))) {
+        watch(run, request);
+    } else if (is_refused(run, request->caller)) {
+        answer(run, request, TW_SIM_UNAVAILABLE, tw_sim_text("{}"));
+    } else if (changes && soak_strikes(run, &run->late_writes)) {
+        request->unanswered = 1;
+        soak_after(run, soak_draw(run, LEAST_HELD_S, MOST_HELD_S), carry_out_state, request);
+    } else {
+        request->unanswered = changes && soak_strikes(run, &run->lost_answers);
+        carry_out_state(run, request);
+    }
+}
+
+/* ---- endpoints ---- */
+
+/* Each controller reaches the stand-ins under a host of its own, which has as many digits as the
+ * others', so a text with endpoints can be told to another controller by writing that host. */
+static void endpoints_for(const soak *run, char *text, int node) {
+    char host[SOAK_TEXT], prefix[SOAK_TEXT];
+    soak_address(run, host, SOAK_STAND_IN_HOST, 0);
+    char *last_dot = strrchr(host, '.');
+    snprintf(prefix, sizeof prefix, "\"%.*s", (int)(last_dot - host + 1), host);
+    for (char *at = text; (at = strstr(at, prefix));) {
+        at += strlen(prefix);
+        char digits[SOAK_TEXT];
+        snprintf(digits, sizeof digits, "%d", SOAK_STAND_IN_HOST + node);
+        memcpy(at, digits, FIRST_HOST_DIGIT);
+    }
+}
+
+/* ---- the cloud ---- */
+
+/* The list lags: an older one is given. */
+static char *lagging_list(soak *run) {
+    const int most = (int)(2 * LIST_LAG_S / SNAPSHOT_S);
+    int age = soak_draw_index(run, most);
+    if (age >= run->list_count) age = run->list_count - 1;
+    return tw_sim_text(run->list_count ? run->lists[run->list_count - 1 - age]
+                                       : "{\"trays\":[],\"more\":false}");
+}
+
+static void take_snapshot(soak *run) {
+    const int most = (int)(sizeof run->lists / sizeof *run->lists);
+    char *body;
+    if (run->world.now < run->next_snapshot) return;
+    run->next_snapshot = run->world.now + SNAPSHOT_S;
+    tw_sim_cloud_request(&run->world, "GET", "/rentals", "", &body);
+    if (run->list_count == most) {
+        free(run->lists[0]);
+        memmove(run->lists, run->lists + 1, (size_t)--run->list_count * sizeof *run->lists);
+    }
+    run->lists[run->list_count++] = body;
+}
+
+static void ask_cloud(soak *run, passage *request) {
+    char *body;
+    int status = TW_SIM_OK;
+    run->world.refuse = run->world.nworkers >= MOST_MACHINES;
+    if (!strcmp(request->method, "GET") &&
+        strncmp(request->path, "/flavors", strlen("/flavors")) != 0)
+        body = lagging_list(run);
+    else
+        status =
+            tw_sim_cloud_request(&run->world, request->method, request->path, request->body, &body);
+    soak_listen(run);
+    endpoints_for(run, body, request->caller);
+    answer(run, request, status, body);
+}
+
+/* ---- machines ---- */
+
+static void ask_machine(soak *run, void *data) {
+    passage *request = data;
+    tw_sim_worker *worker = run->world.workers[request->target - SOAK_WORKERS];
+    if (worker->gone || !worker->up || run->world.now < worker->deaf_until) {
+        end(request);
+        return;
+    }
+    if (run->world.now < worker->hung_until) { /* carried out when it goes on */
+        soak_after(run, worker->hung_until - run->world.now, ask_machine, request);
+        return;
+    }
+    char *body;
+    tw_sim_worker_tick(&run->world, worker); /* a lease that has ended ends first */
+    const int status = tw_sim_worker_request(&run->world, worker, request->method, request->path,
+                                             request->body, &body);
+    if (strstr(request->body, "\"launch\"")) soak_moment_came(run, MOMENT_LAUNCH);
+    endpoints_for(run, body, request->caller);
+    answer(run, request, status, body);
+}
+
+static void ask_machine_late(soak *run, passage *request) {
+    if (strcmp(request->path, "/orders") != 0 || !soak_strikes(run, &run->late_commands)) {
+        ask_machine(run, request);
+        return;
+    }
+    request->unanswered = 1;
+    soak_after(run, soak_draw(run, LEAST_HELD_S, MOST_HELD_S), ask_machine, request);
+}
+
+/* ---- other controllers ---- */
+
+static void peer_answered(soak *run, void *data, int status, const char *body) {
+    passage *request = data;
+    if (status)
+        answer(run, request, status, tw_sim_text(body));
+    else
+        end(request); /* it is gone, or stands still */
+}
+
+static void ask_peer(soak *run, passage *request) {
+    endpoints_for(run, request->body, request->target);
+    soak_call_node(run, request->target, SOAK_PEER_PORT, request->method, request->path,
+                   request->body, PEER_TIMEOUT_S, peer_answered, request);
+}
+
+/* ---- requests ---- */
+
+static void request_arrives(soak *run, void *data) {
+    passage *request = data;
+    if (request->target == SOAK_STATE)
+        ask_state(run, request);
+    else if (request->target == SOAK_CLOUD)
+        ask_cloud(run, request);
+    else if (request->target >= SOAK_WORKERS)
+        ask_machine_late(run, request);
+    else
+        ask_peer(run, request);
+}
+
+void soak_request(void *context, int port, uint64_t conn, const char *method, const char *path,
+                  const char *body, size_t length) {
+    soak *run = context;
+    (void)length;
+    run->world.now = soak_now() - run->started_at;
+    passage *request = tw_sim_zeroed(sizeof *request);
+    request->conn = conn;
+    request->caller = port / KNOWN_PORTS;
+    request->target = port % KNOWN_PORTS;
+    snprintf(request->method, sizeof request->method, "%s", method);
+    request->path = tw_sim_text(path);
+    request->body = tw_sim_text(body);
+    const double seconds = soak_travel(run, request->caller, request->target);
+    soak_note(run, "node", request->caller, "party", request->target, seconds < 0 ? "lost" : path,
+              body);
+    if (seconds < 0)
+        end(request);
+    else if (seconds > 0)
+        soak_after(run, seconds, request_arrives, request);
+    else
+        request_arrives(run, request);
+}
+
+/* ---- listeners ---- */
+
+static int listen_for(soak *run, int caller, int target, int port) {
+    char address[SOAK_TEXT];
+    soak_address(run, address, SOAK_STAND_IN_HOST + caller, port);
+    return !tw_net_listen(run->net, address, caller * KNOWN_PORTS + target);
+}
+
+/* The ports of the machines that have none yet; the first time those of all others, too. */
+int soak_listen(soak *run) {
+    int well = 1;
+    for (int node = 0; node < run->plan.nodes; node++) {
+        if (!run->next_snapshot) {
+            well &= listen_for(run, node, SOAK_STATE, SOAK_STATE_PORT);
+            well &= listen_for(run, node, SOAK_CLOUD, SOAK_CLOUD_PORT);
+            for (int peer = 0; peer < run->plan.nodes; peer++)
+                well &= listen_for(run, node, peer, SOAK_PEERS_PORT + peer);
+        }
+        for (int i = run->listening; i < run->world.nworkers; i++)
+            well &= listen_for(run, node, SOAK_WORKERS + i, SOAK_MACHINE_PORT + i);
+    }
+    for (; run->listening < run->world.nworkers; run->listening++) {
+        tw_sim_worker *worker = run->world.workers[run->listening];
+        soak_address(run, worker->endpoint, SOAK_STAND_IN_HOST, SOAK_MACHINE_PORT + run->listening);
+    }
+    if (!run->next_snapshot) take_snapshot(run);
+    return well;
+}
+
+void soak_stand_ins_tick(soak *run) {
+    tw_sim_state_expire(&run->world.state, run->world.now);
+    watches_tick(run);
+    take_snapshot(run);
+}
--- /dev/null
+++ b/tests/soak/users.c
@@ -0,0 +1,204 @@
+/* Users: they submit, ask, ask at all controllers at once, and cancel, also at the end of a job. */
+#include "soak.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define SUBMIT_TIMEOUT_S 5.0
+#define POLL_TIMEOUT_S 2.0
+#define POLL_EVERY_S 1.0
+#define RETRY_S 1.0
+#define LEAST_PAUSE_S 0.05
+#define MOST_PAUSE_S 0.6
+#define LOOKS 3
+#define LOOK_WITHIN_S 0.03
+#define CANCEL_SHARE 0.2
+#define CANCEL_AT_END_SHARE 0.15
+#define MOST_SERVICES 10
+#define TEAMS 2
+
+static const struct {
+    const char *shape;
+    int weight, least, most; /* tasks */
+    double least_s, most_s;  /* run time */
+} kinds[] = {{"batch", 5, 1, 1, 0.5, 10},
+             {"batch", 4, 2, 12, 1, 10},
+             {"service", 2, 1, 4, 0, 0},
+             {"group", 2, 2, 4, 2, 8}};
+
+typedef struct soak_user_job {
+    int index;                   /* in the world */
+    double next_poll, cancel_at; /* 0: not cancelled at a time of its own */
+    int submitting, polling, cancelling;
+    struct soak_user_job *next;
+} user_job;
+
+/* A user's request on its way. */
+typedef struct {
+    user_job *user;
+    int kind, once;
+    double sent;
+} request;
+
+/* ---- asking ---- */
+
+static void look_closely(soak *run, user_job *user);
+
+static void told(soak *run, void *data, int status, const char *body) {
+    request *asked = data;
+    user_job *user = asked->user;
+    tw_sim_job *job = run->world.jobs[user->index];
+    const int was_accepted = job->accepted, was_over = job->told_over;
+    soak_note(run, "user", asked->kind, "job", user->index, job->spec.id, body);
+    if (status)
+        tw_sim_judge_told(&run->world, job, job->spec.id, asked->kind, asked->sent, status, body);
+    if (!asked->once && asked->kind == TW_SIM_SUBMIT) user->submitting = 0;
+    if (!asked->once && asked->kind == TW_SIM_POLL) user->polling = 0;
+    if (!asked->once && asked->kind == TW_SIM_CANCEL) user->cancelling = 0;
+    if (asked->kind == TW_SIM_CANCEL && job->told_over != was_over)
+        soak_moment_came(run, MOMENT_CANCEL);
+    free(asked);
+    if (was_accepted != job->accepted || was_over != job->told_over) look_closely(run, user);
+}
+
+static void ask(soak *run, user_job *user, int kind, int node, int once) {
+    const tw_sim_job *job = run->world.jobs[user->index];
+    char path[SOAK_PATH];
+    request *asked = tw_sim_zeroed(sizeof *asked);
+    *asked = (request){user, kind, once, run->world.now};
+    snprintf(path, sizeof path, "/v1/jobs%s%s%s", kind == TW_SIM_SUBMIT ? "" : "/",
+             kind == TW_SIM_SUBMIT ? "" : job->spec.id, kind == TW_SIM_CANCEL ? "/abort" : "");
+    tw_wire_record record = {.has_job = 1, .job = job->spec, .pieces = job->spec.pieces};
+    char *text = kind == TW_SIM_SUBMIT ? tw_wire_record_text(&record) : NULL;
+    cJSON *whole = text ? cJSON_Parse(text) : NULL;
+    char *body =
+        whole ? cJSON_PrintUnformatted(cJSON_GetObjectItemCaseSensitive(whole, "j")) : NULL;
+    soak_call_node(run, node, SOAK_API_PORT, kind == TW_SIM_POLL ? "GET" : "POST", path,
+                   body ? body : "", kind == TW_SIM_POLL ? POLL_TIMEOUT_S : SUBMIT_TIMEOUT_S, told,
+                   asked);
+    cJSON_Delete(whole);
+    free(text);
+    free(body);
+}
+
+static int any_node(soak *run) { return soak_draw_index(run, run->plan.nodes); }
+
+static void look(soak *run, void *data) {
+    user_job *user = data;
+    for (int node = 0; node < run->plan.nodes; node++) {
+        ask(run, user, TW_SIM_POLL, node, 1);
+        if (soak_draw(run, 0, 1) < 0.2) ask(run, user, TW_SIM_SUBMIT, node, 1);
+    }
+}
+
+static void look_closely(soak *run, user_job *user) {
+    for (int i = 0; i < LOOKS; i++) soak_after(run, soak_draw(run, 0, LOOK_WITHIN_S), look, user);
+}
+
+static void cancel(soak *run, user_job *user) {
+    tw_sim_job *job = run->world.jobs[user->index];
+    if (job->cancel_asked_at <= 0) job->cancel_asked_at = run->world.now;
+    user->cancelling = 1;
+    ask(run, user, TW_SIM_CANCEL, any_node(run), 0);
+}
+
+void soak_job_ended(void *context, tw_sim_job *job) {
+    soak *run = context;
+    if (!job->accepted || job->told_over || soak_draw(run, 0, 1) > CANCEL_AT_END_SHARE) return;
+    for (user_job *user = run->user_jobs; user; user = user->next)
+        if (user->index == job->index) cancel(run, user);
+}
+
+/* ---- submitting ---- */
+
+static int draw_kind(soak *run) {
+    int all = 0, kind = 0;
+    for (size_t i = 0; i < sizeof kinds / sizeof *kinds; i++) all += kinds[i].weight;
+    int left = soak_draw_index(run, all);
+    while (left >= kinds[kind].weight) left -= kinds[kind++].weight;
+    return kind;
+}
+
+static int services_running(const soak *run) {
+    int count = 0;
+    for (int i = 0; i < run->world.njobs; i++)
+        count += run->world.jobs[i]->spec.service && run->world.jobs[i]->cancel_asked_at <= 0;
+    return count;
+}
+
+static void submit_new(soak *run) {
+    static const char *const ranks[] = {"prod", "high", "normal", "idle"};
+    int kind = draw_kind(run);
+    if (!strcmp(kinds[kind].shape, "service") && services_running(run) >= MOST_SERVICES) kind = 0;
+    const double run_s = soak_draw(run, kinds[kind].least_s, kinds[kind].most_s);
+    char text[1024], id[SOAK_TEXT];
+    snprintf(id, sizeof id, "run-%06d", run->world.njobs + 1);
+    snprintf(
+        text, sizeof text,
+        "{\"id\":\"%s\",\"lane\":\"lane\",\"crew\":\"crew-%d\",\"shape\":\"%s\",\"rank\":\"%s\","
+        "\"pieces\":%d,\"cores\":%d,\"gpus\":%d,\"memoryGb\":4,\"bundle\":\"img-%d\","
+        "\"imageGb\":0.2,\"samePlace\":%s,\"apart\":false,\"loaner\":false,\"expectS\":%.1f,"
+        "\"snapshotS\":%d,\"flushS\":0.3}",
+        id, soak_draw_index(run, TEAMS), kinds[kind].shape, ranks[soak_draw_index(run, 4)],
+        kinds[kind].least + soak_draw_index(run, kinds[kind].most - kinds[kind].least + 1),
+        1 + soak_draw_index(run, 4), soak_draw_index(run, 3) ? 0 : 1, soak_draw_index(run, 5),
+        soak_draw_index(run, 4) ? "false" : "true", run_s, soak_draw_index(run, 2));
+    tw_sim_job *job = tw_sim_job_new(&run->world, id);
+    const char *why;
+    if (tw_wire_job_parse(&job->spec, text, strlen(text), &why)) {
+        soak_finish(run, "FAIL", why);
+        return;
+    }
+    job->run_s = run_s;
+    job->submitted = 1;
+    job->first_try = run->world.now;
+    job->done = tw_sim_zeroed((size_t)job->spec.pieces);
+    user_job *user = tw_sim_zeroed(sizeof *user);
+    user->index = job->index;
+    const int cancels = job->spec.service || soak_draw(run, 0, 1) < CANCEL_SHARE;
+    if (cancels) user->cancel_at = run->world.now + soak_draw(run, 1, 15);
+    user->next = run->user_jobs;
+    run->user_jobs = user;
+    user->submitting = 1;
+    ask(run, user, TW_SIM_SUBMIT, any_node(run), 0);
+}
+
+/* ---- time ---- */
+
+static void user_tick(soak *run, user_job *user) {
+    const tw_sim_job *job = run->world.jobs[user->index];
+    if (run->world.now < user->next_poll || (job->told_over && soak_draw(run, 0, 1) > 0.05)) return;
+    user->next_poll = run->world.now + POLL_EVERY_S;
+    if (!job->accepted && !user->submitting) {
+        user->submitting = 1;
+        ask(run, user, TW_SIM_SUBMIT, any_node(run), 0);
+    } else if (job->accepted && !user->polling) {
+        user->polling = 1;
+        ask(run, user, TW_SIM_POLL, any_node(run), 0);
+    }
+    const int wants_end =
+        (user->cancel_at > 0 && run->world.now >= user->cancel_at) || job->cancel_asked_at > 0;
+    if (job->accepted && wants_end && !job->told_over && !user->cancelling) cancel(run, user);
+}
+
+void soak_users_tick(soak *run) {
+    if (run->world.now >= run->next_submission && run->world.now < run->troubles_s) {
+        run->next_submission = run->world.now + soak_draw(run, LEAST_PAUSE_S, MOST_PAUSE_S);
+        submit_new(run);
+    }
+    for (user_job *user = run->user_jobs; user; user = user->next) user_tick(run, user);
+}
+
+int soak_users_served(soak *run, char *what, size_t size) {
+    for (int i = 0; i < run->world.njobs; i++) {
+        const tw_sim_job *job = run->world.jobs[i];
+        const int is_over = job->told_over;
+        const int runs = job->accepted && job->spec.service && job->cancel_asked_at <= 0 &&
+                         tw_sim_job_running(&run->world, job->spec.id) == job->spec.pieces;
+        if (is_over || runs) continue;
+        snprintf(what, size, "%s: accepted=%d done=%d of %d cancelled=%d running=%d", job->spec.id,
+                 job->accepted, job->ndone, job->spec.pieces, job->cancel_asked_at > 0,
+                 tw_sim_job_running(&run->world, job->spec.id));
+        return 0;
+    }
+    return 1;
+}
