--- a/sim/controller.c
+++ b/sim/controller.c
@@ -14,20 +14,29 @@
     return ((const local_controller *)controller)->core;
 }
 
+/* A broken invariant is a fault of the core, whether or not a rule breaks by it. */
+static void check(tw_sim_controller *controller) {
+    if (tw_core_broken(core_of(controller)))
+        controller->failure = "an invariant was broken, see event=invariant_broken";
+}
+
 static void request(tw_sim_controller *controller, tw_sim_clock clock, int port, uint64_t conn,
                     const char *method, const char *path, const char *body) {
     tw_core_request(core_of(controller), clock.steady, clock.wall, port, conn, method, path, body,
                     strlen(body));
+    check(controller);
 }
 
 static void response(tw_sim_controller *controller, tw_sim_clock clock, uint64_t call, int status,
                      const char *body) {
     tw_core_response(core_of(controller), clock.steady, clock.wall, call, status, body,
                      strlen(body));
+    check(controller);
 }
 
 static void tick(tw_sim_controller *controller, tw_sim_clock clock) {
     tw_core_tick(core_of(controller), clock.steady, clock.wall);
+    check(controller);
 }
 
 static tw_fx *next(tw_sim_controller *controller) { return tw_core_next(core_of(controller)); }
--- a/src/app/main.c
+++ b/src/app/main.c
@@ -163,6 +163,7 @@
                  gsl_histogram_mean(process->lag), gsl_histogram_sigma(process->lag),
                  mallinfo2().uordblks / 1024);
     gsl_histogram_reset(process->lag);
+    tw_core_log_counters(process->core);
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *watcher, int events) {
--- /dev/null
+++ b/src/core/attempt_end.c
@@ -0,0 +1,180 @@
+/* The decision that an attempt can no longer run, and what follows from it for the task, its job
+ * and its machine. */
+#include "core/fleet.h"
+
+static const char *const names[END_GROUNDS] = {
+    [END_EXITED] = "exited",
+    [END_ABSENT] = "absent",
+    [END_NOT_TAKEN] = "not_taken",
+    [END_SESSION] = "session",
+    [END_LAPSED] = "lapsed",
+    [END_RETURNED] = "returned",
+    [END_GANG_DONE] = "gang_done",
+    [END_NOT_LAUNCHED] = "not_launched",
+    [END_NOT_RECORDED] = "not_recorded",
+    [END_TAKEN_BACK] = "taken_back",
+    [END_TERM] = "term",
+};
+
+const char *tw_end_ground_name(end_ground ground) { return names[ground]; }
+
+/* ---- the decision ---- */
+
+/* A report without it. What is known to have been on the machine (reported, or written by a
+ * predecessor) is gone if nothing on the way could still start it: the machine refuses older
+ * tokens, and no direct launch of ours is under way. */
+static int is_absent(const placement *placed) {
+    const int was_there = placed->inherited || placed->seen;
+    return was_there && placed->m->confirmed && !placed->direct;
+}
+
+/* The answer that held the launch was lost, and is not executed late. Only the next report proper
+ * tells: an answer to direct orders may have overtaken the answer that holds the launch. */
+int tw_launch_not_taken(const placement *placed, const tw_wire_report *report, int answers_order) {
+    const int was_there = placed->inherited || placed->seen;
+    return !was_there && !answers_order && !placed->direct && placed->sent_tick < report->tick;
+}
+
+void tw_launch_answered(placement *placed, int refused) {
+    if (placed->direct) placed->direct--;
+    /* Neither this launch nor another one is under way. */
+    if (refused && !placed->seen && !placed->sent_tick && !placed->direct) placed->sent = 0;
+}
+
+int tw_attempt_launched(const placement *placed) {
+    return placed->sent || placed->direct || placed->inherited;
+}
+
+/* A worker kills and forgets all with its session. Ours was launched in a session that we know. */
+static int is_of_earlier_session(const placement *placed, const tw_wire_report *report) {
+    if (placed->inherited) return 1;
+    return placed->sent && placed->shift < report->shift;
+}
+
+/* Whether the attempt can't run any more, nor be started by what is still on its way. */
+static int holds(const tw_core *core, const placement *placed, const attempt_end *end) {
+    const machine *machine = placed->m;
+    switch (end->ground) {
+    case END_EXITED:
+        return end->told && end->told->stage == TW_PIECE_EXITED &&
+               end->told->attempt == placed->attempt && end->told->index == placed->index;
+    case END_ABSENT:
+        return is_absent(placed);
+    case END_NOT_TAKEN:
+        return tw_launch_not_taken(placed, end->report, end->answers_order);
+    case END_SESSION:
+        return is_of_earlier_session(placed, end->report);
+    case END_LAPSED:
+        return machine->lapsed && core->now > tw_lapse_at(core, machine);
+    case END_RETURNED:
+        return machine->releasing;
+    case END_GANG_DONE:
+        return placed->job->s.gang;
+    case END_NOT_LAUNCHED:
+        return !tw_attempt_launched(placed);
+    case END_NOT_RECORDED:
+        return !placed->job->created && (placed->inherited || !tw_attempt_launched(placed));
+    case END_TAKEN_BACK:
+        return placed->ver > placed->job->ver && !tw_attempt_launched(placed);
+    case END_TERM:
+        break;
+    }
+    return core->role != R_LEADER;
+}
+
+/* Grounds that need not hold: the path that offers them asks just that. With the others the path is
+ * wrong. */
+static int may_fail(end_ground ground) {
+    return ground == END_ABSENT || ground == END_NOT_TAKEN || ground == END_SESSION;
+}
+
+/* ---- what follows ---- */
+
+/* Ends of attempts that never were on a machine, or that nobody decides about, are no news. */
+static int is_news(end_ground ground) {
+    return ground != END_NOT_LAUNCHED && ground != END_NOT_RECORDED && ground != END_TAKEN_BACK &&
+           ground != END_TERM;
+}
+
+static void log_end(const tw_core *core, const placement *placed, const attempt_end *end) {
+    const machine *machine = placed->m;
+    const tw_wire_report *report = end->report;
+    const int level = is_news(end->ground) ? TW_LOG_INFO : TW_LOG_DEBUG;
+    if (!placed->on_job || !tw_log_on(level)) return;
+    tw_log_write(level,
+                 "event=attempt_end piece=%s/%d try=%llu tray=%s ground=%s cause=%d token=%llu "
+                 "inherited=%d launch_shift=%llu launch_tick=%llu direct=%d shift=%llu tick=%llu "
+                 "report_token=%llu confirmed=%d lived_s=%.2f",
+                 placed->job->id, placed->index, (unsigned long long)placed->attempt, machine->name,
+                 names[end->ground], end->told ? end->told->cause : 0,
+                 (unsigned long long)core->token, placed->inherited,
+                 (unsigned long long)placed->shift, (unsigned long long)placed->sent_tick,
+                 placed->direct, (unsigned long long)(report ? report->shift : machine->shift),
+                 (unsigned long long)(report ? report->tick : machine->tick),
+                 (unsigned long long)(report ? report->baton : 0), machine->confirmed,
+                 core->now - placed->made_at);
+}
+
+/* The task no longer runs there; to: what it is now. */
+static void leave_job(tw_core *core, placement *placed, int to) {
+    if (!placed->on_job) return;
+    job *job = placed->job;
+    tw_placement_account(core, placed, -1);
+    placed->on_job = 0;
+    DL_DELETE2(job->live, placed, jprev, jnext);
+    job->nlive--;
+    if (job->st) job->st[placed->index] = (uint8_t)to;
+    if (to == T_DONE) job->ndone++;
+    if (to == T_FREE) {
+        if (placed->index < job->cursor) job->cursor = placed->index;
+        job->pending_since = core->now;
+        if (job->s.gang) tw_gang_left(core, placed);
+    }
+    core->sched_dirty = 1;
+}
+
+void tw_attempt_forget(tw_core *core, placement *placed) {
+    job *job = placed->job;
+    if (placed->on_job) {
+        tw_invariant_broken(core, INVARIANT_END, "piece=%s/%d tray=%s ground=none", job->id,
+                            placed->index, placed->m->name);
+        return;
+    }
+    DL_DELETE(placed->m->pls, placed);
+    free(placed);
+    tw_job_unplaced(core, job);
+}
+
+/* The machine may still tell of it, and is to forget it. */
+static int stays_on_machine(end_ground ground) {
+    return ground == END_EXITED || ground == END_GANG_DONE;
+}
+
+int tw_attempt_end(tw_core *core, placement *placed, const attempt_end *end) {
+    job *job = placed->job;
+    const end_ground ground = end->ground;
+    if (!holds(core, placed, end)) {
+        core->counters.kept[ground]++;
+        if (!may_fail(ground))
+            tw_invariant_broken(core, INVARIANT_END, "piece=%s/%d try=%llu tray=%s ground=%s",
+                                job->id, placed->index, (unsigned long long)placed->attempt,
+                                placed->m->name, names[ground]);
+        return 0;
+    }
+    const int was_on_job = placed->on_job;
+    const int is_done =
+        ground == END_GANG_DONE || (ground == END_EXITED && end->told->cause == TW_CAUSE_DONE);
+    core->counters.ended[ground] += (uint64_t)was_on_job;
+    log_end(core, placed, end);
+    leave_job(core, placed, is_done ? T_DONE : T_FREE);
+    if (stays_on_machine(ground)) return 1;
+    tw_attempt_forget(core, placed);
+    /* The record of one that was taken back was not changed; one of an ended term is not ours. */
+    if (was_on_job && ground != END_TAKEN_BACK && ground != END_TERM) tw_job_changed(core, job, 0);
+    return 1;
+}
+
+int tw_attempt_end_on(tw_core *core, placement *placed, end_ground ground) {
+    const attempt_end end = {.ground = ground};
+    return tw_attempt_end(core, placed, &end);
+}
--- a/src/core/authority.c
+++ b/src/core/authority.c
@@ -10,6 +10,10 @@
     return core->role == R_LEADER && core->now < core->auth_until;
 }
 
+int tw_may(const tw_core *core, node_right right) {
+    return tw_authority(core) || (right == RIGHT_RENEW && tw_holding(core));
+}
+
 double tw_hold_s(const tw_core *core) { return core->cf->tune.hold_ratio * core->cf->lease_s; }
 
 /* A job cancelled at another node must be gone cancel_s later, even where nobody can say so: by its
@@ -53,3 +57,17 @@
     /* From our acquisition on it can't hear from all nodes that none leads. */
     return core->acquired_at + tw_alone_s(core) * (1 + 2 * core->cf->tune.drift);
 }
+
+void tw_rights_log(tw_core *core) {
+    const int commands = tw_may(core, RIGHT_COMMAND);
+    const int renews = tw_may(core, RIGHT_RENEW);
+    const unsigned long long token = core->token;
+    if (core->role == R_LEADER && core->commanded && !commands)
+        tw_log_info("event=authority_over token=%llu led_s=%.2f over_since_s=%.3f renews=%d", token,
+                    core->now - core->acquired_at, core->now - core->auth_until, renews);
+    if (core->role == R_LEADER && core->renewed_leases && !renews)
+        tw_log_info("event=renewing_over token=%llu without_authority_s=%.2f", token,
+                    core->now - core->auth_until);
+    core->commanded = commands;
+    core->renewed_leases = renews;
+}
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -66,6 +66,7 @@
 }
 
 void tw_core_free(tw_core *core) {
+    core->role = R_FOLLOWER;
     tw_term_clear(core);
     tw_relay_end(core);
     tw_deputy_end(core);
@@ -95,7 +96,7 @@
 
 /* Whether this node leads, has read the records of its term and may command. */
 static int is_in_command(const tw_core *core) {
-    return core->role == R_LEADER && core->phase == PH_ACTIVE && tw_authority(core);
+    return core->phase == PH_ACTIVE && tw_may(core, RIGHT_WRITE);
 }
 
 /* What follows from any input: placing, writing, sending. */
@@ -129,7 +130,7 @@
 
 /* Useful requests can be served while the state service or another node answers us. */
 static void on_health(tw_core *core, const request *request) {
-    if (tw_isolated(core) && !tw_authority(core))
+    if (tw_isolated(core) && !tw_may(core, RIGHT_TELL))
         tw_reply_error(core, request->conn, TW_HTTP_UNAVAILABLE, 1, "isolated");
     else
         tw_reply(core, request->conn, TW_HTTP_OK, 0, strdup("{\"up\":true}"));
@@ -232,42 +233,65 @@
 /* Every kind of call has a line. */
 static const struct {
     response_handler *handle;
-    int of_term; /* nothing to this node once the term it was sent in is over */
+    int of_term;       /* nothing to this node once the term it was sent in is over */
+    const char *reads; /* what is read by it from the state service; NULL: nothing, for the log */
 } responses[K_KINDS] = {
-    [K_LEADER_GET] = {tw_election_response, 0},
+    [K_LEADER_GET] = {tw_election_response, 0, "leader"},
     [K_LEADER_WATCH] = {tw_election_response, 0},
     [K_GRANT] = {tw_election_response, 0},
     [K_ACQUIRE] = {tw_election_response, 0},
     [K_RENEW] = {tw_election_response, 0},
     [K_GRANT_DEL] = {tw_election_response, 0},
     [K_PING] = {tw_election_response, 0},
-    [K_LOOKUP] = {tw_users_response, 0},
+    [K_LOOKUP] = {tw_users_response, 0, "job"},
     [K_CREATE] = {tw_users_response, 0},
     [K_PROXY] = {tw_users_response, 0},
     [K_RELAY] = {tw_relay_response, 0},
-    [K_DEP_JOBS] = {on_deputy_jobs, 0},
+    [K_DEP_JOBS] = {on_deputy_jobs, 0, "cancelled"},
     [K_DEPUTY] = {on_deputy_key, 0},
     [K_FLAVORS] = {tw_rent_response, 0},
     [K_LIST] = {tw_rent_response, 1},
     [K_RENT] = {tw_rent_response, 1},
     [K_RELEASE] = {tw_rent_response, 1},
     [K_TXN] = {tw_jobs_response, 1},
-    [K_JOB_READ] = {tw_jobs_response, 1},
+    [K_JOB_READ] = {tw_jobs_response, 1, "job"},
     [K_PARTS] = {tw_jobs_response, 1},
     [K_PARTS_REMOVE] = {tw_jobs_response, 1},
-    [K_DEPUTIES] = {tw_deputies_page, 1},
-    [K_NEWS_LIST] = {tw_news_response, 1},
-    [K_NEWS] = {tw_news_response, 1},
+    [K_DEPUTIES] = {tw_deputies_page, 1, "deputies"},
+    [K_NEWS_LIST] = {tw_news_response, 1, "accepted_list"},
+    [K_NEWS] = {tw_news_response, 1, "accepted"},
     [K_NEWS_DEL] = {tw_news_response, 1},
-    [K_LOAD] = {on_records, 1},
+    [K_LOAD] = {on_records, 1, "records"},
     [K_ORDERS] = {tw_fleet_response, 1},
 };
 
+/* The revision that an answer of the state service tells; 0: none. */
+static uint64_t revision_of(int status, const char *body, size_t len) {
+    tw_wire_entry entry;
+    uint64_t revision = 0;
+    if (status != TW_HTTP_OK) return 0;
+    if (!tw_wire_ledger_parse(&revision, body, len)) return revision;
+    if (tw_wire_entry_parse(&entry, body, len)) return 0;
+    free(entry.data);
+    return entry.stamp;
+}
+
+static void log_read(const tw_core *core, const call *sent, int status, const char *body,
+                     size_t len) {
+    const char *what = responses[sent->kind].reads;
+    if (!what || !tw_log_on(TW_LOG_DEBUG)) return;
+    tw_log_debug("event=state_read what=%s status=%d revision=%llu took_s=%.3f token=%llu stale=%d",
+                 what, status, (unsigned long long)revision_of(status, body, len),
+                 core->now - sent->sent, (unsigned long long)core->token,
+                 responses[sent->kind].of_term && sent->term != core->term);
+}
+
 void tw_core_response(tw_core *core, double now, double wall, uint64_t id, int status,
                       const char *body, size_t len) {
     set_time(core, now, wall);
     call *sent = tw_call_answered(core, id, status);
     if (!sent) return;
+    log_read(core, sent, status, body, len);
     if (!responses[sent->kind].of_term || sent->term == core->term)
         responses[sent->kind].handle(core, sent, status, body, len);
     tw_call_free(sent);
@@ -296,6 +320,7 @@
 void tw_core_tick(tw_core *core, double now, double wall) {
     set_time(core, now, wall);
     tw_calls_log(core);
+    tw_rights_log(core);
     tw_election_tick(core);
     tw_jobs_tick(core);
     tw_relay_tick(core);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -42,6 +42,10 @@
 void tw_core_fx_free(tw_fx *effect);
 /* Machines and bins looked at in passes over the fleet so far: what their cost grows with. */
 uint64_t tw_core_steps(const tw_core *core);
+/* Invariants that were broken so far: faults of this program, each logged as an error. */
+uint64_t tw_core_broken(const tw_core *core);
+/* Logs at `debug` how many attempts ended on which ground, what was refused, what was broken. */
+void tw_core_log_counters(const tw_core *core);
 /* Seconds between ticks that the core needs. */
 double tw_core_tick_s(const tw_core *core);
 
--- a/src/core/core_int.h
+++ b/src/core/core_int.h
@@ -3,9 +3,11 @@
  * provision_int.h, record_parts.h, relay.h, scheduler_int.h). Not for other packages. */
 #ifndef TW_CORE_INT_H
 #define TW_CORE_INT_H
+#include "core/attempt_end.h"
 #include "core/budget.h"
 #include "core/call.h"
 #include "core/core.h"
+#include "core/counters.h"
 #include "core/expiring.h"
 #include "core/gang.h"
 #include "core/job.h"
--- a/src/core/deputy.c
+++ b/src/core/deputy.c
@@ -8,6 +8,7 @@
  * included. So a deputy reads, as often as it can, which jobs are cancelled, and stops their tasks;
  * by its key it answers a worker only for tw_blind_s after the leader last did through it, or after
  * it began such a reading. */
+#include "core/fleet.h"
 #include "core/relay.h"
 
 #define MAX_KILLS 500 /* in an answer, which stays under 64 KiB; the rest in the next one */
@@ -28,8 +29,7 @@
     snprintf(key, TW_DEPUTY_KEY_SIZE, TW_DEPUTY_KEY "%s", node);
 }
 
-/* Whether this node may answer the worker in the leader's place. */
-static int entitled(tw_core *core, const char *worker, const char *zone) {
+int tw_deputy_entitled(tw_core *core, const char *worker, const char *zone) {
     /* The leader counts on it that only nodes of its own zone renew a machine's lease without it.
      */
     if (core->role != R_FOLLOWER || strcmp(zone, core->cf->location) != 0) return 0;
@@ -197,24 +197,24 @@
     if (core->now > core->deputy_last + core->cf->lease_s)
         tw_log_info("event=deputising token=%llu", (unsigned long long)core->seen_token);
     core->deputy_last = core->now;
-    tw_wire_order *orders = tw_zalloc((size_t)report->npieces * sizeof *orders);
-    int count = 0;
-    for (int i = 0; i < report->npieces && count < MAX_KILLS; i++) {
+    tw_orders orders = tw_orders_new(core);
+    for (int i = 0; i < report->npieces && orders.count < MAX_KILLS; i++) {
         const tw_wire_piece *task = &report->pieces[i];
         if (task->stage == TW_PIECE_EXITED) continue;
         if (!has(core->deputy_aborted, task->job) && !has(core->grant_aborted, task->job)) continue;
-        tw_wire_order *order = &orders[count++];
-        *order =
-            (tw_wire_order){.verb = TW_VERB_KILL, .index = task->index, .attempt = task->attempt};
-        snprintf(order->job, sizeof order->job, "%s", task->job);
+        const tw_wire_order stop = {
+            .verb = TW_VERB_KILL, .index = task->index, .attempt = task->attempt};
+        tw_orders_add(&orders, stop, task->job);
     }
-    tw_reply(core, conn, TW_HTTP_OK, 0,
-             tw_wire_orders_text(core->seen_token, 0, orders, (size_t)count));
-    free(orders);
+    char *text = tw_orders_deputy_text(core, report, &orders);
+    if (text)
+        tw_reply(core, conn, TW_HTTP_OK, 0, text);
+    else
+        tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "no right to answer");
 }
 
 int tw_deputy_answers(tw_core *core, uint64_t conn, const tw_wire_report *report) {
-    if (!entitled(core, report->tray, report->yard)) {
+    if (!tw_deputy_entitled(core, report->tray, report->yard)) {
         if (!strcmp(report->yard, core->cf->location)) become_deputy(core);
         return 0;
     }
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -92,7 +92,9 @@
 
 void tw_step_down(tw_core *core, const char *why) {
     if (core->role != R_LEADER) return;
-    tw_log_info("event=step_down token=%llu why=\"%s\"", (unsigned long long)core->token, why);
+    tw_log_info("event=step_down token=%llu why=\"%s\" led_s=%.2f authority_left_s=%.3f",
+                (unsigned long long)core->token, why, core->now - core->acquired_at,
+                core->auth_until - core->now);
     core->role = R_FOLLOWER;
     core->term++;
     core->renew_busy = 0;
@@ -134,7 +136,8 @@
         core->peers[i].grant_until = 0; /* given by us in an earlier term: under an older token */
     }
     tw_saw_token(core, token, core->cf->host_name);
-    tw_log_info("event=leader token=%llu", (unsigned long long)token);
+    tw_log_info("event=leader token=%llu authority_s=%.3f hold_s=%.2f", (unsigned long long)token,
+                core->auth_until - core->now, tw_hold_s(core));
     tw_recover_begin(core);
 }
 
@@ -272,7 +275,10 @@
     if (core->renew_busy) core->renew_busy--;
     if (status == TW_HTTP_OK) {
         const double until = authority_end(core, sent->sent);
-        if (core->now >= core->auth_until) tw_log_info("event=authority_back");
+        if (core->now >= core->auth_until)
+            tw_log_info("event=authority_back token=%llu", (unsigned long long)core->token);
+        tw_log_debug("event=renewed token=%llu authority_s=%.3f", (unsigned long long)core->token,
+                     until - core->now);
         if (until > core->auth_until) core->auth_until = until;
         core->next_renew = sent->sent + core->ttl * RENEW_EVERY;
         core->sched_dirty = 1;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -25,7 +25,7 @@
     tw_log_info("event=release tray=%s why=%s held_s=%.0f", machine->name, why,
                 core->now - machine->born);
     DL_FOREACH_SAFE(machine->pls, each, next)
-    if (!each->sent && !each->inherited) tw_placement_lost(core, each, "released");
+    if (!tw_attempt_launched(each)) tw_attempt_end_on(core, each, END_NOT_LAUNCHED);
 }
 
 /* A gang's progress is lost if it is stopped while one of its machines can't be told: as long as
@@ -69,7 +69,20 @@
 static void lose_unsent(tw_core *core, machine *machine) {
     placement *each, *next;
     DL_FOREACH_SAFE(machine->pls, each, next)
-    if (!each->sent && !each->inherited && !each->direct) tw_placement_lost(core, each, "unusable");
+    if (!tw_attempt_launched(each)) tw_attempt_end_on(core, each, END_NOT_LAUNCHED);
+}
+
+/* Ages of what the end of the lease rests on; one that never was is as old as the clock. */
+static void log_lapse(const tw_core *core, const machine *machine) {
+    const tw_lapse_terms terms = tw_lapse_terms_of(core, machine);
+    const double now = core->now;
+    tw_log_info("event=lapsed tray=%s token=%llu shift=%llu confirmed=%d over_s=%.2f "
+                "answered_s=%.2f deputies_s=%.2f session_s=%.2f loading_s=%.2f predecessor_s=%.2f "
+                "deputies_read_s=%.2f",
+                machine->name, (unsigned long long)core->token, (unsigned long long)machine->shift,
+                machine->confirmed, now - terms.at, now - terms.answered, now - terms.deputies,
+                now - terms.session, now - terms.loading, now - terms.predecessor,
+                now - core->deputies_checked_at);
 }
 
 /* Its lease has surely ended: nothing runs there. */
@@ -80,9 +93,9 @@
         return;
     }
     core->lapse_decided_at = core->now;
-    tw_log_info("event=lapsed tray=%s", machine->name);
+    log_lapse(core, machine);
     machine->lapsed = 1;
-    DL_FOREACH_SAFE(machine->pls, each, next) tw_placement_lost(core, each, "lapsed");
+    DL_FOREACH_SAFE(machine->pls, each, next) tw_attempt_end_on(core, each, END_LAPSED);
 }
 
 /* Why a machine is given up; NULL: it is not. */
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -4,6 +4,7 @@
  * machine.c    machines by name, type and zone
  * lapse.c      silence, leases that have ended, zones that are cut off
  * placement.c  what may run where, and the amounts that this takes
+ * attempt_end.c  when an attempt can no longer run (attempt_end.h)
  * learn.c      moving averages, from starts, runs and boots
  * task.c       what a report says of one task
  * report.c     taking a report in and answering it
@@ -32,14 +33,24 @@
 /* lapse.c */
 /* What a worker's lease may last by our clock, from a report that we answered. */
 double tw_lease_longest_s(const tw_core *core);
-/* When a worker has surely ended its session, if we answer it no more (steady time). */
+/* When a worker has surely ended its session, if we answer it no more, and the moments up to which
+ * its lease may have been renewed, which this rests on (steady time; 0: never). */
+typedef struct {
+    double answered;    /* we answered a report of it */
+    double deputies;    /* a deputy of its zone may have, by its key */
+    double session;     /* we learned of its session */
+    double loading;     /* we answered any machine while the records were read */
+    double predecessor; /* a predecessor may have, or it was first known to refuse that */
+    double at;          /* the end, with the lease's length and the grants of its zone's nodes */
+} tw_lapse_terms;
+tw_lapse_terms tw_lapse_terms_of(const tw_core *core, const machine *machine);
 double tw_lapse_at(const tw_core *core, const machine *machine);
 int tw_zone_cut(tw_core *core, const machine *machine);
 void tw_quiet_note(tw_core *core);
 
 /* placement.c */
-/* The task no longer runs there; to: what it is now, T_FREE or T_DONE. */
-void tw_placement_leave(tw_core *core, placement *placed, int to);
+/* Adds (sign 1) or takes off (-1) what the task holds. */
+void tw_placement_account(tw_core *core, placement *placed, double sign);
 
 /* learn.c */
 void tw_learn_start(tw_core *core, placement *placed);
@@ -47,10 +58,12 @@
 void tw_learn_boot(tw_core *core, const machine *machine);
 
 /* task.c */
-void tw_task_reported(tw_core *core, placement *placed, const tw_wire_piece *told);
+/* What the report says of a task that we have a placement for. */
+void tw_task_reported(tw_core *core, placement *placed, const tw_wire_report *report,
+                      const tw_wire_piece *told);
 /* A task that we have no placement for. orders: NULL in an answer to direct orders. */
-void tw_task_stranger(tw_core *core, machine *machine, const tw_wire_piece *told,
-                      tw_orders *orders);
+void tw_task_stranger(tw_core *core, machine *machine, const tw_wire_report *report,
+                      const tw_wire_piece *told, tw_orders *orders);
 
 /* report.c */
 /* Takes a report in; 0: it is older than what we know. orders: NULL for an answer to direct orders,
@@ -58,6 +71,15 @@
 int tw_report_take(tw_core *core, machine *machine, const tw_wire_report *report,
                    tw_orders *orders);
 
+/* orders_text.c: messages with orders, under our token. NULL: this node has not the right to give
+ * them, which is a fault of the caller; nothing may be sent then. */
+/* In an answer to a report; none renew the lease alone. */
+char *tw_orders_answer_text(tw_core *core, const tw_orders *orders);
+/* To the machine's own address. */
+char *tw_orders_direct_text(tw_core *core, const machine *machine, const tw_orders *orders);
+/* In a deputy's answer to a report. */
+char *tw_orders_deputy_text(tw_core *core, const tw_wire_report *report, const tw_orders *orders);
+
 /* orders.c */
 tw_orders tw_orders_new(tw_core *core);
 /* A command on the task, without effect when the answer is full: it is due again next time. */
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -144,7 +144,7 @@
 void tw_gang_done(tw_core *core, job *job) {
     placement *task;
     placement *next;
-    DL_FOREACH_SAFE2(job->live, task, next, jnext) tw_placement_leave(core, task, T_DONE);
+    DL_FOREACH_SAFE2(job->live, task, next, jnext) tw_attempt_end_on(core, task, END_GANG_DONE);
     memset(job->st, T_DONE, (size_t)job->pieces);
     job->ndone = job->pieces;
     enter(core, job, GANG_IDLE, "done");
--- a/src/core/heartbeat.c
+++ b/src/core/heartbeat.c
@@ -68,7 +68,7 @@
                             .state_ok = core->now - core->state_ok_at < 2 * core->ttl,
                             .up_s = core->now - core->started_at,
                             .deputy_s = core->now - fmax(core->started_at, core->deputy_last),
-                            .leading = tw_authority(core),
+                            .leading = tw_may(core, RIGHT_COMMAND),
                             .record_format = TW_RECORD_DIVIDED};
     snprintf(message.name, sizeof message.name, "%s", core->cf->host_name);
     if (message.leading) snprintf(message.leader, sizeof message.leader, "%s", core->cf->host_name);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -206,7 +206,7 @@
 /* ---- time ---- */
 
 static void abort_tick(tw_core *core, job *job) {
-    if (job->aborting && job->stage == TW_STAGE_PENDING && tw_authority(core) &&
+    if (job->aborting && job->stage == TW_STAGE_PENDING && tw_may(core, RIGHT_WRITE) &&
         core->phase == PH_ACTIVE && tw_abort_safe(core, job, 1) > 0)
         tw_job_finish(core, job, TW_STAGE_ABORTED);
 }
@@ -224,7 +224,7 @@
 static void waiters_tick(tw_core *core, job *job) {
     for (waiter **at = &job->waiters; *at;) {
         waiter *waiter = *at;
-        if (core->now < waiter->until && tw_authority(core)) {
+        if (core->now < waiter->until && tw_may(core, RIGHT_TELL)) {
             at = &waiter->next;
             continue;
         }
--- a/src/core/job_store.c
+++ b/src/core/job_store.c
@@ -188,7 +188,7 @@
  * its first record was refused. Nothing of ours was durable; the end holds as its record has it. */
 static void was_over(tw_core *core, job *job, const tw_wire_record *record) {
     placement *task, *next;
-    DL_FOREACH_SAFE2(job->live, task, next, jnext) tw_placement_lost(core, task, "over");
+    DL_FOREACH_SAFE2(job->live, task, next, jnext) tw_attempt_end_on(core, task, END_NOT_RECORDED);
     job->ndone = record->ndone;
     job->durable_ver = job->ver;
     if (job->queued) dequeue(core, job);
@@ -209,7 +209,7 @@
     char *ours = spec_text(&job->s), *theirs = spec_text(&record.job);
     if (record.has_job && strcmp(ours, theirs) != 0) {
         placement *p, *t;
-        DL_FOREACH_SAFE2(job->live, p, t, jnext) tw_placement_lost(core, p, "other fields");
+        DL_FOREACH_SAFE2(job->live, p, t, jnext) tw_attempt_end_on(core, p, END_NOT_RECORDED);
         tw_wire_job_free(&job->s);
         tw_job_spec(core, job, &record.job);
         free(job->st);
--- a/src/core/lapse.c
+++ b/src/core/lapse.c
@@ -38,19 +38,23 @@
 }
 
 /* A worker that has not seen our token may still have been answered by a predecessor. */
-double tw_lapse_at(const tw_core *core, const machine *machine) {
-    double from =
-        fmax(fmax(machine->heard, machine->renewed), tw_deputies_until(core, machine->yard));
+tw_lapse_terms tw_lapse_terms_of(const tw_core *core, const machine *machine) {
+    tw_lapse_terms terms = {.answered = fmax(machine->heard, machine->renewed),
+                            .deputies = tw_deputies_until(core, machine->yard)};
     /* A session has a full lease from its beginning, also one that no report of was ever answered:
      * the machine may be known from direct orders only. */
-    from = fmax(from, machine->session_at);
+    terms.session = machine->session_at;
     /* Whose leases were renewed while the records were read was not noted. */
-    from = fmax(from, core->load_answered);
+    terms.loading = core->load_answered;
     /* Once it knows our token, a predecessor's answers no longer count; until then they may have.
      */
-    from = fmax(from, machine->confirmed ? machine->confirmed_at : tw_predecessor_end(core));
+    terms.predecessor = machine->confirmed ? machine->confirmed_at : tw_predecessor_end(core);
+    double from = fmax(terms.answered, terms.deputies);
+    from = fmax(from, terms.session);
+    from = fmax(from, terms.loading);
+    from = fmax(from, terms.predecessor);
     const double lease = tw_lease_longest_s(core);
-    double at = from + lease;
+    terms.at = from + lease;
     /* Nodes of its zone that may have answered it while they could not reach us: either one said
      * later that it had not, or its grant is over. */
     for (size_t i = 0; i < core->npeers; i++) {
@@ -58,9 +62,14 @@
         if (peer->grant_until <= 0 || (*machine->yard && strcmp(machine->yard, peer->cf.zone) != 0))
             continue;
         const double said = fmax(from, peer->deputy_last) + lease;
-        at = fmax(at, said < peer->dep_asof ? said : fmax(from, peer->grant_until) + lease);
+        const double granted = fmax(from, peer->grant_until) + lease;
+        terms.at = fmax(terms.at, said < peer->dep_asof ? said : granted);
     }
-    return at;
+    return terms;
+}
+
+double tw_lapse_at(const tw_core *core, const machine *machine) {
+    return tw_lapse_terms_of(core, machine).at;
 }
 
 /* Most machines of its zone silent as well, or we don't reach its nodes, or only just again: rather
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -57,7 +57,7 @@
     machine->in_direct = machine->direct_busy = 0;
     if (why) tw_log_info("event=machine_gone tray=%s why=%s", machine->name, why);
     DL_FOREACH_SAFE(machine->pls, placed, next_placed)
-    tw_placement_lost(core, placed, why ? why : "term");
+    tw_attempt_end_on(core, placed, why ? END_RETURNED : END_TERM);
     DL_FOREACH_SAFE(machine->images, image, next_image) {
         DL_DELETE(machine->images, image);
         free(image);
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -67,8 +67,25 @@
     }
 }
 
+/* An earlier attempt of the task has ended, or this one would not be placed: checked again where it
+ * is launched, since a task that runs twice starts here. */
+static int is_only_attempt(tw_core *core, const placement *placed) {
+    const job *job = placed->job;
+    if (placed->on_job && !placed->inherited && job->st[placed->index] == T_LIVE) return 1;
+    tw_invariant_broken(core, INVARIANT_LAUNCH, "piece=%s/%d try=%llu tray=%s", job->id,
+                        placed->index, (unsigned long long)placed->attempt, placed->m->name);
+    return 0;
+}
+
+static void log_launch(const placement *placed, uint64_t tick) {
+    tw_log_debug("event=launch piece=%s/%d try=%llu tray=%s shift=%llu tick=%llu direct=%d",
+                 placed->job->id, placed->index, (unsigned long long)placed->attempt,
+                 placed->m->name, (unsigned long long)placed->m->shift, (unsigned long long)tick,
+                 !tick);
+}
+
 /* room: all of the machine's, less what still saves. */
-static void launches(const tw_core *core, machine *machine, tw_orders *orders, uint64_t tick,
+static void launches(tw_core *core, machine *machine, tw_orders *orders, uint64_t tick,
                      tw_room room) {
     placement *each;
     DL_FOREACH(machine->pls, each) {
@@ -87,7 +104,9 @@
             take(&room, s);
         }
         if (orders->count >= MAX_ORDERS) break;
+        if (!is_only_attempt(core, each)) continue;
         add(orders, TW_VERB_LAUNCH, each);
+        log_launch(each, tick);
         each->sent = 1;
         each->shift = machine->shift;
         if (tick)
@@ -120,7 +139,11 @@
         room = (tw_room){type->cores, type->gpus, type->memory_gb};
     }
     stops(machine, orders, tick, &room);
-    if (!tw_authority(core) || machine->rack < 0) return;
+    if (!tw_may(core, RIGHT_COMMAND)) {
+        core->counters.refused[REFUSED_COMMANDS]++;
+        return;
+    }
+    if (machine->rack < 0) return;
     launches(core, machine, orders, tick, room);
     if (tick) forgets(machine, orders);
 }
@@ -184,8 +207,8 @@
     tw_orders orders = tw_orders_new(core);
     if (machine->confirmed && silent_s < in_touch_s) tw_orders_due(core, machine, &orders, 0);
     if (!orders.count && !probe) return;
-    char *body =
-        tw_wire_orders_text(core->token, machine->shift, orders.list, (size_t)orders.count);
+    char *body = tw_orders_direct_text(core, machine, &orders);
+    if (!body) return;
     note_launches(send(core, machine, "POST", "/orders", body), &orders);
 }
 
@@ -228,8 +251,7 @@
     DL_FOREACH(machine->pls, each) {
         snprintf(name, sizeof name, "%s/%d", each->job->id, each->index);
         if (each->attempt != attempt || strcmp(name, task) != 0) continue;
-        if (each->direct) each->direct--;
-        if (refused && !each->seen && !each->sent_tick && !each->direct) each->sent = 0;
+        tw_launch_answered(each, refused);
         return;
     }
 }
--- a/src/core/peers.h
+++ b/src/core/peers.h
@@ -72,9 +72,20 @@
 /* How long a leader leaves the state service's limit to others after an answer with this status. */
 double tw_refused_wait_s(tw_core *core, int status);
 
+/* What a leader may do now; every path asks tw_may. */
+typedef enum {
+    RIGHT_COMMAND, /* launch, stop and forget tasks */
+    RIGHT_WRITE,   /* decide, and write records */
+    RIGHT_TELL,    /* answer users from memory */
+    RIGHT_RENEW    /* answer workers, which renews their leases, and stop tasks in the answer */
+} node_right;
+
 /* authority.c */
+int tw_may(const tw_core *core, node_right right);
 int tw_authority(const tw_core *core); /* may command, write and tell */
 int tw_holding(const tw_core *core);   /* may renew workers' leases, no more */
+/* Logs when authority, and the right to renew leases, begin and end. */
+void tw_rights_log(tw_core *core);
 /* Until when some earlier leader may have answered a worker that has not seen our token. */
 double tw_predecessor_end(const tw_core *core);
 /* How long a node may answer workers that can't exclude that another one leads. */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -47,7 +47,9 @@
     }
     if (job->s.gpus > 0) tw_futile_forget_without_gpus(core);
     tw_reserve_take(core, choice.machine, job);
-    log_place(core, &demand, tw_place(core, job, index, choice.machine, attempt));
+    const placement *placed = tw_place(core, job, index, choice.machine, attempt);
+    if (!placed) return 0;
+    log_place(core, &demand, placed);
     return 1;
 }
 
@@ -70,7 +72,7 @@
     placement *placed;
     placement *next;
     DL_FOREACH_SAFE2(job->live, placed, next, jnext)
-    if (placed->ver > job->ver) tw_placement_free(core, placed);
+    if (placed->ver > job->ver) tw_attempt_end_on(core, placed, END_TAKEN_BACK);
     job->next_try = next_try;
     tw_futile_forget(core);
     tw_scores_forget(core);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -4,7 +4,7 @@
 #include "core/fleet.h"
 
 /* Adds (sign 1) or takes off (-1) what the task holds. */
-static void account(tw_core *core, placement *placed, double sign) {
+void tw_placement_account(tw_core *core, placement *placed, double sign) {
     const tw_wire_job *s = &placed->job->s;
     machine *machine = placed->m;
     machine->used_c += sign * s->cores;
@@ -27,6 +27,11 @@
 
 /* The caller marks the job changed. */
 placement *tw_place(tw_core *core, job *job, int index, machine *machine, uint64_t attempt) {
+    if (job->st[index] != T_FREE) {
+        tw_invariant_broken(core, INVARIANT_PLACED_TWICE, "piece=%s/%d try=%llu tray=%s", job->id,
+                            index, (unsigned long long)attempt, machine->name);
+        return NULL;
+    }
     placement *placed = tw_zalloc(sizeof *placed);
     placed->job = job;
     placed->m = machine;
@@ -44,46 +49,11 @@
     job->nlive++;
     job->nplacements++;
     if (attempt >= job->next_try) job->next_try = attempt + 1;
-    account(core, placed, 1);
+    tw_placement_account(core, placed, 1);
     machine->idle_since = 0;
     return placed;
 }
 
-void tw_placement_leave(tw_core *core, placement *placed, int to) {
-    if (!placed->on_job) return;
-    job *job = placed->job;
-    account(core, placed, -1);
-    placed->on_job = 0;
-    DL_DELETE2(job->live, placed, jprev, jnext);
-    job->nlive--;
-    if (job->st) job->st[placed->index] = (uint8_t)to;
-    if (to == T_DONE) job->ndone++;
-    if (to == T_FREE) {
-        if (placed->index < job->cursor) job->cursor = placed->index;
-        job->pending_since = core->now;
-        if (job->s.gang) tw_gang_left(core, placed);
-    }
-    core->sched_dirty = 1;
-}
-
-void tw_placement_free(tw_core *core, placement *placed) {
-    job *job = placed->job;
-    tw_placement_leave(core, placed, T_FREE);
-    DL_DELETE(placed->m->pls, placed);
-    free(placed);
-    tw_job_unplaced(core, job);
-}
-
-void tw_placement_lost(tw_core *core, placement *placed, const char *why) {
-    job *job = placed->job;
-    const int was_on_job = placed->on_job;
-    if (was_on_job)
-        tw_log_debug("event=lost piece=%s/%d try=%llu tray=%s why=%s", job->id, placed->index,
-                     (unsigned long long)placed->attempt, placed->m->name, why);
-    tw_placement_free(core, placed);
-    if (was_on_job) tw_job_changed(core, job, 0);
-}
-
 void tw_placement_kill(tw_core *core, placement *placed, double grace_s, int preempted) {
     if (!placed->on_job) return;
     if (placed->job->s.gang) {
@@ -92,16 +62,16 @@
         tw_gang_stop(core, placed->job, grace_s);
     }
     if (!placed->sent && !placed->direct) {
-        tw_placement_lost(core, placed, "not_sent");
+        tw_attempt_end_on(core, placed, END_NOT_LAUNCHED);
         return;
     }
     if (!placed->kill) placed->kill_at = core->now;
     placed->kill = 1;
     placed->mercy_s = grace_s;
     if (preempted && !placed->preempted) {
-        account(core, placed, -1);
+        tw_placement_account(core, placed, -1);
         placed->preempted = 1;
-        account(core, placed, 1);
+        tw_placement_account(core, placed, 1);
     }
     tw_want_direct(core, placed->m);
 }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -1,7 +1,7 @@
 /* Placements: a task that runs, or may run, on a machine (placement.c). Invariants: a placement
  * stands in its machine's list until the machine surely doesn't run the task, and its amounts are
- * in use until then; it stands in its job's list until the task has ended or is lost; no two of a
- * job have the same attempt and index. Not for other packages. */
+ * in use until then; it stands in its job's list until its attempt has ended (attempt_end.h); no
+ * two of a job have the same attempt and index. Not for other packages. */
 #ifndef TW_CORE_PLACEMENT_H
 #define TW_CORE_PLACEMENT_H
 #include "core/core.h"
@@ -40,14 +40,11 @@
 enum { T_FREE, T_LIVE, T_DONE };
 
 /* placement.c */
-/* Places a task, whose amounts count from now on; the caller marks the job changed. */
+/* Places a task, whose amounts count from now on; the caller marks the job changed. NULL: an
+ * attempt of the task has not ended (attempt_end.h), which is a fault of the caller. */
 placement *tw_place(tw_core *core, job *job, int index, machine *machine, uint64_t attempt);
-/* The task is surely not on the machine and not done: it is free again. why: for the log. */
-void tw_placement_lost(tw_core *core, placement *placed, const char *why);
 /* The task is to be stopped, a gang with all its tasks; preempted: its room is promised to others.
  */
 void tw_placement_kill(tw_core *core, placement *placed, double grace_s, int preempted);
-/* Takes it out of all lists and sums and frees it; a task that was live is free again. */
-void tw_placement_free(tw_core *core, placement *placed);
 
 #endif
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -139,6 +139,7 @@
         if (!machine) machine = tw_machine_new(core, live->tray);
         if (job->st[live->index] != T_FREE) continue;
         placement *placed = tw_place(core, job, live->index, machine, live->attempt);
+        if (!placed) continue;
         placed->inherited = 1;
         placed->sent = 1;
         placed->ver = 0;
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -65,7 +65,7 @@
 /* A report that waited: answered by this node where it leads by now. Takes the body. */
 static void take_up(tw_core *core, uint64_t conn, const char *worker, char *body, double until) {
     /* A leader without power to answer must not let a report wait anew: its worker waits 4 s. */
-    if (!tw_authority(core) && !tw_holding(core)) {
+    if (!tw_may(core, RIGHT_RENEW)) {
         hand_on(core, conn, worker, body, until);
         return;
     }
--- a/src/core/relay.h
+++ b/src/core/relay.h
@@ -15,6 +15,8 @@
 void tw_deputy_key(char *key, const char *node);
 /* The leader answered the worker through this node, to a report sent to it at that time. */
 void tw_deputy_relayed(tw_core *core, const char *worker, double at);
+/* Whether this node may answer the worker in the leader's place. */
+int tw_deputy_entitled(tw_core *core, const char *worker, const char *zone);
 /* Answers a report in the leader's place, if this node is entitled to; 0: it is not, and asks to be
  * where the worker is of its zone. */
 int tw_deputy_answers(tw_core *core, uint64_t conn, const tw_wire_report *report);
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -235,9 +235,7 @@
 
 void tw_rent_tick(tw_core *core) {
     ask_types(core);
-    if (core->role != R_LEADER || core->phase != PH_ACTIVE || !tw_authority(core) ||
-        !core->nflavors)
-        return;
+    if (core->phase != PH_ACTIVE || !tw_may(core, RIGHT_COMMAND) || !core->nflavors) return;
     if (core->now >= core->next_rent) {
         core->next_rent = core->now + PLAN_EVERY_S;
         tw_plan(core);
--- a/src/core/report.c
+++ b/src/core/report.c
@@ -26,13 +26,12 @@
 
 /* The session is over: the worker has killed and forgotten all. */
 static void new_session(tw_core *core, machine *machine, const tw_wire_report *report) {
+    const attempt_end end = {.ground = END_SESSION, .report = report};
     placement *each, *next;
     int lost = 0;
     DL_FOREACH_SAFE(machine->pls, each, next) {
-        if (!each->sent && !each->inherited) continue;
-        if (!each->inherited && each->shift >= report->shift) continue;
-        lost += each->on_job;
-        tw_placement_lost(core, each, "session");
+        const int was_on_job = each->on_job;
+        if (tw_attempt_end(core, each, &end)) lost += was_on_job;
     }
     /* It reported, we answered, and still its lease lapsed: it does not hear us. */
     if (machine->confirmed &&
@@ -75,43 +74,51 @@
 }
 
 /* The answer that held the launch was lost, and is not executed late. */
-static void not_taken(tw_core *core, placement *placed) {
+static void not_taken(tw_core *core, placement *placed, const tw_wire_report *report) {
     machine *machine = placed->m;
-    placed->sent = 0;
     if (placed->kill) {
-        tw_placement_lost(core, placed, "never_started");
-    } else if (++placed->misses >= TW_DEAF_AT && machine->unresponsive < TW_DEAF_AT &&
-               deaf_believable(core)) {
+        const attempt_end end = {.ground = END_NOT_TAKEN, .report = report};
+        tw_attempt_end(core, placed, &end);
+        return;
+    }
+    placed->sent = 0;
+    if (++placed->misses >= TW_DEAF_AT && machine->unresponsive < TW_DEAF_AT &&
+        deaf_believable(core)) {
         machine->unresponsive = TW_DEAF_AT;
         tw_log_info("event=deaf tray=%s misses=%d", machine->name, placed->misses);
     }
 }
 
-/* A task that the report doesn't name. proper: no answer to direct orders. */
-static void absent(tw_core *core, placement *placed, const tw_wire_report *report, int proper) {
-    /* Only the next report proper tells: an answer to direct orders may have overtaken the answer
-     * that holds the launch. */
-    const int launch_settled = proper && !placed->direct && placed->sent_tick < report->tick;
-    const int is_known = placed->inherited || placed->seen;
+/* A task that the report doesn't name. answers_order: the report answers direct orders. */
+static void absent(tw_core *core, placement *placed, const tw_wire_report *report,
+                   int answers_order) {
+    const int not_launched = tw_launch_not_taken(placed, report, answers_order);
     const int forgotten = placed->stage == TW_PIECE_EXITED && placed->seen;
-    const int done_unseen = !is_known && launch_settled && !placed->on_job; /* with its gang */
+    const int done_unseen = not_launched && !placed->on_job; /* with its gang */
     if (forgotten || done_unseen) {
-        tw_placement_free(core, placed);
-    } else if (is_known) {
-        /* Gone, and nothing on the way could still start it: older tokens are refused. */
-        if (placed->m->confirmed && !placed->direct) tw_placement_lost(core, placed, "absent");
-    } else if (launch_settled) {
-        not_taken(core, placed);
+        tw_attempt_forget(core, placed);
+    } else if (placed->inherited || placed->seen) {
+        const attempt_end end = {
+            .ground = END_ABSENT, .report = report, .answers_order = answers_order};
+        tw_attempt_end(core, placed, &end);
+    } else if (not_launched) {
+        not_taken(core, placed, report);
     }
 }
 
 int tw_report_take(tw_core *core, machine *machine, const tw_wire_report *report,
                    tw_orders *orders) {
     const int same_session = report->shift == machine->shift;
-    if (report->shift < machine->shift || (same_session && report->tick <= machine->tick)) return 0;
+    if (report->shift < machine->shift || (same_session && report->tick <= machine->tick)) {
+        core->counters.refused[REFUSED_OLDER_REPORT]++;
+        return 0;
+    }
     /* Its lease has surely lapsed: of that session only late reports can come, held by a cut or
      * sent by a machine that goes on after it hung. Whatever they name runs no more. */
-    if (machine->lapsed && same_session) return 0;
+    if (machine->lapsed && same_session) {
+        core->counters.refused[REFUSED_LAPSED_REPORT]++;
+        return 0;
+    }
     if (machine->shift && report->shift > machine->shift) new_session(core, machine, report);
     note_machine(core, machine, report);
     core->mark++;
@@ -119,19 +126,29 @@
         placement *placed = find(machine, &report->pieces[i]);
         if (placed) {
             placed->mark = core->mark;
-            tw_task_reported(core, placed, &report->pieces[i]);
+            tw_task_reported(core, placed, report, &report->pieces[i]);
         } else {
-            tw_task_stranger(core, machine, &report->pieces[i], orders);
+            tw_task_stranger(core, machine, report, &report->pieces[i], orders);
         }
     }
     placement *each, *next;
     DL_FOREACH_SAFE(machine->pls, each, next) {
         if (each->mark == core->mark || (!each->sent && !each->inherited)) continue;
-        absent(core, each, report, orders != NULL);
+        absent(core, each, report, orders == NULL);
     }
     return 1;
 }
 
+static const tw_orders no_orders = {NULL, 0};
+
+static void reply_orders(tw_core *core, uint64_t conn, const tw_orders *orders) {
+    char *text = tw_orders_answer_text(core, orders);
+    if (text)
+        tw_reply(core, conn, TW_HTTP_OK, 0, text);
+    else
+        tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "no right to answer");
+}
+
 /* Overtaken by the answer to direct orders, or a late copy. The worker of the former must not be
  * turned away; the latter must not make a dead machine look alive. */
 static void answer_older(tw_core *core, uint64_t conn, machine *machine,
@@ -141,7 +158,7 @@
         return;
     }
     machine->renewed = core->now;
-    tw_reply(core, conn, TW_HTTP_OK, 0, tw_wire_orders_text(core->token, 0, NULL, 0));
+    reply_orders(core, conn, &no_orders);
 }
 
 static void answer(tw_core *core, uint64_t conn, machine *machine, const tw_wire_report *report) {
@@ -160,8 +177,7 @@
     tw_orders_due(core, machine, &orders, report->tick);
     machine->want_probe = machine->want_direct = 0;
     if (!machine->confirmed) tw_want_probe(core, machine);
-    tw_reply(core, conn, TW_HTTP_OK, 0,
-             tw_wire_orders_text(core->token, 0, orders.list, (size_t)orders.count));
+    reply_orders(core, conn, &orders);
 }
 
 /* A late report of a machine that we returned. */
@@ -181,11 +197,12 @@
     if (core->phase == PH_LOADING) {
         /* Renewed, nothing more: what should run there is not known yet. */
         core->load_answered = core->now;
-        tw_reply(core, conn, TW_HTTP_OK, 0, tw_wire_orders_text(core->token, 0, NULL, 0));
+        reply_orders(core, conn, &no_orders);
         return;
     }
     machine *machine = tw_machine(core, report->tray);
     if (is_returned(core, machine, report->tray)) {
+        core->counters.refused[REFUSED_RETURNED]++;
         tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "returned");
         return;
     }
@@ -210,11 +227,12 @@
     if (report->baton > core->seen_token) tw_saw_token(core, report->baton, NULL);
     if (core->role == R_LEADER && report->baton > core->token)
         tw_step_down(core, "a worker saw a later token");
-    if (core->role == R_LEADER && (tw_authority(core) || tw_holding(core)))
+    if (tw_may(core, RIGHT_RENEW))
         lead(core, conn, report, from_peer);
-    else if (from_peer)
+    else if (from_peer) {
+        core->counters.refused[REFUSED_NO_RIGHT]++;
         tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "not the leader");
-    else if (report->baton > core->leader_token) /* somebody we don't know leads by now */
+    } else if (report->baton > core->leader_token) /* somebody we don't know leads by now */
         tw_reply(core, conn, TW_HTTP_MISDIRECTED, 0, tw_wire_foreman_text(NULL));
     else
         tw_relay_hello(core, conn, report, body, length);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -6,6 +6,7 @@
 #include "core/budget.h"
 #include "core/call.h"
 #include "core/core.h"
+#include "core/counters.h"
 #include "core/expiring.h"
 #include "core/job.h"
 #include "core/machine.h"
@@ -26,13 +27,15 @@
     call *calls;
     unsigned calls_made[K_KINDS], calls_refused; /* to the state service, since the last log line */
     double next_calls_log;
+    tw_counters counters;
     uint64_t next_call;
 
     /* election */
     node_role role;
     leader_phase phase;
-    double load_answered; /* last report answered while the records were read */
-    uint64_t term;        /* changes with each term: calls of another term are ignored */
+    int commanded, renewed_leases; /* rights when last looked at, for the log */
+    double load_answered;          /* last report answered while the records were read */
+    uint64_t term;                 /* changes with each term: calls of another term are ignored */
     uint64_t hold, token, seen_token;
     double ttl, auth_until, acquired_at, next_renew, next_poll;
     int renew_busy, poll_busy, electing;
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -34,8 +34,10 @@
         tw_sick_blame(core, placed, elsewhere);
 }
 
-static void exited(tw_core *core, placement *placed, const tw_wire_piece *told) {
+static void exited(tw_core *core, placement *placed, const tw_wire_report *report,
+                   const tw_wire_piece *told) {
     job *job = placed->job;
+    const attempt_end end = {.ground = END_EXITED, .report = report, .told = told};
     placed->stage = TW_PIECE_EXITED;
     placed->cause = told->cause;
     if (!placed->on_job) return;
@@ -45,29 +47,23 @@
         tw_learn_run(core, placed);
         job->errors = 0;
         if (placed->run_at > placed->m->failed_at) tw_sick_well(core, placed->m);
-        tw_placement_leave(core, placed, T_DONE);
-        if (job->s.gang) tw_gang_done(core, job);
         break;
     case TW_CAUSE_STOPPED:
         if (told->saved) job->resumed = job->gang.saved = 1;
-        tw_placement_leave(core, placed, T_FREE);
         break;
     case TW_CAUSE_PEERS: /* no fault of the machine, nor of the job */
     case TW_CAUSE_ALONE:
-        tw_placement_leave(core, placed, T_FREE);
         break;
     case TW_CAUSE_ERROR:
     case TW_CAUSE_NO_SUCH:
         if (!over) note_error(core, placed, told->cause);
-        tw_placement_leave(core, placed, T_FREE);
         break;
     default:
         job->retry_at = core->now + RETRY_REFUSED_REPORTS * core->cf->report_s;
-        tw_placement_leave(core, placed, T_FREE);
         break;
     }
-    tw_log_debug("event=exited piece=%s/%d tray=%s cause=%d", job->id, placed->index,
-                 placed->m->name, told->cause);
+    tw_attempt_end(core, placed, &end);
+    if (told->cause == TW_CAUSE_DONE && job->s.gang) tw_gang_done(core, job);
     if (!over && job->ndone == job->pieces)
         tw_job_finish(core, job, TW_STAGE_DONE);
     else
@@ -86,7 +82,8 @@
     tw_image_note(core, placed->m, job, 1);
 }
 
-void tw_task_reported(tw_core *core, placement *placed, const tw_wire_piece *told) {
+void tw_task_reported(tw_core *core, placement *placed, const tw_wire_report *report,
+                      const tw_wire_piece *told) {
     machine *machine = placed->m;
     job *job = placed->job;
     if (!placed->seen) {
@@ -96,7 +93,7 @@
     placed->seen = placed->sent = 1;
     if (placed->stage == TW_PIECE_EXITED) return;
     if (told->stage == TW_PIECE_EXITED) {
-        exited(core, placed, told);
+        exited(core, placed, report, told);
         return;
     }
     const int waits = told->stage == TW_PIECE_WAITING && placed->stage != TW_PIECE_WAITING;
@@ -140,8 +137,8 @@
             told->job);
 }
 
-void tw_task_stranger(tw_core *core, machine *machine, const tw_wire_piece *told,
-                      tw_orders *orders) {
+void tw_task_stranger(tw_core *core, machine *machine, const tw_wire_report *report,
+                      const tw_wire_piece *told, tw_orders *orders) {
     job *job = tw_job_find(core, told->job);
     if (job && (!job->st || job->stage != TW_STAGE_PENDING || told->index >= job->pieces))
         job = NULL;
@@ -152,10 +149,11 @@
     if (job && job->st[told->index] == T_FREE && tw_zone_allows(core, job, machine->yard) &&
         tw_quota_allows(core, job, 1)) {
         placement *placed = tw_place(core, job, told->index, machine, told->attempt);
+        if (!placed) return;
         placed->inherited = 1;
         placed->mark = core->mark;
         if (job->s.gang && job->nlive == 1) tw_gang_adopted(job);
-        tw_task_reported(core, placed, told);
+        tw_task_reported(core, placed, report, told);
         tw_job_changed(core, job, 0);
         tw_log_info("event=adopted piece=%s/%d tray=%s", told->job, told->index, machine->name);
         return;
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -25,7 +25,7 @@
     HASH_ITER(hh, core->jobs, job, next_job) turn_waiters_away(core, job);
     HASH_ITER(hh, core->machines, machine, next_machine) {
         placement *placed, *next;
-        DL_FOREACH_SAFE(machine->pls, placed, next) tw_placement_free(core, placed);
+        DL_FOREACH_SAFE(machine->pls, placed, next) tw_attempt_end_on(core, placed, END_TERM);
         tw_machine_drop(core, machine, NULL);
     }
     HASH_ITER(hh, core->jobs, job, next_job) tw_job_free(core, job);
--- a/src/core/user_requests.c
+++ b/src/core/user_requests.c
@@ -21,14 +21,13 @@
 
 /* At the leader, authority is what counts; see docs/design.md, "What users are told". */
 static int leads(const tw_core *core) {
-    return core->role == R_LEADER && core->phase == PH_ACTIVE && tw_authority(core);
+    return core->phase == PH_ACTIVE && tw_may(core, RIGHT_TELL);
 }
 
 /* ---- by the state service, or by the leader ---- */
 
 void tw_job_lookup(tw_core *core, uint64_t conn, const char *id, user_operation op) {
-    if (!tw_take(core, core->role == R_LEADER && tw_authority(core) ? &core->reqs : &core->reads,
-                 1)) {
+    if (!tw_take(core, tw_may(core, RIGHT_WRITE) ? &core->reqs : &core->reads, 1)) {
         tw_reply_error(core, conn, TW_HTTP_UNAVAILABLE, 1, "busy");
         return;
     }
