A later session ends a predecessor's attempt only where the machine knows our token

Cause: after a change of leader, a copy of a report of an earlier session came first, then one from the session in which the predecessor had launched, from before the launch. Which session a predecessor launched in is not in the record. Change: an inherited attempt ends by a later session only if the machine was known to refuse older tokens in an earlier one; else the report that confirms our token ends it as absent, or the lease does. Conclusion: the class is an action on stale knowledge: newer than what was known was taken for newer than the launch.

--- a/src/core/attempt_end.c
+++ b/src/core/attempt_end.c
@@ -45,9 +45,12 @@
     return placed->sent || placed->direct || placed->inherited;
 }
 
-/* A worker kills and forgets all with its session. Ours was launched in a session that we know. */
+/* A worker kills and forgets all with its session. Ours was launched in a session that we know. In
+ * which one a predecessor launched is not known: it may be the reported one, after this report or by
+ * a message still on its way, unless the machine refused the predecessor in an earlier session
+ * already. (`confirmed` is as of before this report; one that confirms ends it as absent.) */
 static int is_of_earlier_session(const placement *placed, const tw_wire_report *report) {
-    if (placed->inherited) return 1;
+    if (placed->inherited) return placed->m->confirmed;
     return placed->sent && placed->shift < report->shift;
 }
 
