--- a/search/draw.c
+++ b/search/draw.c
@@ -7,7 +7,14 @@
 /* Moments of a day, in seconds. */
 enum { FIRST_ANCHOR_S = 8, LAST_ANCHOR_S = 40, ANCHORS_APART_S = 30 };
 /* Shares of days, in percent. */
-enum { PROMISES = 10, FLOODS = 8, LONG_DAYS = 15, REQUEST_LIMITS = 15, GANG_DAYS = 50 };
+enum {
+    PROMISES = 10,
+    FLOODS = 8,
+    LONG_DAYS = 15,
+    REQUEST_LIMITS = 15,
+    GANG_DAYS = 50,
+    SUCCESSOR_DAYS = 25
+};
 enum { WORLD_SEED_MAX = 9999 };
 enum { TROUBLES_MIN = 2, TROUBLES_MAX = 6 };
 /* After the last trouble of a long day: more than a job may wait by the liveness rules. */
@@ -94,14 +101,20 @@
     const int calm = tw_search_dice_percent(dice, LONG_DAYS)
                          ? CALM_S * TW_SEARCH_SECOND
                          : plan->lease + plan->cancel + 5 * TW_SEARCH_SECOND;
-    const int last = plan->last;
+    int last = plan->last;
     tw_search_until(plan, last + calm);
     /* Drawn last: days without it stay as they were. */
     if (tw_search_dice_percent(dice, REQUEST_LIMITS))
         tw_search_day_add(plan->day, "set rps %d", TW_SEARCH_ONE_OF(dice, 10, 15, 20, 30));
-    if (!tw_search_dice_percent(dice, GANG_DAYS)) return;
+    if (tw_search_dice_percent(dice, GANG_DAYS)) {
+        plan->last = last;
+        tw_search_draw_gangs(plan);
+        last = plan->last;
+        tw_search_until(plan, last + calm);
+    }
+    if (!tw_search_dice_percent(dice, SUCCESSOR_DAYS)) return;
     plan->last = last;
-    tw_search_draw_gangs(plan);
+    tw_search_draw_successors(plan);
     tw_search_until(plan, plan->last + calm);
 }
 
--- /dev/null
+++ b/search/draw_successors.c
@@ -0,0 +1,57 @@
+/* Troubles in which a leader has old news from before a predecessor's last deeds: copies of reports
+ * of several sessions that wait for it, while the machines themselves are silent; and a node that
+ * stands still between deciding and sending, so that what it sends is old. */
+#include "plan.h"
+
+/* Hundredths of a second. */
+enum {
+    LAST_COPIES_MIN = 50, /* how long copies are made in the new session */
+    LAST_COPIES_MAX = 300,
+    LAUNCHED_MIN = 100, /* from a job's submission to the end of its leader */
+    LAUNCHED_MAX = 400,
+    BACK_MIN = 100,
+    BACK_MAX = 800
+};
+enum { TASKS_MAX = 6, STANDS_STILL = 30 }; /* percent of days */
+
+static tw_search_seconds seconds(tw_search_plan *plan, int least, int most) {
+    return tw_search_seconds_of(tw_search_dice_range(&plan->dice, least, most));
+}
+
+/* All sessions end, and copies from before and after reach the leader after the next one: it has
+ * the machines' news only through them, for they hang. */
+static void draw_sessions(tw_search_plan *plan) {
+    tw_search_dice *dice = &plan->dice;
+    int when = tw_search_near(plan, tw_search_anchor(plan));
+    if (when < 3 * TW_SEARCH_SECOND) when = 3 * TW_SEARCH_SECOND;
+    tw_search_at(plan, when, "latereports 1 %s next 2",
+                 tw_search_seconds_of(plan->report * 3).text);
+    when += plan->report * 3;
+    const int away = plan->lease * tw_search_dice_range(dice, 105, 150) / 100;
+    tw_search_at(plan, when, "kill all %s", tw_search_seconds_of(away).text);
+    when += away + 2 * plan->term + plan->report;
+    tw_search_at(plan, when, "latereports 1 %s next",
+                 seconds(plan, LAST_COPIES_MIN, LAST_COPIES_MAX).text);
+    when += LAST_COPIES_MAX;
+    tw_search_at(plan, when, "submit run-%06d pieces=%d expect=30", ++plan->jobs,
+                 tw_search_dice_range(dice, 1, TASKS_MAX));
+    when += tw_search_dice_range(dice, LAUNCHED_MIN, LAUNCHED_MAX);
+    const int hangs = plan->lease * tw_search_dice_range(dice, 40, 90) / 100;
+    for (int machine = 0; machine < plan->machines; machine++)
+        if (tw_search_dice_half(dice))
+            tw_search_at(plan, when, "hang %d %s", machine, tw_search_seconds_of(hangs).text);
+    tw_search_at(plan, when + tw_search_dice_range(dice, 0, TW_SEARCH_SECOND), "kill leader %s",
+                 seconds(plan, BACK_MIN, BACK_MAX).text);
+    tw_search_until(plan, when + hangs);
+}
+
+void tw_search_draw_successors(tw_search_plan *plan) {
+    tw_search_dice *dice = &plan->dice;
+    draw_sessions(plan);
+    if (!tw_search_dice_percent(dice, STANDS_STILL)) return;
+    const int when = tw_search_near(plan, tw_search_anchor(plan));
+    const int length = tw_search_dice_range(dice, plan->term / 2, plan->lease * 3 / 2);
+    tw_search_at(plan, when < TW_SEARCH_SECOND ? TW_SEARCH_SECOND : when, "latesends leader %s",
+                 tw_search_seconds_of(length).text);
+    tw_search_until(plan, when + length);
+}
--- a/sim/node.c
+++ b/sim/node.c
@@ -65,25 +65,59 @@
     if (at) memmove(at, at + sizeof field - 1, strlen(at + sizeof field - 1) + 1);
 }
 
+static int is_over(const tw_sim *sim, int node, int generation) {
+    return !sim->nodes[node].alive || sim->nodes[node].generation != generation;
+}
+
+/* An effect leaves the node. Takes it. */
+static void send(tw_sim *sim, int node, tw_fx *f) {
+    if (f->kind == TW_FX_REPLY)
+        answer(sim, node, f);
+    else
+        tw_sim_call(sim, node, f);
+    tw_core_fx_free(f);
+}
+
+static void send_unsent(tw_sim *sim, tw_sim_event *e) {
+    tw_sim_node *n = &sim->nodes[e->node];
+    if (is_over(sim, e->node, e->generation) || sim->world.now < n->sends_late_until) return;
+    tw_fx *unsent = n->unsent;
+    n->unsent = NULL;
+    while (unsent) {
+        tw_fx *f = unsent;
+        unsent = f->next;
+        send(sim, e->node, f);
+    }
+}
+
+void tw_sim_node_sends_late(tw_sim *sim, int node) {
+    tw_sim_event *e = tw_sim_at(sim, sim->nodes[node].sends_late_until, send_unsent);
+    e->node = node;
+    e->generation = sim->nodes[node].generation;
+    sim->strokes[TW_SIM_LATE_SENDS]++;
+}
+
+static void keep_unsent(tw_sim_node *n, tw_fx *f) {
+    if (!n->unsent) n->last_unsent = &n->unsent;
+    f->next = NULL;
+    *n->last_unsent = f;
+    n->last_unsent = &f->next;
+}
+
 static void drain(tw_sim *sim, int node) {
     tw_sim_controller *controller = sim->nodes[node].controller;
     tw_fx *f;
     while ((f = controller->methods->next(controller))) {
         if (sim->world.now < sim->nodes[node].old_format_until) in_old_format(f->body);
-        if (f->kind == TW_FX_REPLY)
-            answer(sim, node, f);
+        if (sim->world.now < sim->nodes[node].sends_late_until)
+            keep_unsent(&sim->nodes[node], f);
         else
-            tw_sim_call(sim, node, f);
-        tw_core_fx_free(f);
+            send(sim, node, f);
     }
     if (controller->failure)
         tw_sim_break(&sim->world, "ended", "%s: %s", sim->world.nodes[node], controller->failure);
 }
 
-static int is_over(const tw_sim *sim, int node, int generation) {
-    return !sim->nodes[node].alive || sim->nodes[node].generation != generation;
-}
-
 static int stands_still(const tw_sim *sim, int node) {
     return sim->world.now < sim->nodes[node].still_until;
 }
@@ -215,7 +249,12 @@
     tw_sim_node *n = &sim->nodes[node];
     if (!n->alive) return;
     n->alive = 0;
-    n->still_until = 0;
+    n->still_until = n->sends_late_until = 0;
+    while (n->unsent) {
+        tw_fx *f = n->unsent;
+        n->unsent = f->next;
+        tw_core_fx_free(f);
+    }
     tw_sim_conn *c, *next;
     HASH_ITER(hh, sim->conns, c, next) {
         int open = c->kind == TW_SIM_CONN_USER && c->arrived && !c->replied;
--- a/sim/report.c
+++ b/sim/report.c
@@ -91,12 +91,17 @@
     uint64_t version = tw_sim_state_version(&sim->world.state, "leader");
     if (!version || version == t->leader_version) return;
     t->leader_version = version;
-    if (t->nkept) tw_sim_trouble_for(sim, KEPT_SPREAD_S);
+    int still_kept = 0;
     for (int i = 0; i < t->nkept; i++) {
+        if (--t->kept[i].leaders > 0) {
+            t->kept[still_kept++] = t->kept[i];
+            continue;
+        }
         for (int n = 0; n < sim->world.nnodes; n++) carry_kept(sim, &t->kept[i], n);
         free(t->kept[i].body);
     }
-    t->nkept = 0;
+    if (still_kept < t->nkept) tw_sim_trouble_for(sim, KEPT_SPREAD_S);
+    t->nkept = still_kept;
 }
 
 /* A copy of a report arrives again much later, at any node, or when a new leader begins. */
@@ -106,8 +111,11 @@
     if (!tw_sim_strikes(sim, &t->late_reports, TW_SIM_LATE_REPORTS, TW_SIM_DRAW_REPORTS)) return;
     if (t->late_reports_kept) {
         t->kept = tw_sim_grow(t->kept, t->nkept, &t->kept_cap, sizeof *t->kept);
-        t->kept[t->nkept++] =
-            (tw_sim_kept){machine, w->workers[machine]->session, w->now, tw_sim_text(body)};
+        t->kept[t->nkept++] = (tw_sim_kept){.machine = machine,
+                                            .leaders = t->late_reports_kept,
+                                            .session = w->workers[machine]->session,
+                                            .sent = w->now,
+                                            .body = tw_sim_text(body)};
         return;
     }
     double seconds = tw_sim_draw(w, TW_SIM_DRAW_REPORTS, TW_SIM_HELD_LEAST_S,
--- a/sim/sim_int.h
+++ b/sim/sim_int.h
@@ -40,6 +40,8 @@
     double cut_state_until;         /* the state service alone can't be reached */
     int cut_state_refuses;          /* connections are refused; otherwise they hang */
     double still_from, still_until; /* stands still while its clocks run on */
+    double sends_late_until;        /* what it decides leaves only then, while its clocks run on */
+    tw_fx *unsent, **last_unsent;
 } tw_sim_node;
 
 enum { TW_SIM_CONN_REPORT, TW_SIM_CONN_USER, TW_SIM_CONN_PEER, TW_SIM_CONN_RAW };
@@ -64,9 +66,10 @@
     double share, until;
 } tw_sim_share;
 
-/* A report kept for the next leader. */
+/* A report kept for the next leader, or for a later one. */
 typedef struct {
     int machine;
+    int leaders; /* that begin until it arrives */
     uint64_t session;
     double sent;
     char *body;
@@ -82,6 +85,7 @@
     TW_SIM_LATE_COMMANDS,
     TW_SIM_CUT_STATE,
     TW_SIM_SLOW_NODE,
+    TW_SIM_LATE_SENDS,
     TW_SIM_CLOSE_LOOKS,
     TW_SIM_CANCEL_AT_END,
     TW_SIM_CANCEL_NOW,
@@ -92,7 +96,7 @@
 /* Troubles that are on. */
 typedef struct {
     tw_sim_share late_writes, lost_writes, late_reports, late_commands;
-    int late_reports_kept; /* the copies are kept for the next leader */
+    int late_reports_kept; /* the copies are kept for that many leaders; 0: they aren't */
     tw_sim_kept *kept;
     int nkept, kept_cap;
     uint64_t leader_version; /* of the leader's key, when last looked at */
@@ -177,6 +181,8 @@
 int tw_sim_node_start(tw_sim *sim, int node, char *error, size_t error_size);
 void tw_sim_node_start_after(tw_sim *sim, int node, double seconds);
 void tw_sim_node_kill(tw_sim *sim, int node);
+/* What the node has decided leaves when its `sends_late_until` has come. */
+void tw_sim_node_sends_late(tw_sim *sim, int node);
 /* The node that holds the leader's key; -1: none. */
 int tw_sim_leader(tw_sim *sim);
 /* By name, or "leader"; -1: none. */
--- a/sim/trouble.c
+++ b/sim/trouble.c
@@ -85,6 +85,13 @@
     sim->strokes[TW_SIM_SLOW_NODE]++;
 }
 
+static void late_sends(tw_sim *sim, const tw_sim_words *w) {
+    tw_sim_node *n = node(sim, w);
+    if (!n || !n->alive) return;
+    n->sends_late_until = sim->world.now + number(w, 2);
+    tw_sim_node_sends_late(sim, (int)(n - sim->nodes));
+}
+
 static void no_workers(tw_sim *sim, const tw_sim_words *w) {
     tw_sim_node *n = node(sim, w);
     if (n) n->no_workers_until = sim->world.now + number(w, 2);
@@ -214,7 +221,8 @@
 
 static void late_reports(tw_sim *sim, const tw_sim_words *w) {
     double held_s = TW_SIM_REPORT_HELD_MOST_LEASES * sim->world.lease_s;
-    sim->trouble.late_reports_kept = w->n > 3 && !strcmp(w->word[3], "next");
+    const int kept = w->n > 3 && !strcmp(w->word[3], "next");
+    sim->trouble.late_reports_kept = kept ? (int)fmax(1, number(w, 4)) : 0;
     set_share(sim, w, &sim->trouble.late_reports, sim->trouble.late_reports_kept ? 0 : held_s);
 }
 
@@ -265,5 +273,6 @@
                                                   {"mute", 3, 2, mute},
                                                   {"cutstate", 4, 2, cut_state},
                                                   {"slownode", 3, 2, slow_node},
+                                                  {"latesends", 3, 2, late_sends},
                                                   {"bootfast", 2, 1, fast_boots},
                                                   {NULL, 0, 0, NULL}};
--- a/sim/user.c
+++ b/sim/user.c
@@ -60,8 +60,9 @@
     else
         tw_sim_judge_bad(&sim->world, c->what, status);
     const tw_sim_node *n = &sim->nodes[c->node];
-    int excused = !status && (!n->alive || c->sent < n->still_until ||
-                              tw_sim_cut_off(sim, sim->world.node_zone[c->node]));
+    int excused =
+        !status && (!n->alive || c->sent < n->still_until || c->sent < n->sends_late_until ||
+                    tw_sim_cut_off(sim, sim->world.node_zone[c->node]));
     /* What depends on the machine types or on the state service may have to wait. */
     int undecided = c->wanted != TW_SIM_MALFORMED &&
                     (!status || status == TW_SIM_TOO_MANY || status == TW_SIM_UNAVAILABLE);
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -129,8 +129,10 @@
         else
             tw_job_changed(core, job, 0);
     }
-    /* Only a machine that refuses older tokens can't be made to start it again. */
-    if (orders && machine->confirmed && (!job || !done || job->ver == job->durable_ver))
+    /* Only a machine that refuses older tokens can't be made to start it again; and without
+     * authority another leader may know of it. */
+    if (orders && tw_may(core, RIGHT_COMMAND) && machine->confirmed &&
+        (!job || !done || job->ver == job->durable_ver))
         tw_orders_add(
             orders,
             (tw_wire_order){.verb = TW_VERB_FORGET, .index = told->index, .attempt = told->attempt},
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -7,6 +7,12 @@
 #define LEAST_PAUSE_S 0.4
 #define MOST_PAUSE_S 4.0
 #define LONGEST_LEASES 1.6
+/* Plans in which a successor has old news of the machines; see add_successor. */
+#define SUCCESSOR_SHARE 0.4
+#define SESSIONS_LEAST 1.05 /* leases */
+#define SESSIONS_MOST 1.3
+#define COPIES_LEAST_S 1.5
+#define COPIES_MOST_S 4.0
 
 static const char *const names[FAULT_KINDS] = {
     "kill",         "kill_all",     "freeze",        "leaders",      "cut_peers",
@@ -72,6 +78,29 @@
     return fault;
 }
 
+static void add(soak_plan *plan, const soak_fault *fault) {
+    if (plan->fault_count < SOAK_MOST_FAULTS) plan->faults[plan->fault_count++] = *fault;
+}
+
+/* All sessions end while copies of reports are kept; then, just after launches, machines hang and
+ * the leader ends: its successor has older news of the machines than the launches. */
+static void add_successor(gsl_rng *rng, soak_plan *plan, double at_s, double lease_s) {
+    const double away_s = draw(rng, SESSIONS_LEAST, SESSIONS_MOST) * lease_s;
+    const double copies_s = away_s + draw(rng, COPIES_LEAST_S, COPIES_MOST_S);
+    const double end_s = at_s + copies_s + draw(rng, 0, COPIES_MOST_S);
+    const soak_fault chain[] = {
+        {.at_s = at_s, .kind = FAULT_KEPT_REPORTS, .lasts_s = copies_s, .share = 1},
+        {.at_s = at_s + 1, .kind = FAULT_SESSIONS, .lasts_s = away_s, .node = -1},
+        {.at_s = end_s, .kind = FAULT_HANG, .lasts_s = 0.8 * lease_s, .share = 1},
+        {.at_s = end_s,
+         .kind = FAULT_KILL,
+         .lasts_s = 0.6 * lease_s,
+         .node = -1,
+         .moment = MOMENT_LAUNCH},
+    };
+    for (size_t i = 0; i < sizeof chain / sizeof *chain; i++) add(plan, &chain[i]);
+}
+
 void soak_plan_make(soak_plan *plan, unsigned seed, double troubles_s, double lease_s) {
     gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(rng, seed);
@@ -81,9 +110,12 @@
     plan->machines = draw_index(rng, 10) ? 10 + draw_index(rng, 40) : 120;
     double at_s = FIRST_FAULT_S;
     while (at_s < troubles_s && plan->fault_count < SOAK_MOST_FAULTS) {
-        plan->faults[plan->fault_count++] = draw_fault(rng, plan, at_s, lease_s);
+        const soak_fault fault = draw_fault(rng, plan, at_s, lease_s);
+        add(plan, &fault);
         at_s += draw(rng, LEAST_PAUSE_S, MOST_PAUSE_S);
     }
+    if (gsl_rng_uniform(rng) < SUCCESSOR_SHARE)
+        add_successor(rng, plan, draw(rng, FIRST_FAULT_S, 0.5 * troubles_s), lease_s);
     gsl_rng_free(rng);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -89,9 +89,10 @@
 
 /* ---- the run ---- */
 
-/* A copy of a report, kept for the next leader. */
+/* A copy of a report, kept for the next leader or a later one. */
 typedef struct {
     int machine;
+    int leaders; /* that begin until it arrives */
     char *body;
 } soak_kept;
 
--- a/tests/soak/workers.c
+++ b/tests/soak/workers.c
@@ -8,6 +8,7 @@
 #define LEAST_HELD_S 1.0
 #define HELD_LEASES 2.5
 #define KEPT_SPREAD_S 0.3
+#define KEPT_MOST_LEADERS 3
 #define FIRST_HOST_DIGIT 3
 
 /* A report on its way to a controller. */
@@ -109,19 +110,25 @@
     }
     if (soak_strikes(run, &run->kept_reports)) {
         run->kept = tw_sim_grow(run->kept, run->kept_count, &run->kept_cap, sizeof *run->kept);
-        run->kept[run->kept_count++] = (soak_kept){machine, tw_sim_text(body)};
+        const int leaders = 1 + soak_draw_index(run, KEPT_MOST_LEADERS);
+        run->kept[run->kept_count++] = (soak_kept){machine, leaders, tw_sim_text(body)};
     }
 }
 
 void soak_new_leader(soak *run) {
+    int still_kept = 0;
     for (int i = 0; i < run->kept_count; i++) {
+        if (--run->kept[i].leaders > 0) {
+            run->kept[still_kept++] = run->kept[i];
+            continue;
+        }
         for (int node = 0; node < run->plan.nodes; node++) {
             report *copy = make(run, run->kept[i].machine, node, run->kept[i].body, 0);
             soak_after(run, soak_draw(run, 0, KEPT_SPREAD_S), arrives, copy);
         }
         free(run->kept[i].body);
     }
-    run->kept_count = 0;
+    run->kept_count = still_kept;
 }
 
 static void send_report(soak *run, int machine) {
