--- a/sim/expect.c
+++ b/sim/expect.c
@@ -113,9 +113,9 @@
 /* How often a trouble struck. */
 static int struck(expectation *x) {
     static const char *const names[TW_SIM_STROKES] = {
-        "latewrites",   "lostwrites", "latereports", "mute",      "deaf",
-        "latecommands", "cutstate",   "slownode",    "latesends", "closelooks",
-        "cancelatend",  "cancelnow",  "oddrequests"};
+        "latewrites",   "lostwrites",  "latereports", "mute",       "deaf",
+        "latecommands", "cutstate",    "slownode",    "latesends",  "repeatcommands",
+        "closelooks",   "cancelatend", "cancelnow",   "oddrequests"};
     for (int i = 0; i < TW_SIM_STROKES; i++)
         if (!strcmp(names[i], x->arg[0]))
             return in_range(x, x->sim->strokes[i], x->arg[1], x->arg[2]);
--- a/sim/network.c
+++ b/sim/network.c
@@ -230,6 +230,23 @@
     return 1;
 }
 
+/* A direct command that is carried out comes once more later; nobody waits for that answer. */
+static void repeat_command(tw_sim *sim, int node, int machine, const tw_fx *f) {
+    const tw_sim_troubles *t = &sim->trouble;
+    if (strcmp(f->path, "/orders") != 0 ||
+        !tw_sim_strikes(sim, &t->repeated_commands, TW_SIM_REPEATED_COMMANDS, TW_SIM_DRAW_REPEATS))
+        return;
+    const double seconds = tw_sim_draw(&sim->world, TW_SIM_DRAW_REPEATS, TW_SIM_HELD_LEAST_S,
+                                       TW_SIM_COMMAND_HELD_MOST_S);
+    tw_sim_event *e = tw_sim_after(sim, seconds, command_arrives);
+    e->node = node;
+    e->generation = sim->nodes[node].generation;
+    e->target = machine;
+    e->method = f->method;
+    e->path = tw_sim_text(f->path);
+    e->body = tw_sim_text(f->body ? f->body : "");
+}
+
 static void call_worker(tw_sim *sim, int node, tw_fx *f) {
     const tw_sim_world *w = &sim->world;
     int to = tw_sim_int(f->addr + strlen("10.1.0.")) - 1;
@@ -239,6 +256,7 @@
     if (w->now < x->deaf_until) sim->strokes[TW_SIM_DEAF]++;
     if (seconds < 0 || w->now < x->deaf_until || w->now < sim->nodes[node].no_workers_until) return;
     int late = command_late(sim, to, f, &seconds);
+    if (!late) repeat_command(sim, node, to, f);
     tw_sim_event *e = carry(sim, seconds, command_arrives, node, f);
     e->target = to;
     if (late) e->id = 0;
--- a/sim/sim_int.h
+++ b/sim/sim_int.h
@@ -86,6 +86,7 @@
     TW_SIM_CUT_STATE,
     TW_SIM_SLOW_NODE,
     TW_SIM_LATE_SENDS,
+    TW_SIM_REPEATED_COMMANDS,
     TW_SIM_CLOSE_LOOKS,
     TW_SIM_CANCEL_AT_END,
     TW_SIM_CANCEL_NOW,
@@ -95,7 +96,7 @@
 
 /* Troubles that are on. */
 typedef struct {
-    tw_sim_share late_writes, lost_writes, late_reports, late_commands;
+    tw_sim_share late_writes, lost_writes, late_reports, late_commands, repeated_commands;
     int late_reports_kept; /* the copies are kept for that many leaders; 0: they aren't */
     tw_sim_kept *kept;
     int nkept, kept_cap;
--- a/sim/trouble.c
+++ b/sim/trouble.c
@@ -219,6 +219,10 @@
     set_share(sim, w, &sim->trouble.late_commands, TW_SIM_COMMAND_HELD_MOST_S);
 }
 
+static void repeated_commands(tw_sim *sim, const tw_sim_words *w) {
+    set_share(sim, w, &sim->trouble.repeated_commands, TW_SIM_COMMAND_HELD_MOST_S);
+}
+
 static void late_reports(tw_sim *sim, const tw_sim_words *w) {
     double held_s = TW_SIM_REPORT_HELD_MOST_LEASES * sim->world.lease_s;
     const int kept = w->n > 3 && !strcmp(w->word[3], "next");
@@ -270,6 +274,7 @@
                                                   {"lostwrites", 3, 2, lost_writes},
                                                   {"latereports", 3, 2, late_reports},
                                                   {"latecommands", 3, 2, late_commands_share},
+                                                  {"repeatcommands", 3, 2, repeated_commands},
                                                   {"mute", 3, 2, mute},
                                                   {"cutstate", 4, 2, cut_state},
                                                   {"slownode", 3, 2, slow_node},
