A machine lists an attempt while its direct launch may come once more

The proof took an answered launch for settled for good. Change: an attempt that was launched directly is forgotten no sooner than 12 leases after that was sent, one that is done 3 leases; meanwhile it keeps no machine. What works on a machine is asked in one place (tw_machine_works), which looks at tasks of jobs, not at the list.

--- a/search/draw.c
+++ b/search/draw.c
@@ -13,7 +13,8 @@
     LONG_DAYS = 15,
     REQUEST_LIMITS = 15,
     GANG_DAYS = 50,
-    SUCCESSOR_DAYS = 25
+    SUCCESSOR_DAYS = 25,
+    REPEAT_DAYS = 25
 };
 enum { WORLD_SEED_MAX = 9999 };
 enum { TROUBLES_MIN = 2, TROUBLES_MAX = 6 };
@@ -112,9 +113,15 @@
         last = plan->last;
         tw_search_until(plan, last + calm);
     }
-    if (!tw_search_dice_percent(dice, SUCCESSOR_DAYS)) return;
+    if (tw_search_dice_percent(dice, SUCCESSOR_DAYS)) {
+        plan->last = last;
+        tw_search_draw_successors(plan);
+        last = plan->last;
+        tw_search_until(plan, last + calm);
+    }
+    if (!tw_search_dice_percent(dice, REPEAT_DAYS)) return;
     plan->last = last;
-    tw_search_draw_successors(plan);
+    tw_search_draw_repeats(plan);
     tw_search_until(plan, plan->last + calm);
 }
 
--- a/search/draw_successors.c
+++ b/search/draw_successors.c
@@ -1,6 +1,7 @@
-/* Troubles in which a leader has old news from before a predecessor's last deeds: copies of reports
- * of several sessions that wait for it, while the machines themselves are silent; and a node that
- * stands still between deciding and sending, so that what it sends is old. */
+/* Troubles with messages that are old or come twice: those in which a leader has old news from
+ * before a predecessor's last deeds: copies of reports of several sessions that wait for it, while
+ * the machines themselves are silent; and a node that stands still between deciding and sending, so
+ * that what it sends is old. */
 #include "plan.h"
 
 /* Hundredths of a second. */
@@ -12,7 +13,8 @@
     BACK_MIN = 100,
     BACK_MAX = 800
 };
-enum { TASKS_MAX = 6, STANDS_STILL = 30 }; /* percent of days */
+enum { TASKS_MAX = 6 };
+enum { STANDS_STILL = 30 }; /* percent of days */
 
 static tw_search_seconds seconds(tw_search_plan *plan, int least, int most) {
     return tw_search_seconds_of(tw_search_dice_range(&plan->dice, least, most));
@@ -55,3 +57,12 @@
                  tw_search_seconds_of(length).text);
     tw_search_until(plan, when + length);
 }
+
+void tw_search_draw_repeats(tw_search_plan *plan) {
+    tw_search_dice *dice = &plan->dice;
+    const int from = tw_search_dice_range(dice, TW_SEARCH_SECOND, plan->anchor[0]);
+    const int length = tw_search_dice_range(dice, plan->lease, 4 * plan->lease);
+    const tw_search_seconds share = tw_search_seconds_of(TW_SEARCH_ONE_OF(dice, 10, 30, 60, 100));
+    tw_search_at(plan, from, "repeatcommands %s %s", share.text, tw_search_seconds_of(length).text);
+    tw_search_until(plan, from + length);
+}
--- a/search/draw_upgrade.c
+++ b/search/draw_upgrade.c
@@ -28,11 +28,12 @@
     if (roll->plan.nodes > TW_SEARCH_NODES_MAX) abort();
 }
 
-/* What a day expects holds with its own troubles; the rules hold with any. */
-static void drop_expectations(tw_search_day *day) {
+/* What a day expects holds with its own troubles; the rules hold with any. Commands that come once
+ * more break a rule with the version in production (scenario repeated_launch). */
+static void drop_unfit(tw_search_day *day) {
     size_t kept = 0;
     for (size_t i = 0; i < day->count; i++) {
-        if (strstr(day->lines[i], " expect "))
+        if (strstr(day->lines[i], " expect ") || strstr(day->lines[i], " repeatcommands "))
             free(day->lines[i]);
         else
             day->lines[kept++] = day->lines[i];
@@ -98,7 +99,7 @@
 void tw_search_draw_upgrade(uint32_t seed, tw_search_day *day) {
     roll roll = {.plan = {.day = day}};
     tw_search_draw(seed, day);
-    drop_expectations(day);
+    drop_unfit(day);
     read_day(&roll, day);
     tw_search_dice_init(&roll.plan.dice, seed ^ SECOND_STREAM);
     draw_order(&roll);
--- a/search/plan.h
+++ b/search/plan.h
@@ -59,6 +59,7 @@
 void tw_search_draw_gangs(tw_search_plan *plan);
 void tw_search_draw_flood(tw_search_plan *plan);
 void tw_search_draw_successors(tw_search_plan *plan);
+void tw_search_draw_repeats(tw_search_plan *plan);
 void tw_search_draw_troubles(tw_search_plan *plan, int count);
 
 #endif
--- a/src/core/attempt_end.c
+++ b/src/core/attempt_end.c
@@ -2,6 +2,12 @@
  * and its machine. */
 #include "core/fleet.h"
 
+/* How long after a direct launch was sent it may still be carried out once more, in leases.
+ * Meanwhile the machine must list the attempt. One that is done is kept for less: started again it
+ * exits as soon as it has its image, and most attempts end so. */
+#define REPEATED_LEASES 12
+#define REPEATED_DONE_LEASES 3
+
 static const char *const names[END_GROUNDS] = {
     [END_EXITED] = "exited",
     [END_ABSENT] = "absent",
@@ -41,13 +47,20 @@
     if (refused && !placed->seen && !placed->sent_tick && !placed->direct) placed->sent = 0;
 }
 
+int tw_launch_may_repeat(const tw_core *core, const placement *placed) {
+    if (placed->direct_at <= 0) return 0;
+    const int is_done = placed->stage == TW_PIECE_EXITED && placed->cause == TW_CAUSE_DONE;
+    const double kept = is_done ? REPEATED_DONE_LEASES : REPEATED_LEASES;
+    return core->now < placed->direct_at + kept * core->cf->lease_s;
+}
+
 int tw_attempt_launched(const placement *placed) {
     return placed->sent || placed->direct || placed->inherited;
 }
 
 /* A worker kills and forgets all with its session. Ours was launched in a session that we know. In
- * which one a predecessor launched is not known: it may be the reported one, after this report or by
- * a message still on its way, unless the machine refused the predecessor in an earlier session
+ * which one a predecessor launched is not known: it may be the reported one, after this report or
+ * by a message still on its way, unless the machine refused the predecessor in an earlier session
  * already. (`confirmed` is as of before this report; one that confirms ends it as absent.) */
 static int is_of_earlier_session(const placement *placed, const tw_wire_report *report) {
     if (placed->inherited) return placed->m->confirmed;
--- a/src/core/attempt_end.h
+++ b/src/core/attempt_end.h
@@ -55,6 +55,10 @@
 /* The machine answered a direct launch of it; refused: it was not carried out. */
 void tw_launch_answered(placement *placed, int refused);
 
+/* Whether a launch of it that was carried out may be carried out once more: the machine must still
+ * list the attempt then, or it would start it again. */
+int tw_launch_may_repeat(const tw_core *core, const placement *placed);
+
 /* Frees one whose attempt was ended before: its machine has forgotten it. */
 void tw_attempt_forget(tw_core *core, placement *placed);
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -60,12 +60,6 @@
     return count;
 }
 
-static int is_empty(const machine *machine) {
-    const placement *each;
-    DL_FOREACH(machine->pls, each) if (each->on_job) return 0;
-    return 1;
-}
-
 static void lose_unsent(tw_core *core, machine *machine) {
     placement *each, *next;
     DL_FOREACH_SAFE(machine->pls, each, next)
@@ -112,9 +106,9 @@
 static void empty(tw_core *core, machine *machine) {
     if (machine->warned_until > 0) {
         on_notice(core, machine);
-        if (is_empty(machine)) ask_release(core, machine, "notice");
+        if (!tw_machine_works(machine)) ask_release(core, machine, "notice");
     } else if (machine->cordoned || machine->closing) {
-        const int live = !is_empty(machine);
+        const int live = tw_machine_works(machine);
         if (!live) ask_release(core, machine, machine->closing ? "drained" : "sick");
         if (live) tw_sick_tick(core, machine);
     }
--- a/src/core/lapse.c
+++ b/src/core/lapse.c
@@ -112,7 +112,7 @@
     machine *each, *next;
     for (int i = 0; i < core->nquiet; i++) core->quiet[i].all = core->quiet[i].silent = 0;
     HASH_ITER(hh, core->machines, each, next) {
-        if ((each->stage != M_UP && !each->pls) || each->failed) continue;
+        if ((each->stage != M_UP && !tw_machine_works(each)) || each->failed) continue;
         const int zone = quiet_index(core, each->yard);
         if (zone == TW_MAX_ZONES) continue;
         core->quiet[zone].all++;
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -39,6 +39,12 @@
     machine->zone = index;
 }
 
+int tw_machine_works(const machine *machine) {
+    const placement *placed;
+    DL_FOREACH(machine->pls, placed) if (placed->on_job) return 1;
+    return 0;
+}
+
 static void forget_failures(tw_core *core, const machine *expiring) {
     job *each;
     DL_FOREACH(core->active, each) {
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -98,6 +98,8 @@
 int tw_rack_index(const tw_core *core, const char *label);
 /* Whether it has not been heard from for so long that its tasks may be given up. */
 int tw_machine_silent(const tw_core *core, const machine *machine);
+/* Whether a task runs there, or may: not one that only is to be forgotten. */
+int tw_machine_works(const machine *machine);
 /* Whether new tasks may go to it. */
 int tw_machine_usable(const tw_core *core, const machine *machine);
 
--- a/src/core/move.c
+++ b/src/core/move.c
@@ -14,16 +14,19 @@
 /* ---- idle machines ---- */
 
 /* Tasks that ended stay in the list until the machine forgot them; those whose direct launch may
- * still come are never forgotten there, and don't keep the machine. */
-static int holds_work(const machine *machine) {
+ * still come, or come once more, are not forgotten there for long, and don't keep the machine. */
+static int holds_work(const tw_core *core, const machine *machine) {
     const placement *placed;
-    DL_FOREACH(machine->pls, placed) if (placed->on_job || !placed->direct) return 1;
+    DL_FOREACH(machine->pls, placed) {
+        if (placed->on_job) return 1;
+        if (!placed->direct && !tw_launch_may_repeat(core, placed)) return 1;
+    }
     return 0;
 }
 
 /* Notes since when a machine is idle; returns whether that is for too long. */
 static int idle_too_long(const tw_core *core, machine *machine) {
-    if (holds_work(machine) || machine->keep) {
+    if (holds_work(core, machine) || machine->keep) {
         machine->idle_since = 0;
         return 0;
     }
@@ -196,7 +199,8 @@
 
 /* Whether it has been up for long enough, and is not one that was just looked at in vain. */
 static int may_close(const tw_core *core, const machine *machine) {
-    if (!tw_machine_usable(core, machine) || machine->loaner || !machine->pls) return 0;
+    if (!tw_machine_usable(core, machine) || machine->loaner) return 0;
+    if (!tw_machine_works(machine)) return 0; /* it goes when it was idle for long enough */
     if (core->now < machine->no_close_until) return 0;
     const double startup_s = core->flavors[machine->rack].f.startup_s;
     const double least_up_s = fmax(startup_s, LEAST_UP_LEASES * core->cf->lease_s);
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -84,6 +84,11 @@
                  !tick);
 }
 
+static void note_direct(const tw_core *core, placement *placed) {
+    placed->direct++;
+    placed->direct_at = core->now;
+}
+
 /* room: all of the machine's, less what still saves. */
 static void launches(tw_core *core, machine *machine, tw_orders *orders, uint64_t tick,
                      tw_room room) {
@@ -112,14 +117,16 @@
         if (tick)
             each->sent_tick = tick;
         else
-            each->direct++;
+            note_direct(core, each);
     }
 }
 
-static void forgets(const machine *machine, tw_orders *orders) {
+static void forgets(const tw_core *core, const machine *machine, tw_orders *orders) {
     const placement *each;
     DL_FOREACH(machine->pls, each) {
         if (each->stage != TW_PIECE_EXITED || !each->seen || each->direct) continue;
+        /* A repeated launch starts what the machine has forgotten. */
+        if (tw_launch_may_repeat(core, each)) continue;
         if (each->cause == TW_CAUSE_DONE && each->job->durable_ver != each->job->ver &&
             each->job->durable_stage == TW_STAGE_PENDING)
             continue; /* not durable yet */
@@ -131,7 +138,8 @@
  * token and session match:
  * - a launch is of a durable placement, which counts as running until its fate is known;
  * - a kill names one attempt, which is never started again;
- * - a forget is not sent directly, nor for an attempt with a direct launch still under way. */
+ * - a forget is not sent directly, nor for an attempt whose direct launch is still under way, or
+ * was sent so lately that it may come once more. */
 void tw_orders_due(tw_core *core, machine *machine, tw_orders *orders, uint64_t tick) {
     tw_room room = {0, 0, 0};
     if (machine->rack >= 0) {
@@ -145,7 +153,7 @@
     }
     if (machine->rack < 0) return;
     launches(core, machine, orders, tick, room);
-    if (tick) forgets(machine, orders);
+    if (tick) forgets(core, machine, orders);
 }
 
 /* ---- direct orders ---- */
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -18,6 +18,7 @@
     int inherited;      /* written by a predecessor */
     int sent;           /* a launch went out, and may have reached the machine */
     int direct;         /* launches sent to /orders whose fate is unknown */
+    double direct_at;   /* when a launch was last sent to /orders; 0: never */
     uint64_t sent_tick; /* report to whose response the last launch was attached */
     uint64_t shift;     /* session it was sent in */
     int misses;         /* launches that did not take */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -177,7 +177,7 @@
                                .rack = machine->rack,
                                .loaner = machine->loaner,
                                .yard = machine->yard,
-                               .busy = machine->pls != NULL,
+                               .busy = tw_machine_works(machine),
                                /* placing has tried it already */
                                .tried = machine->stage == M_UP &&
                                         core->now - machine->first_heard > core->cf->report_s,
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -184,7 +184,7 @@
         return;
     }
     part->up++;
-    part->idle += !machine->pls;
+    part->idle += !tw_machine_works(machine);
     part->cores += machine->used_c;
     part->gpus += machine->used_g;
     const placement *placed;
--- a/tests/runner/search_test.c
+++ b/tests/runner/search_test.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* Changes with every change of what is drawn: give it the number that the test prints. */
-#define DRAWN_DIGEST 4467256762326945u
+#define DRAWN_DIGEST 11359837528370184628u
 
 #define HASH_START 14695981039346656037u
 #define HASH_PRIME 1099511628211u
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -109,6 +109,7 @@
     soak_share *const shares[FAULT_KINDS] = {[FAULT_LATE_REPORTS] = &run->late_reports,
                                              [FAULT_KEPT_REPORTS] = &run->kept_reports,
                                              [FAULT_LATE_COMMANDS] = &run->late_commands,
+                                             [FAULT_REPEATED_COMMANDS] = &run->repeated_commands,
                                              [FAULT_LATE_WRITES] = &run->late_writes,
                                              [FAULT_LOST_ANSWERS] = &run->lost_answers};
     *shares[fault->kind] = (soak_share){fault->share, end_of(run, fault)};
@@ -133,6 +134,7 @@
         [FAULT_LATE_REPORTS] = strike_share,
         [FAULT_KEPT_REPORTS] = strike_share,
         [FAULT_LATE_COMMANDS] = strike_share,
+        [FAULT_REPEATED_COMMANDS] = strike_share,
         [FAULT_LATE_WRITES] = strike_share,
         [FAULT_LOST_ANSWERS] = strike_share,
         [FAULT_DEAF] = strike_machines,
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -14,21 +14,30 @@
 #define COPIES_LEAST_S 1.5
 #define COPIES_MOST_S 4.0
 
-static const char *const names[FAULT_KINDS] = {
-    "kill",         "kill_all",     "freeze",        "leaders",      "cut_peers",
-    "cut_state",    "cut_workers",  "island",        "refuse_state", "outage",
-    "late_reports", "kept_reports", "late_commands", "late_writes",  "lost_answers",
-    "deaf",         "mute",         "hang",          "sessions",     "fast_boots"};
+static const char *const names[FAULT_KINDS] = {"kill",          "kill_all",
+                                               "freeze",        "leaders",
+                                               "cut_peers",     "cut_state",
+                                               "cut_workers",   "island",
+                                               "refuse_state",  "outage",
+                                               "late_reports",  "kept_reports",
+                                               "late_commands", "repeated_commands",
+                                               "late_writes",   "lost_answers",
+                                               "deaf",          "mute",
+                                               "hang",          "sessions",
+                                               "fast_boots"};
 
 /* How often each kind is drawn. */
-static const int weights[FAULT_KINDS] = {
-    [FAULT_KILL] = 6,          [FAULT_KILL_ALL] = 1,     [FAULT_FREEZE] = 6,
-    [FAULT_LEADERS] = 3,       [FAULT_CUT_PEERS] = 4,    [FAULT_CUT_STATE] = 5,
-    [FAULT_CUT_WORKERS] = 4,   [FAULT_ISLAND] = 2,       [FAULT_REFUSE_STATE] = 4,
-    [FAULT_OUTAGE] = 2,        [FAULT_LATE_REPORTS] = 3, [FAULT_KEPT_REPORTS] = 4,
-    [FAULT_LATE_COMMANDS] = 3, [FAULT_LATE_WRITES] = 3,  [FAULT_LOST_ANSWERS] = 2,
-    [FAULT_DEAF] = 2,          [FAULT_MUTE] = 2,         [FAULT_HANG] = 4,
-    [FAULT_SESSIONS] = 2,      [FAULT_FAST_BOOTS] = 1};
+static const int weights[FAULT_KINDS] = {[FAULT_KILL] = 6,          [FAULT_KILL_ALL] = 1,
+                                         [FAULT_FREEZE] = 6,        [FAULT_LEADERS] = 3,
+                                         [FAULT_CUT_PEERS] = 4,     [FAULT_CUT_STATE] = 5,
+                                         [FAULT_CUT_WORKERS] = 4,   [FAULT_ISLAND] = 2,
+                                         [FAULT_REFUSE_STATE] = 4,  [FAULT_OUTAGE] = 2,
+                                         [FAULT_LATE_REPORTS] = 3,  [FAULT_KEPT_REPORTS] = 4,
+                                         [FAULT_LATE_COMMANDS] = 3, [FAULT_REPEATED_COMMANDS] = 4,
+                                         [FAULT_LATE_WRITES] = 3,   [FAULT_LOST_ANSWERS] = 2,
+                                         [FAULT_DEAF] = 2,          [FAULT_MUTE] = 2,
+                                         [FAULT_HANG] = 4,          [FAULT_SESSIONS] = 2,
+                                         [FAULT_FAST_BOOTS] = 1};
 
 const char *soak_fault_name(soak_fault_kind kind) { return names[kind]; }
 
@@ -60,6 +69,7 @@
     case FAULT_LATE_REPORTS:
     case FAULT_KEPT_REPORTS:
     case FAULT_LATE_COMMANDS:
+    case FAULT_REPEATED_COMMANDS:
         return draw(rng, 1, 3) * lease_s;
     default:
         return draw(rng, 0.1, LONGEST_LEASES) * lease_s;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,25 +21,26 @@
 typedef enum { MOMENT_NOW, MOMENT_LAUNCH, MOMENT_LEADER, MOMENT_CANCEL } soak_moment;
 
 typedef enum {
-    FAULT_KILL,          /* a controller ends and is started again */
-    FAULT_KILL_ALL,      /* all of them */
-    FAULT_FREEZE,        /* SIGSTOP, then SIGCONT */
-    FAULT_LEADERS,       /* leaders end one after the other */
-    FAULT_CUT_PEERS,     /* between two controllers */
-    FAULT_CUT_STATE,     /* between a controller and the state service */
-    FAULT_CUT_WORKERS,   /* between a controller and all workers of a zone */
-    FAULT_ISLAND,        /* a zone is cut off from everything */
-    FAULT_REFUSE_STATE,  /* the state service gives 503 to one controller */
-    FAULT_OUTAGE,        /* and to all */
-    FAULT_LATE_REPORTS,  /* copies of reports come again later */
-    FAULT_KEPT_REPORTS,  /* copies of reports come again when a new leader begins */
-    FAULT_LATE_COMMANDS, /* direct commands are carried out late, unanswered */
-    FAULT_LATE_WRITES,   /* transactions are carried out late, unanswered */
-    FAULT_LOST_ANSWERS,  /* transactions are carried out, unanswered */
-    FAULT_DEAF,          /* some machines get no answers and commands */
-    FAULT_MUTE,          /* reports of some machines get lost */
-    FAULT_HANG,          /* some machines hang */
-    FAULT_SESSIONS,      /* all workers' leases end: no controller for over a lease */
+    FAULT_KILL,              /* a controller ends and is started again */
+    FAULT_KILL_ALL,          /* all of them */
+    FAULT_FREEZE,            /* SIGSTOP, then SIGCONT */
+    FAULT_LEADERS,           /* leaders end one after the other */
+    FAULT_CUT_PEERS,         /* between two controllers */
+    FAULT_CUT_STATE,         /* between a controller and the state service */
+    FAULT_CUT_WORKERS,       /* between a controller and all workers of a zone */
+    FAULT_ISLAND,            /* a zone is cut off from everything */
+    FAULT_REFUSE_STATE,      /* the state service gives 503 to one controller */
+    FAULT_OUTAGE,            /* and to all */
+    FAULT_LATE_REPORTS,      /* copies of reports come again later */
+    FAULT_KEPT_REPORTS,      /* copies of reports come again when a new leader begins */
+    FAULT_LATE_COMMANDS,     /* direct commands are carried out late, unanswered */
+    FAULT_REPEATED_COMMANDS, /* direct commands are carried out, and once more later */
+    FAULT_LATE_WRITES,       /* transactions are carried out late, unanswered */
+    FAULT_LOST_ANSWERS,      /* transactions are carried out, unanswered */
+    FAULT_DEAF,              /* some machines get no answers and commands */
+    FAULT_MUTE,              /* reports of some machines get lost */
+    FAULT_HANG,              /* some machines hang */
+    FAULT_SESSIONS,          /* all workers' leases end: no controller for over a lease */
     FAULT_FAST_BOOTS,
     FAULT_KINDS
 } soak_fault_kind;
@@ -116,7 +117,8 @@
     double outage_until;
     soak_cut cuts[SOAK_MOST_CUTS];
     int cut_count;
-    soak_share late_reports, kept_reports, late_commands, late_writes, lost_answers;
+    soak_share late_reports, kept_reports, late_commands, repeated_commands, late_writes,
+        lost_answers;
     soak_kept *kept;
     int kept_count, kept_cap;
     int leaders_to_kill;
--- a/tests/soak/stand_ins.c
+++ b/tests/soak/stand_ins.c
@@ -8,7 +8,8 @@
 #define PEER_TIMEOUT_S 6.0
 #define LEAST_HELD_S 1.0
 #define MOST_HELD_S 7.0
-#define KNOWN_PORTS 100000 /* ports of listeners are caller * this + target */
+#define MOST_REPEATED_S 14.0 /* a direct command that comes once more */
+#define KNOWN_PORTS 100000   /* ports of listeners are caller * this + target */
 #define SNAPSHOT_S 0.25
 #define LIST_LAG_S 1.5
 #define MOST_MACHINES 900
@@ -220,7 +221,19 @@
     answer(run, request, status, body);
 }
 
+/* The same once more, for whose answer nobody waits. */
+static void repeat_later(soak *run, const passage *request) {
+    passage *copy = tw_sim_zeroed(sizeof *copy);
+    *copy = *request;
+    copy->path = tw_sim_text(request->path);
+    copy->body = tw_sim_text(request->body);
+    copy->unanswered = 1;
+    soak_after(run, soak_draw(run, LEAST_HELD_S, MOST_REPEATED_S), ask_machine, copy);
+}
+
 static void ask_machine_late(soak *run, passage *request) {
+    if (!strcmp(request->path, "/orders") && soak_strikes(run, &run->repeated_commands))
+        repeat_later(run, request);
     if (strcmp(request->path, "/orders") != 0 || !soak_strikes(run, &run->late_commands)) {
         ask_machine(run, request);
         return;
