Names: submissions that were turned away, jobs accepted elsewhere, in the glossary's words

Change: tw_turned_away_*, tw_accepted_elsewhere_*, K_ACCEPTED*, ACCEPTED_KEY; the guards' texts follow. Log events keep their names. Conclusion: no behaviour changes.

--- a/src/core/accepted_elsewhere.c
+++ b/src/core/accepted_elsewhere.c
@@ -14,7 +14,7 @@
 /* Reads a job that another node accepted; once it is known, its key has done its service. An answer
  * may be lost or refused: it stays among the untaken until the key was asked to be removed. */
 static void take_over(tw_core *core, expiring *untaken) {
-    char key[TW_NAME + sizeof NEWS];
+    char key[TW_NAME + sizeof ACCEPTED_KEY];
     if (!tw_job_known(core, untaken->name)) {
         if (core->now < untaken->at) return;
         untaken->at = core->now + LEARN_S;
@@ -22,18 +22,19 @@
         return;
     }
     if (!tw_take(core, &core->writes, 1)) return;
-    snprintf(key, sizeof key, NEWS "%s", untaken->name);
+    snprintf(key, sizeof key, ACCEPTED_KEY "%s", untaken->name);
     tw_wire_cond condition = {TW_LEADER_KEY, core->token};
     tw_wire_write removal = {key, NULL, 0};
-    tw_call(core, K_NEWS_DEL, TW_TO_STATE, core->cf->state, "POST", "/txn",
+    tw_call(core, K_ACCEPTED_REMOVE, TW_TO_STATE, core->cf->state, "POST", "/txn",
             tw_wire_txn_text(&condition, 1, &removal, 1), 1);
     HASH_DEL(core->untaken, untaken);
     free(untaken);
 }
 
 static void learn(tw_core *core, const char *key) {
-    const char *id = key + sizeof NEWS - 1;
-    if (strncmp(key, NEWS, sizeof NEWS - 1) != 0 || !tw_wire_id_ok(id, strlen(id))) return;
+    const char *id = key + sizeof ACCEPTED_KEY - 1;
+    if (strncmp(key, ACCEPTED_KEY, sizeof ACCEPTED_KEY - 1) != 0 || !tw_wire_id_ok(id, strlen(id)))
+        return;
     expiring *untaken;
     HASH_FIND_STR(core->untaken, id, untaken);
     if (!untaken) {
@@ -44,14 +45,15 @@
     take_over(core, untaken);
 }
 
-void tw_news_response(tw_core *core, call *call, int status, const char *body, size_t length) {
+void tw_accepted_elsewhere_response(tw_core *core, call *call, int status, const char *body,
+                                    size_t length) {
     tw_wire_entry *entries;
     int count;
     int more;
     uint64_t revision;
-    if (call->kind == K_NEWS_DEL) return;
+    if (call->kind == K_ACCEPTED_REMOVE) return;
     core->elsewhere_busy = 0;
-    int list = call->kind == K_NEWS_LIST;
+    int list = call->kind == K_ACCEPTED_LIST;
     if (status != TW_HTTP_OK || tw_wire_ledger_parse(&revision, body, length) ||
         (list ? tw_wire_entries_parse(&entries, &count, &more, body, length)
               : tw_wire_log_parse(&entries, &count, body, length))) {
@@ -64,7 +66,7 @@
     tw_wire_entries_free(entries, count);
 }
 
-void tw_news_tick(tw_core *core) {
+void tw_accepted_elsewhere_tick(tw_core *core) {
     expiring *untaken;
     expiring *next;
     HASH_ITER(hh, core->untaken, untaken, next) take_over(core, untaken);
@@ -72,13 +74,14 @@
         return;
     core->elsewhere_busy = 1;
     if (!core->elsewhere_since) {
-        tw_call(core, K_NEWS_LIST, TW_TO_STATE, core->cf->state, "GET",
-                "/kv?starts=" NEWS "&most=100", NULL, 2);
+        tw_call(core, K_ACCEPTED_LIST, TW_TO_STATE, core->cf->state, "GET",
+                "/kv?starts=" ACCEPTED_KEY "&most=100", NULL, 2);
         return;
     }
     char path[PATH_SIZE];
     double hold_s = WATCH_LEASES * core->cf->lease_s;
-    snprintf(path, sizeof path, "/follow?starts=" NEWS "&since=%llu&holdMs=%d",
+    snprintf(path, sizeof path, "/follow?starts=" ACCEPTED_KEY "&since=%llu&holdMs=%d",
              (unsigned long long)core->elsewhere_since, (int)(hold_s * 1000));
-    tw_call(core, K_NEWS, TW_TO_STATE, core->cf->state, "GET", path, NULL, hold_s + WATCH_SLACK_S);
+    tw_call(core, K_ACCEPTED, TW_TO_STATE, core->cf->state, "GET", path, NULL,
+            hold_s + WATCH_SLACK_S);
 }
--- a/src/core/attempt_end.c
+++ b/src/core/attempt_end.c
@@ -106,8 +106,9 @@
 
 /* ---- what follows ---- */
 
-/* Ends of attempts that never were on a machine, or that nobody decides about, are no news. */
-static int is_news(end_ground ground) {
+/* Ends of attempts that never were on a machine, or that nobody decides about, are told at `debug`.
+ */
+static int is_told(end_ground ground) {
     return ground != END_NOT_LAUNCHED && ground != END_NOT_RECORDED && ground != END_TAKEN_BACK &&
            ground != END_TERM;
 }
@@ -115,7 +116,7 @@
 static void log_end(const tw_core *core, const placement *placed, const attempt_end *end) {
     const machine *machine = placed->m;
     const tw_wire_report *report = end->report;
-    const int level = is_news(end->ground) ? TW_LOG_INFO : TW_LOG_DEBUG;
+    const int level = is_told(end->ground) ? TW_LOG_INFO : TW_LOG_DEBUG;
     if (!placed->on_job || !tw_log_on(level)) return;
     tw_log_write(level,
                  "event=attempt_end piece=%s/%d try=%llu tray=%s ground=%s cause=%d token=%llu "
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -33,9 +33,9 @@
     K_DEPUTY,
     K_DEPUTIES,
     K_DEP_JOBS,
-    K_NEWS_LIST,
-    K_NEWS,
-    K_NEWS_DEL,
+    K_ACCEPTED_LIST,
+    K_ACCEPTED,
+    K_ACCEPTED_REMOVE,
     K_KINDS
 } call_kind;
 
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -258,9 +258,9 @@
     [K_PARTS] = {tw_jobs_response, 1},
     [K_PARTS_REMOVE] = {tw_jobs_response, 1},
     [K_DEPUTIES] = {tw_deputies_page, 1, "deputies"},
-    [K_NEWS_LIST] = {tw_news_response, 1, "accepted_list"},
-    [K_NEWS] = {tw_news_response, 1, "accepted"},
-    [K_NEWS_DEL] = {tw_news_response, 1},
+    [K_ACCEPTED_LIST] = {tw_accepted_elsewhere_response, 1, "accepted_list"},
+    [K_ACCEPTED] = {tw_accepted_elsewhere_response, 1, "accepted"},
+    [K_ACCEPTED_REMOVE] = {tw_accepted_elsewhere_response, 1},
     [K_LOAD] = {on_records, 1, "records"},
     [K_ORDERS] = {tw_fleet_response, 1},
 };
@@ -310,7 +310,7 @@
 /* The timed work of a leader that may command. */
 static void tick_in_command(tw_core *core) {
     tw_deputies_tick(core);
-    tw_news_tick(core);
+    tw_accepted_elsewhere_tick(core);
     tw_fleet_tick(core);
     if (core->now < core->next_recheck) return;
     core->next_recheck = core->now + core->cf->tune.recheck_ratio * core->cf->report_s;
--- a/src/core/deputies_seen.c
+++ b/src/core/deputies_seen.c
@@ -48,12 +48,12 @@
 void tw_deputies_page(tw_core *core, call *sent, int status, const char *body, size_t len) {
     tw_wire_entry *entries;
     int count, more;
-    int news = 0;
+    int any_newer = 0;
     core->deputies_reading = 0;
     if (status != TW_HTTP_OK || tw_wire_entries_parse(&entries, &count, &more, body, len)) return;
-    for (int i = 0; i < count; i++) news |= key_seen(core, &entries[i]);
+    for (int i = 0; i < count; i++) any_newer |= key_seen(core, &entries[i]);
     tw_wire_entries_free(entries, count);
-    if (news && core->deputies_known && core->lapse_decided_at > core->deputies_checked_at) {
+    if (any_newer && core->deputies_known && core->lapse_decided_at > core->deputies_checked_at) {
         /* A lease was taken for lapsed while a deputy we did not know of may have renewed it. What
          * was decided since can't be told apart: the next term starts from the records. */
         tw_step_down(core, "an unseen deputy");
--- a/src/core/effects.c
+++ b/src/core/effects.c
@@ -107,7 +107,8 @@
         made[K_GRANT] + made[K_ACQUIRE] + made[K_GRANT_DEL], made[K_RENEW],
         made[K_TXN] + made[K_CREATE] + made[K_PARTS] + made[K_PARTS_REMOVE],
         made[K_JOB_READ] + made[K_LOOKUP], made[K_LOAD], made[K_DEPUTY], made[K_DEPUTIES],
-        made[K_DEP_JOBS], made[K_NEWS_LIST] + made[K_NEWS] + made[K_NEWS_DEL], core->calls_refused);
+        made[K_DEP_JOBS], made[K_ACCEPTED_LIST] + made[K_ACCEPTED] + made[K_ACCEPTED_REMOVE],
+        core->calls_refused);
     memset(core->calls_made, 0, sizeof core->calls_made);
     core->calls_refused = 0;
 }
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -138,7 +138,7 @@
 
 /* turned_away.c */
 /* Forgets a submission that was turned away. */
-void tw_wish_drop(tw_core *core, turned_away_job *expected);
+void tw_turned_away_drop(tw_core *core, turned_away_job *expected);
 
 /* user_requests.c */
 /* Requests of users: a submission, a query, a cancellation. from_peer: handed on by another node.
@@ -151,9 +151,10 @@
 
 /* accepted_elsewhere.c */
 /* Takes over jobs that other nodes accepted, and watches for more. */
-void tw_news_tick(tw_core *core);
+void tw_accepted_elsewhere_tick(tw_core *core);
 /* The state service answered with their keys, or their removal. */
-void tw_news_response(tw_core *core, call *sent, int status, const char *body, size_t length);
+void tw_accepted_elsewhere_response(tw_core *core, call *sent, int status, const char *body,
+                                    size_t length);
 
 /* task_ranges.c: states of tasks as text, "0-5,7" */
 /* The tasks in the wanted state as text, which the caller frees. */
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -17,8 +17,8 @@
 #define JOB_PATH "/kv/" JOB_KEY
 #define JOB_PATH_SIZE (TW_WIRE_ID + sizeof JOB_PATH)
 /* Keys that tell the leader of jobs that another node accepted. */
-#define NEWS "new/"
-#define NEWS_KEY_SIZE (TW_WIRE_ID + sizeof NEWS)
+#define ACCEPTED_KEY "new/"
+#define ACCEPTED_KEY_SIZE (TW_WIRE_ID + sizeof ACCEPTED_KEY)
 
 /* job.c */
 /* The user at conn waits until the job is durable, or (cancels) known to be over. */
@@ -53,7 +53,7 @@
 /* How long a new write would wait behind those queued. */
 double tw_write_backlog_s(tw_core *core);
 /* Rents for a submission that was turned away for retry_s; takes the job's contents. */
-void tw_wish_for(tw_core *core, tw_wire_job *spec, double retry_s);
+void tw_turned_away_note(tw_core *core, tw_wire_job *spec, double retry_s);
 
 /* user_requests.c */
 /* Reads a job's record for the user at conn (0: for ourselves). */
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -45,13 +45,13 @@
     return 0;
 }
 
-static void forget_failures(tw_core *core, const machine *expiring) {
+static void forget_failures(tw_core *core, const machine *dropped) {
     job *each;
     DL_FOREACH(core->active, each) {
         for (int i = 0; i < each->nbad; i++)
-            if (each->bad[i] == expiring) each->bad[i] = NULL;
+            if (each->bad[i] == dropped) each->bad[i] = NULL;
         for (int i = 0; i < each->gang.nleft; i++)
-            if (each->gang.left[i] == expiring) each->gang.left[i] = NULL;
+            if (each->gang.left[i] == dropped) each->gang.left[i] = NULL;
     }
 }
 
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -252,7 +252,7 @@
         if (core->now < expected->until)
             plan_job(core, bins, &expected->j, drain);
         else
-            tw_wish_drop(core, expected);
+            tw_turned_away_drop(core, expected);
     }
 }
 
--- a/src/core/term.c
+++ b/src/core/term.c
@@ -38,9 +38,9 @@
 }
 
 static void forget_rentals(tw_core *core) {
-    turned_away_job *turned_away_job, *next_wish;
-    HASH_ITER(hh, core->turned_away, turned_away_job, next_wish)
-    tw_wish_drop(core, turned_away_job);
+    turned_away_job *turned_away_job, *next_turned_away;
+    HASH_ITER(hh, core->turned_away, turned_away_job, next_turned_away)
+    tw_turned_away_drop(core, turned_away_job);
     rental_request *rental_request, *next_rental_request;
     DL_FOREACH_SAFE(core->rental_requests, rental_request, next_rental_request) {
         DL_DELETE(core->rental_requests, rental_request);
--- a/src/core/turned_away.c
+++ b/src/core/turned_away.c
@@ -21,23 +21,23 @@
     return queued > have ? (queued - have) / core->writes.rate : 0;
 }
 
-static unsigned max_wishes(const tw_core *core) {
+static unsigned most_turned_away(const tw_core *core) {
     return (unsigned)(MEMORY_SHARE * core->cf->mem_mb * BYTES_PER_MIB /
                       (sizeof(turned_away_job) + OVERHEAD_BYTES));
 }
 
-void tw_wish_drop(tw_core *core, turned_away_job *turned_away_job) {
+void tw_turned_away_drop(tw_core *core, turned_away_job *turned_away_job) {
     HASH_DEL(core->turned_away, turned_away_job);
     tw_wire_job_free(&turned_away_job->j.s);
     free(turned_away_job->j.spec_text);
     free(turned_away_job);
 }
 
-void tw_wish_for(tw_core *core, tw_wire_job *spec, double retry_s) {
+void tw_turned_away_note(tw_core *core, tw_wire_job *spec, double retry_s) {
     turned_away_job *turned_away_job;
     HASH_FIND_STR(core->turned_away, spec->id, turned_away_job);
     if (!turned_away_job) {
-        if (HASH_COUNT(core->turned_away) >= max_wishes(core)) {
+        if (HASH_COUNT(core->turned_away) >= most_turned_away(core)) {
             tw_log_debug("event=wish_dropped id=%s of=%u", spec->id, HASH_COUNT(core->turned_away));
             return;
         }
--- a/src/core/user_requests.c
+++ b/src/core/user_requests.c
@@ -107,7 +107,7 @@
 static void accept_job(tw_core *core, uint64_t conn, tw_wire_job *spec) {
     turned_away_job *turned_away_job;
     HASH_FIND_STR(core->turned_away, spec->id, turned_away_job);
-    if (turned_away_job) tw_wish_drop(core, turned_away_job);
+    if (turned_away_job) tw_turned_away_drop(core, turned_away_job);
     job *job = tw_job_new(core, spec->id);
     tw_job_spec(core, job, spec);
     job->st = tw_zalloc((size_t)job->pieces);
@@ -144,7 +144,7 @@
     if (wait_s > ACCEPT_WAIT_S * WAIT_RATIO) {
         const double retry_s = fmin(LONGEST_RETRY_S, ceil(wait_s));
         tw_turn_away(core, conn, spec->id, retry_s, "too many submissions");
-        tw_wish_for(core, spec, retry_s);
+        tw_turned_away_note(core, spec, retry_s);
         return;
     }
     accept_job(core, conn, spec);
@@ -167,8 +167,8 @@
         free(text);
         return;
     }
-    char news[NEWS_KEY_SIZE];
-    snprintf(news, sizeof news, NEWS "%s", spec->id);
+    char news[ACCEPTED_KEY_SIZE];
+    snprintf(news, sizeof news, ACCEPTED_KEY "%s", spec->id);
     tw_wire_cond condition = {key, 0};
     tw_wire_write writes[2] = {{key, text, 0}, {news, "1", 0}};
     call *call = tw_call(core, K_CREATE, TW_TO_STATE, core->cf->state, "POST", "/txn",
