A done attempt stays listed for two leases after its direct launch, not three

Need: most tasks run for two to three leases; listed for longer they make every report of their machine longer. Change: 3 -> 2 leases; others stay listed for 12.

--- a/src/core/attempt_end.c
+++ b/src/core/attempt_end.c
@@ -6,7 +6,7 @@
  * Meanwhile the machine must list the attempt. One that is done is kept for less: started again it
  * exits as soon as it has its image, and most attempts end so. */
 #define REPEATED_LEASES 12
-#define REPEATED_DONE_LEASES 3
+#define REPEATED_DONE_LEASES 2
 
 static const char *const names[END_GROUNDS] = {
     [END_EXITED] = "exited",
