At most 200 ended tasks are listed on a machine, however lately they were launched

Need: attempts that a machine refuses again and again would each stay listed for 12 leases, and a report over 64 KiB is refused. Conclusion: a report stays far under its limit.

--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -2,10 +2,11 @@
  * address. */
 #include "core/fleet.h"
 
-#define MAX_ORDERS 500 /* keeps an answer under the protocol's 64 KiB; the rest in the next one */
-#define MAX_ASKED 0.06 /* silent machines asked at once, as a share of the sockets */
-#define DIRECT_S 1.5   /* a direct order's answer is waited for */
-#define SPARE_TTL 0.1  /* a launch should arrive under our authority: of its length, left then */
+#define MAX_ORDERS 500  /* keeps an answer under the protocol's 64 KiB; the rest in the next one */
+#define MOST_EXITED 200 /* on a machine: keeps its report far under the protocol's 64 KiB */
+#define MAX_ASKED 0.06  /* silent machines asked at once, as a share of the sockets */
+#define DIRECT_S 1.5    /* a direct order's answer is waited for */
+#define SPARE_TTL 0.1   /* a launch should arrive under our authority: of its length, left then */
 #define SILENT_REPORTS 1.5   /* without a report for so long, a machine is asked itself */
 #define PAUSE_MOST_REPORTS 8 /* between direct orders to one that doesn't answer */
 #define MOST_PROBES 4
@@ -121,12 +122,20 @@
     }
 }
 
+static int count_exited(const machine *machine) {
+    const placement *each;
+    int count = 0;
+    DL_FOREACH(machine->pls, each) count += each->stage == TW_PIECE_EXITED;
+    return count;
+}
+
 static void forgets(const tw_core *core, const machine *machine, tw_orders *orders) {
+    int too_many = count_exited(machine) - MOST_EXITED; /* the oldest stand first */
     const placement *each;
     DL_FOREACH(machine->pls, each) {
         if (each->stage != TW_PIECE_EXITED || !each->seen || each->direct) continue;
         /* A repeated launch starts what the machine has forgotten. */
-        if (tw_launch_may_repeat(core, each)) continue;
+        if (tw_launch_may_repeat(core, each) && too_many-- <= 0) continue;
         if (each->cause == TW_CAUSE_DONE && each->job->durable_ver != each->job->ver &&
             each->job->durable_stage == TW_STAGE_PENDING)
             continue; /* not durable yet */
