--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -110,8 +110,7 @@
     FILE *trace;
     double started_at;
     double latest_s, last_tick; /* how late the harness itself was at most */
-    double recover_by;          /* >= 0: since then the troubles are over */
-    double next_judged, next_submission, next_snapshot;
+    double next_submission, next_snapshot;
     double restart_at[TW_LOOPBACK_NODES], thaw_at[TW_LOOPBACK_NODES]; /* 0: not planned */
     double refused_until[TW_LOOPBACK_NODES];                          /* by the state service */
     double outage_until;
