Launches that may repeat keep every ended attempt listed: done ones too, and beyond 200

Cause: an attempt that was done was told to be forgotten 2 leases after its direct launch, and of more than 200 ended ones on a machine the oldest at once; the command came once more and the machine started it again. Now one bound, 12 leases, holds however the attempt ended, and beyond 200 such attempts a machine's launches go with answers to heartbeats, which come once. The look-up of a heartbeat's tasks begins at the last one found.

--- a/src/core/attempt_termination.c
+++ b/src/core/attempt_termination.c
@@ -5,10 +5,9 @@
 #include <stdbool.h>
 
 /* For how many leases after a direct launch was sent it may still be carried out once more; the
- * machine must list the attempt meanwhile. An attempt that is done is kept for less: started again,
- * it exits as soon as it has its image, and most attempts end so. */
+ * machine must list the attempt meanwhile, however it ended: also one that is done takes its
+ * amounts and its place in the zone from the start to the exit that follows. */
 #define LAUNCH_REPEAT_LEASES 12
-#define DONE_LAUNCH_REPEAT_LEASES 2
 
 static const char *const evidence_names[TW_EVIDENCE_KINDS] = {
     [TW_EVIDENCE_EXITED] = "exited",
@@ -55,10 +54,10 @@
 }
 
 bool tw_launch_may_repeat(const tw_core *core, const tw_placement *placed) {
+    if (placed->direct_launches) return true;
     if (placed->direct_launch_at <= 0) return false;
-    const bool is_done = placed->state == TW_TASK_EXITED && placed->cause == TW_CAUSE_DONE;
-    const double leases = is_done ? DONE_LAUNCH_REPEAT_LEASES : LAUNCH_REPEAT_LEASES;
-    return core->context.now < placed->direct_launch_at + leases * core->context.config->lease_s;
+    const double repeat_s = LAUNCH_REPEAT_LEASES * core->context.config->lease_s;
+    return core->context.now < placed->direct_launch_at + repeat_s;
 }
 
 bool tw_attempt_was_launched(const tw_placement *placed) {
--- a/src/core/attempt_termination.h
+++ b/src/core/attempt_termination.h
@@ -73,8 +73,9 @@
 /* The machine answered a direct launch of the attempt. refused: it did not carry it out. */
 void tw_launch_answered(tw_placement *placed, bool refused);
 
-/* Whether a direct launch that was carried out may be carried out a second time. Until that is
- * excluded, the machine must not be told to forget the attempt, or it would start it again. */
+/* Whether a direct launch of the attempt may still be carried out, for the first or for a second
+ * time. Until that is excluded, the machine must not be told to forget the attempt, or it would
+ * start it again. */
 bool tw_launch_may_repeat(const tw_core *core, const tw_placement *placed);
 
 /* Frees the placement of an attempt that is terminated and that its machine has forgotten. */
--- a/src/core/scale_in.c
+++ b/src/core/scale_in.c
@@ -27,7 +27,7 @@
     const tw_placement *placed;
     DL_FOREACH(machine->placements, placed) {
         if (placed->counted) return true;
-        if (!placed->direct_launches && !tw_launch_may_repeat(core, placed)) return true;
+        if (!tw_launch_may_repeat(core, placed)) return true;
     }
     return false;
 }
--- a/src/core/worker_commands.c
+++ b/src/core/worker_commands.c
@@ -13,8 +13,10 @@
 /* Commands in one answer, which stays under the protocol's 64 KiB; the rest come in the next one.
  */
 #define MAX_COMMANDS 500
-/* Exited tasks that a machine keeps, so that its heartbeat stays far under the 64 KiB. */
-#define MAX_EXITED 200
+/* Attempts on one machine whose direct launch may still be carried out. The machine has to list
+ * them all, and its heartbeat is to stay far under the 64 KiB: beyond that its launches go with
+ * answers to heartbeats only, which are never carried out late. */
+#define MAX_REPEATABLE_LAUNCHES 200
 /* Silent machines that are probed at once, as a share of the node's sockets. */
 #define MAX_PROBES_PER_SOCKET 0.06
 #define DIRECT_TIMEOUT_S 1.5
@@ -146,12 +148,22 @@
     }
 }
 
+/* How many more tasks may be launched on the machine by direct commands. */
+static int count_direct_launches_left(const tw_core *core, const tw_machine *machine) {
+    const tw_placement *placed;
+    int left = MAX_REPEATABLE_LAUNCHES;
+    DL_FOREACH(machine->placements, placed) { left -= tw_launch_may_repeat(core, placed); }
+    return left;
+}
+
 /* Adds launches. available: the machine's amounts, less what still saves a checkpoint. */
 static void add_launches(tw_core *core, tw_machine *machine, tw_command_list *commands,
                          uint64_t sequence, tw_capacity available) {
     tw_placement *placed;
+    int launches_left = sequence ? MAX_COMMANDS : count_direct_launches_left(core, machine);
     subtract_launched(machine, &available);
     DL_FOREACH(machine->placements, placed) {
+        if (launches_left <= 0) break;
         if (!may_launch(placed) || must_wait_for_gang(core, placed)) continue;
         if (placed->launch_sent && !sequence) continue; /* its first launch is on its way */
         if (!placed->launch_sent) {
@@ -163,24 +175,16 @@
         add_command(commands, TW_COMMAND_LAUNCH, placed);
         log_launch(placed, sequence);
         note_launch(core, placed, sequence);
+        launches_left--;
     }
 }
 
-static int count_exited(const tw_machine *machine) {
-    const tw_placement *placed;
-    int count = 0;
-    DL_FOREACH(machine->placements, placed) { count += placed->state == TW_TASK_EXITED; }
-    return count;
-}
-
 static void add_forgets(const tw_core *core, const tw_machine *machine, tw_command_list *commands) {
-    int surplus = count_exited(machine) - MAX_EXITED; /* the oldest come first */
     const tw_placement *placed;
     DL_FOREACH(machine->placements, placed) {
-        if (placed->state != TW_TASK_EXITED || !placed->reported || placed->direct_launches)
-            continue;
+        if (placed->state != TW_TASK_EXITED || !placed->reported) continue;
         /* A launch that is carried out once more starts a task that the machine has forgotten. */
-        if (tw_launch_may_repeat(core, placed) && surplus-- <= 0) continue;
+        if (tw_launch_may_repeat(core, placed)) continue;
         if (placed->cause == TW_CAUSE_DONE && !tw_store_is_settled(placed->job->record) &&
             placed->job->durable_state == TW_JOB_PENDING)
             continue; /* the record doesn't say yet that the task is done */
--- a/src/core/worker_heartbeat.c
+++ b/src/core/worker_heartbeat.c
@@ -11,13 +11,20 @@
  * not get the answer. */
 #define ANSWERED_LATELY_LEASES 0.5
 
-static tw_placement *find_placement(const tw_machine *machine, const tw_wire_task *reported) {
+static bool is_placement_of(const tw_placement *placed, const tw_wire_task *reported) {
+    return placed->attempt == reported->attempt && placed->index == reported->index &&
+           !strcmp(placed->job->id, reported->job);
+}
+
+/* The machine's placement of the reported task; NULL: it has none. from: where to begin to look,
+ * since a heartbeat names tasks in nearly the same order as the machine's list; NULL: anywhere. */
+static tw_placement *find_placement(const tw_machine *machine, const tw_wire_task *reported,
+                                    tw_placement *from) {
     tw_placement *placed;
-    DL_FOREACH(machine->placements, placed) {
-        if (placed->attempt == reported->attempt && placed->index == reported->index &&
-            !strcmp(placed->job->id, reported->job))
-            return placed;
-    }
+    for (placed = from; placed; placed = placed->next)
+        if (is_placement_of(placed, reported)) return placed;
+    for (placed = machine->placements; placed != from; placed = placed->next)
+        if (is_placement_of(placed, reported)) return placed;
     return NULL;
 }
 
@@ -129,17 +136,19 @@
 /* Reconciles the tasks that the heartbeat names, then those that it doesn't. */
 static void reconcile_tasks(tw_core *core, tw_machine *machine, const tw_wire_heartbeat *heartbeat,
                             tw_command_list *commands) {
+    tw_placement *placed, *next;
+    tw_placement *last_found = NULL;
     core->heartbeat_mark++;
     for (int i = 0; i < heartbeat->task_count; i++) {
-        tw_placement *placed = find_placement(machine, &heartbeat->tasks[i]);
+        placed = find_placement(machine, &heartbeat->tasks[i], last_found);
         if (placed) {
             placed->mark = core->heartbeat_mark;
+            last_found = placed;
             tw_reconcile_task(core, placed, heartbeat, &heartbeat->tasks[i]);
         } else {
             tw_reconcile_unknown_task(core, machine, heartbeat, &heartbeat->tasks[i], commands);
         }
     }
-    tw_placement *placed, *next;
     DL_FOREACH_SAFE(machine->placements, placed, next) {
         if (placed->mark == core->heartbeat_mark) continue;
         if (!placed->launch_sent && !placed->inherited) continue;
