A gang's attempts count until they have ended, also once the gang is done

Cause: one done task was evidence that no other attempt of its gang can run (gang_done), while one may still fetch its image. The evidence is gone: the job is told done at once, its attempts are stopped and count until evidence ends them, and the record that says done names them for a successor. A restored job that is over keeps its count of done tasks.

--- a/src/core/attempt_termination.c
+++ b/src/core/attempt_termination.c
@@ -16,7 +16,6 @@
     [TW_EVIDENCE_NEW_INCARNATION] = "new_incarnation",
     [TW_EVIDENCE_LEASE_EXPIRED] = "lease_expired",
     [TW_EVIDENCE_MACHINE_RETURNED] = "machine_returned",
-    [TW_EVIDENCE_GANG_DONE] = "gang_done",
     [TW_EVIDENCE_NOT_LAUNCHED] = "not_launched",
     [TW_EVIDENCE_NOT_RECORDED] = "not_recorded",
     [TW_EVIDENCE_PLACEMENT_UNDONE] = "placement_undone",
@@ -94,8 +93,6 @@
         return machine->lease_expired && core->context.now > tw_lease_expires_at(core, machine);
     case TW_EVIDENCE_MACHINE_RETURNED:
         return machine->return_in_flight;
-    case TW_EVIDENCE_GANG_DONE:
-        return placed->job->spec.gang;
     case TW_EVIDENCE_NOT_LAUNCHED:
         return !tw_attempt_was_launched(placed);
     case TW_EVIDENCE_NOT_RECORDED:
@@ -150,24 +147,32 @@
                  core->context.now - placed->placed_at);
 }
 
-/* The task no longer counts on its machine. assignment: what it is now. */
-static void stop_counting(tw_core *core, tw_placement *placed, tw_assignment assignment) {
-    if (!placed->counted) return;
+/* The attempt no longer counts on its machine, against its team's limit and in its zone. */
+static void stop_counting(tw_core *core, tw_placement *placed) {
     tw_job *job = placed->job;
     tw_placement_account(core, placed, -1);
     placed->counted = false;
     DL_DELETE2(job->placements, placed, job_prev, job_next);
     job->placed_count--;
-    if (job->task_states) job->task_states[placed->index] = (uint8_t)assignment;
-    if (assignment == TW_ASSIGNMENT_DONE) job->done_count++;
-    if (assignment == TW_ASSIGNMENT_NONE) {
-        if (placed->index < job->first_unplaced) job->first_unplaced = placed->index;
-        job->pending_since = core->context.now;
-        if (job->spec.gang) tw_gang_task_gone(core, placed);
-    }
     core->scheduling_due = true;
 }
 
+/* What becomes of the attempt's task. Of a gang one task is done before its attempt is terminated:
+ * the whole gang is, while the attempt may still run. */
+static void update_task_state(tw_core *core, tw_placement *placed, bool is_done) {
+    tw_job *job = placed->job;
+    if (job->task_states[placed->index] == TW_ASSIGNMENT_DONE) return;
+    if (is_done) {
+        job->task_states[placed->index] = TW_ASSIGNMENT_DONE;
+        job->done_count++;
+        return;
+    }
+    job->task_states[placed->index] = TW_ASSIGNMENT_NONE;
+    if (placed->index < job->first_unplaced) job->first_unplaced = placed->index;
+    job->pending_since = core->context.now;
+    if (job->spec.gang) tw_gang_task_gone(core, placed);
+}
+
 void tw_attempt_forget(tw_core *core, tw_placement *placed) {
     tw_job *job = placed->job;
     if (placed->counted) {
@@ -180,12 +185,6 @@
     tw_job_placement_gone(core, job);
 }
 
-/* Whether the placement stays in the machine's list, since the machine may still name the attempt
- * and is to forget it. */
-static bool stays_on_machine(tw_termination_evidence evidence) {
-    return evidence == TW_EVIDENCE_EXITED || evidence == TW_EVIDENCE_GANG_DONE;
-}
-
 bool tw_attempt_terminate(tw_core *core, tw_placement *placed,
                           const tw_attempt_termination *termination) {
     tw_job *job = placed->job;
@@ -200,13 +199,16 @@
         return false;
     }
     const bool was_counted = placed->counted;
-    const bool is_done =
-        evidence == TW_EVIDENCE_GANG_DONE ||
-        (evidence == TW_EVIDENCE_EXITED && termination->reported->cause == TW_CAUSE_DONE);
+    const bool has_exited = evidence == TW_EVIDENCE_EXITED;
     core->counters.terminated[evidence] += (uint64_t)was_counted;
     log_termination(core, placed, termination);
-    stop_counting(core, placed, is_done ? TW_ASSIGNMENT_DONE : TW_ASSIGNMENT_NONE);
-    if (stays_on_machine(evidence)) return true;
+    if (was_counted) {
+        stop_counting(core, placed);
+        update_task_state(core, placed,
+                          has_exited && termination->reported->cause == TW_CAUSE_DONE);
+    }
+    /* The machine may still name the attempt, and is to forget it. */
+    if (has_exited) return true;
     tw_attempt_forget(core, placed);
     /* A placement that is undone is not in the record yet, and after the term the record is not
      * this node's to write. */
--- a/src/core/attempt_termination.h
+++ b/src/core/attempt_termination.h
@@ -27,8 +27,6 @@
     TW_EVIDENCE_LEASE_EXPIRED,
     /* The cloud says that the machine is gone. */
     TW_EVIDENCE_MACHINE_RETURNED,
-    /* Another task of its gang is done, which completes the job. */
-    TW_EVIDENCE_GANG_DONE,
     /* No launch of it was sent. */
     TW_EVIDENCE_NOT_LAUNCHED,
     /* The job's first record was refused, so nothing of the job was launched. */
@@ -52,10 +50,10 @@
 const char *tw_termination_evidence_name(tw_termination_evidence evidence);
 
 /* Terminates the attempt if the evidence holds for it: its amounts are free, and its task may be
- * placed again or is done. Returns whether the evidence held. After TW_EVIDENCE_EXITED and
- * TW_EVIDENCE_GANG_DONE the placement stays in the machine's list, since the machine may still name
- * it, and the caller marks the job as changed once it knows what becomes of it. With all other
- * evidence the placement is freed and the job is marked here. */
+ * placed again unless it is done. Returns whether the evidence held. After TW_EVIDENCE_EXITED the
+ * placement stays in the machine's list, since the machine may still name it, and the caller marks
+ * the job as changed once it knows what becomes of it. With all other evidence the placement is
+ * freed and the job is marked here. */
 bool tw_attempt_terminate(tw_core *core, tw_placement *placed,
                           const tw_attempt_termination *termination);
 
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -155,11 +155,6 @@
 }
 
 void tw_gang_done(tw_core *core, tw_job *job) {
-    tw_placement *task;
-    tw_placement *next;
-    DL_FOREACH_SAFE2(job->placements, task, next, job_next) {
-        tw_attempt_terminate_on(core, task, TW_EVIDENCE_GANG_DONE);
-    }
     memset(job->task_states, TW_ASSIGNMENT_DONE, (size_t)job->task_count);
     job->done_count = job->task_count;
     enter_state(core, job, TW_GANG_IDLE, "done");
--- a/src/core/gang.h
+++ b/src/core/gang.h
@@ -47,7 +47,8 @@
 void tw_gang_task_reported(tw_core *core, tw_placement *placed);
 /* A task of the job is gone from its machine without being done. */
 void tw_gang_task_gone(tw_core *core, tw_placement *placed);
-/* A task is done. The tasks of a gang complete together, so all of them are. */
+/* A task is done. The tasks of a gang complete together, so all of them are: none needs a further
+ * attempt. Attempts that may still run go on counting until they are terminated. */
 void tw_gang_done(tw_core *core, tw_job *job);
 /* Stops the whole gang. grace_s: grace period of its tasks, in which they save their progress; 0:
  * they are stopped at once. */
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -162,16 +162,15 @@
 /* ---- end ---- */
 
 void tw_job_finish(tw_core *core, tw_job *job, tw_wire_job_state state) {
+    tw_placement *task, *next;
     job->state = state;
-    if (state == TW_JOB_CANCELLED) {
-        tw_job_note_cancelled(core, job);
-        /* The tasks are stopped before the cancellation is known to be durable: once the write is
-         * sent, another node may read the record and tell the user, and this node may never learn
-         * of it. Whatever the tasks still do is of no use to anybody. */
-        tw_placement *task, *next;
-        DL_FOREACH_SAFE2(job->placements, task, next, job_next) {
-            tw_placement_stop(core, task, 0, false);
-        }
+    if (state == TW_JOB_CANCELLED) tw_job_note_cancelled(core, job);
+    /* The tasks are stopped before the end is known to be durable: once the write of a cancellation
+     * is sent, another node may read the record and tell the user, and this node may never learn of
+     * it. Whatever the tasks still do is of no use to anybody. Of a gang that is done some may not
+     * have ended, and go on counting until they have. */
+    DL_FOREACH_SAFE2(job->placements, task, next, job_next) {
+        tw_placement_stop(core, task, 0, false);
     }
     tw_log_debug("event=job_ended id=%s state=%d", job->id, state);
     tw_job_mark_changed(core, job, true);
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -58,7 +58,7 @@
 typedef enum {
     TW_ASSIGNMENT_NONE,   /* neither placed nor done */
     TW_ASSIGNMENT_PLACED, /* may run on a machine */
-    TW_ASSIGNMENT_DONE
+    TW_ASSIGNMENT_DONE    /* needs no further attempt; of a gang, one may still run */
 } tw_assignment;
 
 typedef struct tw_job {
@@ -80,9 +80,10 @@
     double submitted_at;
     double submitted_wall_s; /* the same as a time of day */
 
-    uint8_t *task_states;         /* a tw_assignment per task; NULL once the job was released */
-    int done_count, placed_count; /* tasks in these states */
-    int first_unplaced;           /* no task with a lower index is to be placed */
+    uint8_t *task_states; /* a tw_assignment per task; NULL once the job was released */
+    int done_count;       /* tasks that are done */
+    int placed_count;     /* tasks that may run: the length of `placements` */
+    int first_unplaced;   /* no task with a lower index is to be placed */
     uint64_t next_attempt;
     tw_placement *placements; /* its tasks that may run */
     int placement_refs;       /* placements that point to it, also those that only their machines
@@ -127,7 +128,7 @@
 void tw_job_free(tw_core *core, tw_job *job);
 /* A placement that pointed to the job is freed. The job may be freed by this, too. */
 void tw_job_placement_gone(tw_core *core, tw_job *job);
-/* The job has ended in that state, which is to be made durable. The tasks of a cancelled job are
+/* The job has ended in that state, which is to be made durable. Tasks of it that may still run are
  * stopped. */
 void tw_job_finish(tw_core *core, tw_job *job, tw_wire_job_state state);
 /* Notes the job among the cancelled ones, which heartbeats to peers tell of. */
--- a/src/core/job_persistence.c
+++ b/src/core/job_persistence.c
@@ -35,7 +35,9 @@
         record.has_job = true;
         record.job_text = job->spec_text;
     }
-    if (job->state == TW_JOB_PENDING)
+    /* The version in production takes the number of done tasks from their list, also where the job
+     * is done and tasks of it may still run. */
+    if (job->state == TW_JOB_PENDING || (job->state == TW_JOB_DONE && record.assignment_count))
         record.done_ranges =
             tw_task_ranges_text(job->task_states, job->task_count, TW_ASSIGNMENT_DONE);
     char *text = tw_wire_record_text(&record);
--- a/src/core/leader_failover.c
+++ b/src/core/leader_failover.c
@@ -132,28 +132,34 @@
     if (tw_cluster_is_loading(core->cluster)) tw_failover_tick(core);
 }
 
-/* Restores the tasks that are done, and those that may run. */
+/* Restores an attempt that may run by the record. */
+static void restore_attempt(tw_core *core, tw_job *job, const tw_wire_assignment *recorded) {
+    tw_machine *machine = tw_machine_find(core, recorded->worker);
+    if (!machine) machine = tw_machine_new(core, recorded->worker);
+    if (job->task_states[recorded->index] != TW_ASSIGNMENT_NONE) return;
+    tw_placement *placed = tw_placement_new(core, job, recorded->index, machine, recorded->attempt);
+    if (!placed) return;
+    placed->inherited = true;
+    placed->launch_sent = true;
+    placed->version = 0;
+    if (job->state != TW_JOB_PENDING) placed->stopping = true;
+}
+
+/* Restores the tasks that are done, and the attempts that may run: of a job that is pending these
+ * are of other tasks, of a gang that is done they are of done ones. */
 static void restore_tasks(tw_core *core, tw_job *job, const tw_wire_record *record) {
-    const bool cancelled = record->state == TW_JOB_CANCELLED;
+    const bool is_over = job->state != TW_JOB_PENDING;
     job->task_states = tw_alloc((size_t)job->task_count);
-    job->done_count = record->done_ranges
-                          ? tw_task_ranges_apply(job->task_states, job->task_count,
-                                                 record->done_ranges, TW_ASSIGNMENT_DONE)
-                          : 0;
-    for (int i = 0; i < record->assignment_count; i++) {
-        const tw_wire_assignment *live = &record->assignments[i];
-        tw_machine *machine = tw_machine_find(core, live->worker);
-        if (!machine) machine = tw_machine_new(core, live->worker);
-        if (job->task_states[live->index] != TW_ASSIGNMENT_NONE) continue;
-        tw_placement *placed = tw_placement_new(core, job, live->index, machine, live->attempt);
-        if (!placed) continue;
-        placed->inherited = true;
-        placed->launch_sent = true;
-        placed->version = 0;
-        if (cancelled) placed->stopping = true;
-    }
+    if (!is_over && record->done_ranges)
+        job->done_count = tw_task_ranges_apply(job->task_states, job->task_count,
+                                               record->done_ranges, TW_ASSIGNMENT_DONE);
+    for (int i = 0; i < record->assignment_count; i++)
+        restore_attempt(core, job, &record->assignments[i]);
+    if (is_over) job->done_count = record->done_count;
+    if (job->state == TW_JOB_DONE)
+        memset(job->task_states, TW_ASSIGNMENT_DONE, (size_t)job->task_count);
+    if (job->state == TW_JOB_CANCELLED) tw_job_note_cancelled(core, job);
     if (job->spec.gang) tw_gang_restored(job);
-    if (cancelled) tw_job_note_cancelled(core, job);
 }
 
 void tw_job_restore(tw_core *core, const char *id, tw_wire_record *record, uint64_t revision) {
--- a/src/core/task_reconciliation.c
+++ b/src/core/task_reconciliation.c
@@ -88,9 +88,10 @@
     placed->cause = reported->cause;
     if (!placed->counted) return;
     const bool job_is_over = job->state != TW_JOB_PENDING;
-    note_exit(core, placed, reported);
+    /* The first task of a gang that is done has told what the others' ends would tell. */
+    if (job->state != TW_JOB_DONE) note_exit(core, placed, reported);
     tw_attempt_terminate(core, placed, &termination);
-    if (reported->cause == TW_CAUSE_DONE && job->spec.gang) tw_gang_done(core, job);
+    if (reported->cause == TW_CAUSE_DONE && job->spec.gang && !job_is_over) tw_gang_done(core, job);
     if (!job_is_over && job->done_count == job->task_count)
         tw_job_finish(core, job, TW_JOB_DONE);
     else
--- a/src/core/worker_heartbeat.c
+++ b/src/core/worker_heartbeat.c
@@ -120,8 +120,7 @@
                                    const tw_wire_heartbeat *heartbeat, bool answers_command) {
     const bool launch_lost = tw_launch_was_lost(placed, heartbeat, answers_command);
     const bool forgotten = placed->state == TW_TASK_EXITED && placed->reported;
-    const bool done_with_gang = launch_lost && !placed->counted;
-    if (forgotten || done_with_gang) {
+    if (forgotten) {
         tw_attempt_forget(core, placed);
     } else if (placed->inherited || placed->reported) {
         const tw_attempt_termination termination = {.evidence = TW_EVIDENCE_ABSENT,
