--- a/simulator/simulator.c
+++ b/simulator/simulator.c
@@ -54,6 +54,15 @@
     if (body) add_to_digest(sim, body, strlen(body));
 }
 
+/* Notes which version a new leader is of. */
+static void note_leader(tw_simulator *sim) {
+    const uint64_t version = tw_simulator_state_version(&sim->world.state, "leader");
+    if (version == sim->leader_key_version || !version) return;
+    sim->leader_key_version = version;
+    const int leader = tw_simulator_leader(sim);
+    if (leader >= 0 && !sim->nodes[leader].earlier_version) sim->new_version_led = true;
+}
+
 void tw_simulator_run(tw_simulator *sim, tw_simulator_verdict *verdict) {
     tw_simulator_world *world = &sim->world;
     tw_simulator_event *event;
@@ -64,6 +73,7 @@
         if (!over) {
             world->now = event->at;
             event->act(sim, event);
+            note_leader(sim);
         }
         if (!event->queued) tw_simulator_event_free(event);
         if (over) break;
@@ -76,6 +86,7 @@
     verdict->crossings = world->crossings;
     verdict->end_s = world->now;
     verdict->digest = sim->digest;
+    verdict->only_earlier_led = sim->leader_key_version && !sim->new_version_led;
 }
 
 void tw_simulator_free(tw_simulator *sim) {
--- a/simulator/simulator.h
+++ b/simulator/simulator.h
@@ -16,7 +16,10 @@
     unsigned crossings; /* answers that contradicted a newer one but whose request was sent before
                            it was told */
     double end_s;       /* simulated time reached */
-    uint64_t digest;    /* of all that users and workers were told: equal for equal runs */
+    /* Only nodes of the earlier version had led when the rule broke. Leaders alone decide, so this
+     * version has decided nothing on that day. */
+    bool only_earlier_led;
+    uint64_t digest; /* of all that users and workers were told: equal for equal runs */
 } tw_simulator_verdict;
 
 /* name: for messages about lines that did not hold, on standard output; NULL: no messages. */
--- a/simulator/simulator_int.h
+++ b/simulator/simulator_int.h
@@ -153,7 +153,9 @@
     size_t event_count, event_capacity;
     uint64_t last_sequence, last_connection, last_heartbeat;
     tw_simulator_connection *connections;
-    int next_node; /* the load balancer's */
+    int next_node;               /* the load balancer's */
+    uint64_t leader_key_version; /* of the leader's key when it was last looked at; 0: never set */
+    bool new_version_led;        /* some leader so far was of this version */
     int failed;
     uint64_t digest;
     unsigned strike_counts[TW_SIMULATOR_TROUBLE_KINDS];
--- a/tools/explore/explore.c
+++ b/tools/explore/explore.c
@@ -36,6 +36,7 @@
     tw_fuzz_pool *pool;
     uint64_t next; /* seed to be played next */
     uint64_t played, broken;
+    uint64_t broken_by_earlier; /* of the broken ones: only the earlier version had led */
     rule_count rules[RULES_MAX];
     unsigned rule_count;
     uint32_t queue[QUEUE_MAX]; /* seeds to be shrunk */
@@ -194,6 +195,9 @@
     for (unsigned i = 0; i < run->rule_count; i++)
         printf("%s %u of %llu days\n", run->rules[i].name, run->rules[i].broken,
                (unsigned long long)run->played);
+    if (run->broken_by_earlier)
+        printf("in %llu of them only the earlier version had led\n",
+               (unsigned long long)run->broken_by_earlier);
     printf("seeds %u to %llu, %.1f s, %.1f days a second\n", run->options.first,
            (unsigned long long)run->next - 1, took, took > 0 ? (double)run->played / took : 0);
     printf("%llu passed, %llu failed\n", (unsigned long long)(run->played - run->broken),
@@ -213,9 +217,11 @@
 static void take_broken(exploration *run, const tw_fuzz_result *result) {
     rule_count *rule = count_of(run, result->verdict.rule);
     clear_progress(run);
-    printf("BROKE seed %u: %s\n", result->seed, result->verdict.detail);
+    printf("BROKE seed %u: %s%s\n", result->seed, result->verdict.detail,
+           result->verdict.only_earlier_led ? " (only the earlier version had led)" : "");
     fflush(stdout);
     run->broken++;
+    run->broken_by_earlier += result->verdict.only_earlier_led;
     rule->broken++;
     if (run->options.rule && strcmp(run->options.rule, result->verdict.rule) != 0) return;
     if (rule->shrunk >= run->options.shrinks || run->queued == QUEUE_MAX) return;
@@ -294,7 +300,9 @@
         return 2;
     }
     tw_fuzz_play_apart(&day, &verdict);
-    if (verdict.failed) printf("BROKE %s: %s %s\n", path, verdict.rule, verdict.detail);
+    if (verdict.failed)
+        printf("BROKE %s: %s %s%s\n", path, verdict.rule, verdict.detail,
+               verdict.only_earlier_led ? " (only the earlier version had led)" : "");
     printf("%d passed, %d failed\n", !verdict.failed, verdict.failed != 0);
     tw_fuzz_day_free(&day);
     return verdict.failed != 0;
