A cancellation waits until no direct launch of its job can start a task any more

Cause: a launch that a cut holds names the machine's incarnation, which lasts while a lease delegate renews the lease; the delegate stops only what the machine lists. Now a cancellation is confirmed only when no direct launch of the job is of unknown fate (503 at once where the response is overdue), and tasks with such launches are told to stop before.

--- a/simulator/worker_heartbeat.c
+++ b/simulator/worker_heartbeat.c
@@ -10,7 +10,8 @@
 #define JUDGE_LIVE_S 1.0
 #define ANSWER_TIMEOUT_S 4.0
 #define NEXT_NODE_S 1.0
-#define HELD_SPREAD_S 0.3 /* held heartbeats arrive within that time */
+#define HELD_SPREAD_S 0.3          /* held heartbeats arrive within that time */
+#define MAX_BODY_BYTES (64 * 1024) /* of a request; a controller refuses longer ones */
 #define ANY_NODE (-1) /* a late copy: to a node of the worker's zone, or whoever leads by then */
 
 static void deliver_heartbeat(tw_simulator *sim, tw_simulator_event *event) {
@@ -142,6 +143,7 @@
     tw_simulator_world *world = &sim->world;
     tw_simulator_worker *worker = world->workers[machine];
     char *body = tw_simulator_worker_heartbeat(world, worker);
+    if (strlen(body) > MAX_BODY_BYTES) tw_simulator_fail(sim, "heartbeat over 64 KiB", worker->id);
     worker->changed = false;
     worker->in_flight = ++sim->last_heartbeat;
     worker->last_heartbeat = world->now;
--- a/src/core/cancellation.c
+++ b/src/core/cancellation.c
@@ -1,7 +1,16 @@
 /* Cancellations, which have to be known to all nodes that may answer a job's machines: such a node
- * renews their leases without the leader, and has to stop the job's tasks with that. */
+ * renews their leases without the leader, and has to stop the job's tasks with that. It can't stop
+ * what a launch on its way starts later, so that none may be on its way. */
 #include "core/jobs.h"
 
+/* Whether a direct launch may still start the task. It may do so whenever it arrives: the machine's
+ * incarnation, which it names, lasts for as long as another node renews the lease. */
+static tw_cancellation_safety launch_safety(const tw_placement *task) {
+    if (!task->direct_launches) return TW_CANCELLATION_SAFE;
+    /* Once the response is overdue, nothing is known of the launch until the machine is heard. */
+    return task->machine->command_in_flight ? TW_CANCELLATION_PENDING : TW_CANCELLATION_UNREACHABLE;
+}
+
 tw_cancellation_safety tw_job_cancellation_safety(tw_core *core, const tw_job *job, bool tell) {
     const double limit = core->context.now + tw_cluster_renewal_if_superseded_s(core->cluster);
     tw_cancellation_safety safety = TW_CANCELLATION_SAFE;
@@ -9,6 +18,9 @@
     DL_FOREACH2(job->placements, task, job_next) {
         const tw_machine *machine = task->machine;
         if (!tw_attempt_was_launched(task)) continue;
+        const tw_cancellation_safety launch = launch_safety(task);
+        if (launch == TW_CANCELLATION_UNREACHABLE) return launch;
+        if (launch == TW_CANCELLATION_PENDING) safety = launch;
         if (!machine->confirmed && tw_cluster_predecessor_renewals_end(core->cluster) > limit)
             return TW_CANCELLATION_UNREACHABLE;
         switch (tw_cluster_cancellation_safety(core->cluster, machine->zone,
@@ -25,6 +37,13 @@
     return safety;
 }
 
+void tw_job_settle_launches(tw_core *core, tw_job *job) {
+    tw_placement *task, *next;
+    DL_FOREACH_SAFE2(job->placements, task, next, job_next) {
+        if (task->direct_launches && !task->stopping) tw_placement_stop(core, task, 0, false);
+    }
+}
+
 int tw_jobs_list_cancelled(const tw_core *core, const char **ids, int most) {
     const tw_job *job;
     int count = 0;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -217,8 +217,9 @@
 
 /* Ends a job that its user cancels as soon as that can be promised. */
 static void cancellation_tick(tw_core *core, tw_job *job) {
-    if (job->cancelling && job->state == TW_JOB_PENDING &&
-        tw_cluster_may(core->cluster, TW_PERMISSION_WRITE) && tw_cluster_is_active(core->cluster) &&
+    if (!job->cancelling || job->state != TW_JOB_PENDING) return;
+    tw_job_settle_launches(core, job);
+    if (tw_cluster_may(core->cluster, TW_PERMISSION_WRITE) && tw_cluster_is_active(core->cluster) &&
         tw_job_cancellation_safety(core, job, true) == TW_CANCELLATION_SAFE)
         tw_job_finish(core, job, TW_JOB_CANCELLED);
 }
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -50,9 +50,13 @@
 
 /* ---- cancellation.c ---- */
 
-/* Whether all nodes that may answer the job's machines without the leader, for longer than a
- * cancellation leaves time for, know that the job is cancelled. tell: those that don't are told. */
+/* Whether the job's tasks can't start any more, and all nodes that may answer its machines without
+ * the leader, for longer than a cancellation leaves time for, know that the job is cancelled. tell:
+ * those that don't are told. */
 tw_cancellation_safety tw_job_cancellation_safety(tw_core *core, const tw_job *job, bool tell);
+/* Stops the tasks of a job that is being cancelled whose direct launches are of unknown fate: their
+ * machines are told to launch and stop them, and then refuse the late launch. */
+void tw_job_settle_launches(tw_core *core, tw_job *job);
 /* Fills in the ids of at most `most` cancelled jobs that may still run; returns how many there are.
  */
 int tw_jobs_list_cancelled(const tw_core *core, const char **ids, int most);
