The exit of an inherited gang task counts only under this term's token

Symptom: ran_twice in gang_exit_to_third_leader (t=21.50). Cause: a copy of a heartbeat from the first leader's time tells the third one that a gang's task has exited, which the second had launched again there under the same attempt. The exit of a gang's inherited task now counts once the machine has seen this term's token; the probe of unconfirmed machines brings that.

--- a/src/core/attempt_termination.c
+++ b/src/core/attempt_termination.c
@@ -74,15 +74,23 @@
     return placed->launch_sent && placed->launch_incarnation < heartbeat->incarnation;
 }
 
+/* A task of a gang that is replaced gets the attempt of the others, so that a later leader may have
+ * launched the same attempt there again, after this heartbeat. Of a machine that refuses all
+ * earlier leaders' commands, and of a launch of this term, that is excluded. */
+bool tw_attempt_exit_is_final(const tw_placement *placed, const tw_wire_task *reported) {
+    if (reported->state != TW_TASK_EXITED || reported->attempt != placed->attempt ||
+        reported->index != placed->index)
+        return false;
+    return !placed->inherited || !placed->job->spec.gang || placed->machine->confirmed;
+}
+
 /* Whether the attempt can't run any more, nor be started by a message on its way. */
 static bool evidence_holds(const tw_core *core, const tw_placement *placed,
                            const tw_attempt_termination *termination) {
     const tw_machine *machine = placed->machine;
     switch (termination->evidence) {
     case TW_EVIDENCE_EXITED:
-        return termination->reported && termination->reported->state == TW_TASK_EXITED &&
-               termination->reported->attempt == placed->attempt &&
-               termination->reported->index == placed->index;
+        return termination->reported && tw_attempt_exit_is_final(placed, termination->reported);
     case TW_EVIDENCE_ABSENT:
         return is_certainly_absent(placed);
     case TW_EVIDENCE_LAUNCH_LOST:
--- a/src/core/attempt_termination.h
+++ b/src/core/attempt_termination.h
@@ -60,6 +60,10 @@
 /* The same with evidence that rests on no message. */
 bool tw_attempt_terminate_on(tw_core *core, tw_placement *placed, tw_termination_evidence evidence);
 
+/* Whether the exit of the task, which a heartbeat of the machine names, is the end of the attempt:
+ * it may be older than another launch of the same attempt there. */
+bool tw_attempt_exit_is_final(const tw_placement *placed, const tw_wire_task *reported);
+
 /* Whether a launch of the attempt was sent, or an earlier leader may have sent one. */
 bool tw_attempt_was_launched(const tw_placement *placed);
 
--- a/src/core/task_reconciliation.c
+++ b/src/core/task_reconciliation.c
@@ -84,10 +84,14 @@
     tw_job *job = placed->job;
     const tw_attempt_termination termination = {
         .evidence = TW_EVIDENCE_EXITED, .heartbeat = heartbeat, .reported = reported};
+    const bool job_is_over = job->state != TW_JOB_PENDING;
+    if (placed->counted && !tw_attempt_exit_is_final(placed, reported)) {
+        core->counters.kept[TW_EVIDENCE_EXITED]++;
+        return; /* the machine is asked for its state, and tells it under this term's token */
+    }
     placed->state = TW_TASK_EXITED;
     placed->cause = reported->cause;
     if (!placed->counted) return;
-    const bool job_is_over = job->state != TW_JOB_PENDING;
     /* The first task of a gang that is done has told what the others' ends would tell. */
     if (job->state != TW_JOB_DONE) note_exit(core, placed, reported);
     tw_attempt_terminate(core, placed, &termination);
