direct_commands.c: when direct commands are sent is a module of its own; soak tells its processor time

worker_commands.c decided which commands are due and also sent them; the second half is direct_commands.c now, moved without a change. The soak's verdict says how much processor time the harness used within its latest tick, so that a busy machine can be told from a harness that is slow itself.

--- /dev/null
+++ b/src/core/direct_commands.c
@@ -0,0 +1,173 @@
+/* Direct commands, which are sent to a machine's own address, and probes, which ask it for its
+ * state alone: when they are sent, and what their responses tell. Which commands they hold is
+ * decided by worker_commands.c.
+ *
+ * Invariants: a machine has at most one of them in flight; without a response the fate of the
+ * launches in it stays unknown, and the machine is given a pause. */
+#include "core/workers.h"
+#include <stdbool.h>
+
+/* Silent machines that are probed at once, as a share of the node's sockets. */
+#define MAX_PROBES_PER_SOCKET 0.06
+/* How long the response to direct commands is waited for. */
+#define DIRECT_TIMEOUT_S 1.5
+/* Share of the leader's lease that must be left, so that a direct launch arrives under it. */
+#define MIN_AUTHORITY_SHARE 0.1
+/* A machine without a heartbeat for so many intervals is probed. */
+#define SILENT_HEARTBEATS 1.5
+/* Longest pause between direct commands to a machine that doesn't respond, in intervals. */
+#define MAX_PAUSE_HEARTBEATS 8
+/* Probes of a machine that doesn't respond, or whose responses don't confirm it. */
+#define MAX_PROBES 4
+
+static void queue_machine(tw_core *core, tw_machine *machine) {
+    if (machine->in_command_queue) return;
+    machine->in_command_queue = true;
+    DL_APPEND2(core->command_queue, machine, queue_prev, queue_next);
+}
+
+void tw_machine_want_commands(tw_core *core, tw_machine *machine) {
+    machine->commands_wanted = true;
+    queue_machine(core, machine);
+}
+
+void tw_machine_want_probe(tw_core *core, tw_machine *machine) {
+    machine->probe_wanted = true;
+    queue_machine(core, machine);
+}
+
+static tw_call *send_to_machine(tw_core *core, tw_machine *machine, const char *method,
+                                const char *path, char *body) {
+    tw_call *sent = tw_call_send(&core->context, TW_CALL_SEND_COMMANDS, TW_TO_WORKER,
+                                 machine->endpoint, method, path, body, DIRECT_TIMEOUT_S);
+    snprintf(sent->name, sizeof sent->name, "%s", machine->name);
+    machine->command_in_flight = true;
+    core->commands_in_flight++;
+    return sent;
+}
+
+/* Notes with the call which tasks its commands launch: their fate is unknown until the response. */
+static void note_launches(tw_call *sent, const tw_command_list *commands) {
+    sent->names = tw_alloc((size_t)commands->count * TW_NAME_SIZE);
+    sent->tokens = tw_alloc((size_t)commands->count * sizeof *sent->tokens);
+    for (int i = 0; i < commands->count; i++) {
+        const tw_wire_command *command = &commands->list[i];
+        if (command->kind != TW_COMMAND_LAUNCH) continue;
+        snprintf(sent->names[sent->count], TW_NAME_SIZE, "%s/%d", command->job, command->index);
+        sent->tokens[sent->count++] = command->attempt;
+    }
+}
+
+/* Sends the machine's direct commands, or a probe: an empty list of commands shows the machine this
+ * term's token, and its response lists its tasks. Commands are sent only to a machine that is in
+ * touch; another one might carry them out late. */
+static void send_direct_commands(tw_core *core, tw_machine *machine) {
+    if (machine->command_in_flight || core->context.now < machine->no_commands_before ||
+        (!machine->commands_wanted && !machine->probe_wanted))
+        return;
+    const bool probe = machine->probe_wanted;
+    const double silent_s = core->context.now - machine->last_contact_at;
+    const double in_touch_s = TW_IN_TOUCH_HEARTBEATS * core->context.config->report_s;
+    machine->commands_wanted = machine->probe_wanted = false;
+    if (machine->return_wanted || !*machine->endpoint) return;
+    if (!probe && (machine->state != TW_MACHINE_UP || !machine->confirmed || silent_s > in_touch_s))
+        return;
+    if (!machine->incarnation) { /* commands must name it, and it is not known yet */
+        send_to_machine(core, machine, "GET", "/inspect", NULL);
+        return;
+    }
+    tw_command_list commands = tw_command_list_new(core);
+    if (machine->confirmed && silent_s < in_touch_s) tw_commands_due(core, machine, &commands, 0);
+    if (!commands.count && !probe) return;
+    char *body = tw_commands_direct_text(core, machine, &commands);
+    if (!body) return;
+    note_launches(send_to_machine(core, machine, "POST", "/orders", body), &commands);
+}
+
+/* Queues the machines for which direct commands or probes are wanted, silent ones among them. */
+static void queue_due_machines(tw_core *core) {
+    const int max_in_flight = (int)(MAX_PROBES_PER_SOCKET * core->context.config->sockets);
+    int in_flight = core->commands_in_flight;
+    tw_machine *machine, *next;
+    HASH_ITER(hh, core->machines, machine, next) {
+        if (machine->command_in_flight || core->context.now < machine->no_commands_before) continue;
+        /* The heartbeats may reach only a node that can't reach this one, while this node reaches
+         * the machine. */
+        if (machine->state == TW_MACHINE_UP &&
+            core->context.now - machine->last_contact_at >
+                SILENT_HEARTBEATS * core->context.config->report_s &&
+            in_flight < max_in_flight) {
+            machine->probe_wanted = true;
+            in_flight++;
+        }
+        if (machine->commands_wanted || machine->probe_wanted) queue_machine(core, machine);
+    }
+}
+
+/* Runs after every input, so it looks only at machines that were queued, and once a tick at all. */
+void tw_commands_send_direct(tw_core *core) {
+    tw_machine *machine;
+    if (!tw_cluster_authority_lasts(core->cluster,
+                                    MIN_AUTHORITY_SHARE * tw_cluster_lease_s(core->cluster)))
+        return;
+    if (core->context.now >= core->next_command_scan_at) {
+        core->next_command_scan_at = core->context.now + tw_core_tick_s(core);
+        queue_due_machines(core);
+    }
+    while ((machine = core->command_queue)) {
+        DL_DELETE2(core->command_queue, machine, queue_prev, queue_next);
+        machine->in_command_queue = false;
+        send_direct_commands(core, machine);
+    }
+}
+
+/* A direct launch of the task is no longer under way. refused: the machine did not carry it out. */
+static void settle_launch(const tw_machine *machine, const char *task, uint64_t attempt,
+                          bool refused) {
+    tw_placement *placed;
+    char name[TW_NAME_SIZE];
+    DL_FOREACH(machine->placements, placed) {
+        snprintf(name, sizeof name, "%s/%d", placed->job->id, placed->index);
+        if (placed->attempt != attempt || strcmp(name, task) != 0) continue;
+        tw_launch_answered(placed, refused);
+        return;
+    }
+}
+
+/* No response to direct commands or a probe came: pauses, and probes again for a few times. */
+static void note_failed_send(tw_core *core, tw_machine *machine) {
+    machine->failed_sends++;
+    const double pause_heartbeats =
+        machine->last_contact_at ? fmin(1 + machine->failed_sends, MAX_PAUSE_HEARTBEATS) : 1;
+    machine->no_commands_before =
+        core->context.now + pause_heartbeats * core->context.config->report_s;
+    if (!machine->last_contact_at && ++machine->failed_probes < MAX_PROBES)
+        tw_machine_want_probe(core, machine);
+}
+
+void tw_commands_response(tw_core *core, tw_call *sent, int status, const char *body,
+                          size_t length) {
+    tw_machine *machine = tw_machine_find(core, sent->name);
+    if (!machine) return;
+    core->commands_in_flight -= machine->command_in_flight;
+    machine->command_in_flight = false;
+    if (machine->commands_wanted || machine->probe_wanted) queue_machine(core, machine);
+    if (status == 0) {
+        note_failed_send(core, machine);
+        return; /* the commands may still arrive: the fate of their launches stays unknown */
+    }
+    for (int i = 0; i < sent->count; i++)
+        settle_launch(machine, sent->names[i], sent->tokens[i], status != TW_HTTP_OK);
+    tw_wire_heartbeat heartbeat;
+    if ((status != TW_HTTP_OK && status != TW_HTTP_CONFLICT) ||
+        tw_wire_heartbeat_parse(&heartbeat, body, length))
+        return;
+    if (heartbeat.fencing_token > tw_cluster_token(core->cluster)) {
+        tw_cluster_observe_token(core->cluster, heartbeat.fencing_token, NULL);
+    } else if (!strcmp(heartbeat.worker, machine->name)) {
+        tw_worker_heartbeat_apply(core, machine, &heartbeat, NULL);
+        if (!machine->confirmed && machine->probed++ < MAX_PROBES)
+            tw_machine_want_probe(core, machine);
+    }
+    tw_wire_heartbeat_free(&heartbeat);
+}
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -154,7 +154,7 @@
  * under way there. but: a fetch that isn't counted; NULL: all are. */
 double tw_image_fetch_slowdown(const tw_core *core, const tw_machine *machine, const tw_image *but);
 
-/* ---- worker_heartbeat.c, worker_commands.c, machine_upkeep.c ---- */
+/* ---- worker_heartbeat.c, direct_commands.c, machine_upkeep.c ---- */
 
 /* Takes in a worker's heartbeat and answers it on that connection, or forwards, redirects or holds
  * it. body: not owned, without a terminating 0. from_peer: another node forwarded it. */
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -75,7 +75,7 @@
     double next_admission_watch_at;
     bool admission_watch_in_flight;
 
-    /* ---- machines (machine.c, worker_heartbeat.c, worker_commands.c, lease_expiry.c) ----
+    /* ---- machines (machine.c, worker_heartbeat.c, direct_commands.c, lease_expiry.c) ----
      * Every placement of a job is on one of them. */
     tw_machine *machines;        /* by name */
     size_t longest_machine_name; /* of all machines that were known in this process */
--- a/src/core/workers.h
+++ b/src/core/workers.h
@@ -7,7 +7,8 @@
  * attempt_termination.c  when an attempt can no longer run
  * worker_heartbeat.c     takes a heartbeat in and answers it
  * task_reconciliation.c  what a heartbeat says of one task
- * worker_commands.c      commands that are due, and direct commands
+ * worker_commands.c      commands that are due
+ * direct_commands.c      direct commands and probes
  * command_messages.c     messages with commands, and the permission for them
  * lease_expiry.c         silent machines, expired leases, unreachable zones
  * machine_upkeep.c       timed work over all machines
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -185,9 +185,10 @@
     snprintf(said, sizeof said,
              "%s seed %u: %d nodes, %d machines (%d in all), %d jobs, %d leaders, %d faults, "
              "harness late by "
-             "%.3f s, %.0f s; %s",
+             "%.3f s (%.3f s of processor time in it), %.0f s; %s",
              verdict, of->seed, of->plan.nodes, of->plan.machines, of->world.worker_count,
-             of->world.job_count, of->leaders, struck, of->latest_s, of->world.now, why);
+             of->world.job_count, of->leaders, struck, of->latest_s, of->latest_cpu_s,
+             of->world.now, why);
     char path[TW_SOAK_PATH];
     snprintf(path, sizeof path, "%s/verdict.txt", of->directory);
     FILE *file = fopen(path, "w");
@@ -236,14 +237,26 @@
     of->restart_at[leader] = of->world.now + tw_soak_draw(of, 0.1, 2);
 }
 
+/* Notes how much later than due this tick is, and what of that the harness itself computed. */
+static void note_lateness(tw_soak *of) {
+    struct timespec used;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    const double cpu_s = (double)used.tv_sec + (double)used.tv_nsec / 1e9;
+    const double late_s = of->last_tick > 0 ? of->world.now - of->last_tick - TICK_S : 0;
+    if (late_s > of->latest_s) {
+        of->latest_s = late_s;
+        of->latest_cpu_s = cpu_s - of->last_cpu_s;
+    }
+    of->last_tick = of->world.now;
+    of->last_cpu_s = cpu_s;
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events) {
     (void)loop;
     (void)timer;
     (void)events;
     run.world.now = tw_soak_now() - run.started_at;
-    if (run.last_tick > 0)
-        run.latest_s = fmax(run.latest_s, run.world.now - run.last_tick - TICK_S);
-    run.last_tick = run.world.now;
+    note_lateness(&run);
     tw_soak_faults_tick(&run);
     kill_series(&run);
     tw_soak_workers_tick(&run);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -118,6 +118,9 @@
     FILE *trace;
     double started_at;
     double latest_s, last_tick; /* how late the harness itself was at most */
+    /* Of that tick the processor time of the harness: with little of it the machine was at fault,
+     * which let the harness wait. And the processor time up to the last tick. */
+    double latest_cpu_s, last_cpu_s;
     double next_submission, next_snapshot;
     double restart_at[TW_LOOPBACK_NODES], thaw_at[TW_LOOPBACK_NODES]; /* 0: not planned */
     double refused_until[TW_LOOPBACK_NODES];                          /* by the state service */
