Cancellations: the least safe of all its machines' answers, and every peer is told

launch_safety returned early, so that peers that had to be told of the cancellation were told only after the launch was settled.

--- a/src/core/cancellation.c
+++ b/src/core/cancellation.c
@@ -11,28 +11,28 @@
     return task->machine->command_in_flight ? TW_CANCELLATION_PENDING : TW_CANCELLATION_UNREACHABLE;
 }
 
-tw_cancellation_safety tw_job_cancellation_safety(tw_core *core, const tw_job *job, bool tell) {
+/* Whether an earlier leader may renew the machine's lease for longer than a cancellation leaves
+ * time for. */
+static bool predecessor_may_renew(const tw_core *core, const tw_machine *machine) {
     const double limit = core->context.now + tw_cluster_renewal_if_superseded_s(core->cluster);
+    return !machine->confirmed && tw_cluster_predecessor_renewals_end(core->cluster) > limit;
+}
+
+static tw_cancellation_safety least_safe(tw_cancellation_safety a, tw_cancellation_safety b) {
+    return a < b ? a : b;
+}
+
+tw_cancellation_safety tw_job_cancellation_safety(tw_core *core, const tw_job *job, bool tell) {
     tw_cancellation_safety safety = TW_CANCELLATION_SAFE;
     const tw_placement *task;
     DL_FOREACH2(job->placements, task, job_next) {
         const tw_machine *machine = task->machine;
         if (!tw_attempt_was_launched(task)) continue;
-        const tw_cancellation_safety launch = launch_safety(task);
-        if (launch == TW_CANCELLATION_UNREACHABLE) return launch;
-        if (launch == TW_CANCELLATION_PENDING) safety = launch;
-        if (!machine->confirmed && tw_cluster_predecessor_renewals_end(core->cluster) > limit)
-            return TW_CANCELLATION_UNREACHABLE;
-        switch (tw_cluster_cancellation_safety(core->cluster, machine->zone,
-                                               job->cancellation_sequence, tell)) {
-        case TW_CANCELLATION_UNREACHABLE:
-            return TW_CANCELLATION_UNREACHABLE;
-        case TW_CANCELLATION_PENDING:
-            safety = TW_CANCELLATION_PENDING;
-            break;
-        case TW_CANCELLATION_SAFE:
-            break;
-        }
+        if (predecessor_may_renew(core, machine)) return TW_CANCELLATION_UNREACHABLE;
+        safety = least_safe(safety, launch_safety(task));
+        safety =
+            least_safe(safety, tw_cluster_cancellation_safety(core->cluster, machine->zone,
+                                                              job->cancellation_sequence, tell));
     }
     return safety;
 }
