--- a/simulator/worker_heartbeat.c
+++ b/simulator/worker_heartbeat.c
@@ -10,7 +10,7 @@
 #define JUDGE_LIVE_S 1.0
 #define ANSWER_TIMEOUT_S 4.0
 #define NEXT_NODE_S 1.0
-#define HELD_SPREAD_S 0.3          /* held heartbeats arrive within that time */
+#define HELD_SPREAD_S 0.3                  /* held heartbeats arrive within that time */
 #define MAX_BODY_BYTES ((size_t)64 * 1024) /* of a request; a controller refuses longer ones */
 #define ANY_NODE (-1) /* a late copy: to a node of the worker's zone, or whoever leads by then */
 
