A cancellation is told 404 only by a leader that does not know the job

Callers saw: POST /v1/jobs/ID/abort answered 404 "no such job" although the job's submission was answered 201 a few milliseconds later; the job then ran to its end, cancelled by nobody.

Cause: a node that can't answer from memory reads the state service, and told 404 when it found no record. The record of a submission under way isn't written yet. The leader did the same with a job that it had in memory.

Why this works: the protocol repeats a cancellation until it gets "aborted" or "done", and 503 with Retry-After lets its user do that; the leader knows of each submission that it is writing.

--- a/src/core/job_lookup.c
+++ b/src/core/job_lookup.c
@@ -77,10 +77,25 @@
     tw_wire_record_free(&record);
 }
 
+/* Answers a cancellation of a job that has no record. Only the leader can tell that there is
+ * nothing to cancel, since it knows of the submissions that are being written; the user of one of
+ * these, and of any other node, is to ask again. */
+static void answer_nothing_to_cancel(tw_core *core, const tw_call *call) {
+    if (!tw_leader_may_answer(core))
+        tw_reply_error(&core->context, call->connection, TW_HTTP_UNAVAILABLE, 1, "no leader");
+    else if (tw_job_find(core, call->name))
+        tw_reply_error(&core->context, call->connection, TW_HTTP_UNAVAILABLE, 1,
+                       "not accepted yet");
+    else
+        tw_reply_error(&core->context, call->connection, TW_HTTP_NOT_FOUND, 0, "no such job");
+}
+
 /* Answers if there is no record of the job. */
 static void answer_no_record(tw_core *core, const tw_call *call) {
     if (call->operation == TW_OPERATION_REFUSE)
         tw_reply_error(&core->context, call->connection, TW_HTTP_IMPOSSIBLE, 0, "can never run");
+    else if (call->operation == TW_OPERATION_CANCEL)
+        answer_nothing_to_cancel(core, call);
     else
         tw_reply_error(&core->context, call->connection, TW_HTTP_NOT_FOUND, 0, "no such job");
 }
