Soak and end-to-end test notice a controller that ends by itself

Callers saw: nothing, which was the fault. tw_e2e and the soak passed with a controller that had crashed or never started.

Cause: both ran on libev's default loop, which reaps every child that ends. tw_loopback_ended then never saw the end, and tw_loopback_stop took the failed waitpid for a good one (its status stayed 0).

Why this works: a loop that is not the default one takes no children, and an end that nobody can account for now fails the run.

--- a/tests/loopback/processes.c
+++ b/tests/loopback/processes.c
@@ -83,12 +83,13 @@
     return -1;
 }
 
-static int ended_well(pid_t pid, int node) {
+static bool ended_well(pid_t pid, int node) {
     int status = 0;
-    waitpid(pid, &status, 0);
-    if (WIFEXITED(status) && WEXITSTATUS(status) == 0) return 1;
-    printf("FAIL: controller %d ended with status %d\n", node, status);
-    return 0;
+    const bool is_known = waitpid(pid, &status, 0) == pid;
+    if (is_known && WIFEXITED(status) && WEXITSTATUS(status) == 0) return true;
+    printf("FAIL: controller %d ended %s status %d\n", node, is_known ? "with" : "before, unknown",
+           status);
+    return false;
 }
 
 bool tw_loopback_stop(tw_loopback_nodes *nodes) {
--- a/tests/runner/e2e.c
+++ b/tests/runner/e2e.c
@@ -266,11 +266,13 @@
 
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events) {
     static double next_act;
+    int status;
     (void)loop;
     (void)timer;
     (void)events;
     world.now = now();
     if (world.now > LIMIT_S) finish("no progress");
+    if (tw_loopback_ended(&nodes, &status) >= 0) finish("a node ended by itself");
     tw_simulator_gangs_advance(&world);
     for (int i = 0; i < world.worker_count; i++) {
         tw_simulator_worker_advance(&world, world.workers[i]);
@@ -378,7 +380,8 @@
     nodes.program = argv[1];
     signal(SIGPIPE, SIG_IGN);
     started_at = clock_s();
-    struct ev_loop *loop = ev_default_loop(0);
+    /* Not the default loop, which would take the ends of the nodes from whoever waits for them. */
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
     const tw_net_limits limits = {
         .max_server = 200, .max_client = 200, .idle_s = 60, .max_response = 1 << 20};
     const tw_net_handler handler = {on_request, on_response};
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -396,7 +396,8 @@
     run.trace = fopen(path, "w");
     run.nodes.log_directory = run.directory;
     run.started_at = tw_soak_now();
-    run.loop = ev_default_loop(0);
+    /* Not the default loop, which would take the controllers' ends from check_ends. */
+    run.loop = ev_loop_new(EVFLAG_AUTO);
     const tw_net_limits limits = {.max_server = MOST_CONNECTIONS,
                                   .max_client = MOST_CONNECTIONS,
                                   .idle_s = IDLE_S,
