Tests listen on loopback addresses of their own, not on the kernel's ports

Callers saw: tw_e2e failed in 1 of 20 runs beside load with "can't listen on api_addr 127.0.0.1:48400: Address already in use".

Evidence: tw_ports_held holds every hundredth port of the kernel's range while a test runs.

Why this works: an address of 127/8 by process id is nobody else's, and the kernel gives outgoing connections 127.0.0.1. No second try hides an error.

--- a/emulator/main.c
+++ b/emulator/main.c
@@ -1,5 +1,5 @@
 /* tw_emulator: stand-ins over loopback for the daemon's tests. One process serves a state service
- * on PORT, and COUNT replicas on the ports after it, each with the guard that a machine has:
+ * on [IP:]PORT, and COUNT replicas on the ports after it, each with the guard that a machine has:
  *
  *   POST /check {"term":N}    a leader asks what the machine has, and announces its term
  *   POST /start {"term":N,"life":N,"floor":N}  the last epoch before its own, for one life of it
@@ -10,7 +10,7 @@
  *   GET /seen                 its own record of what it took: first and last epoch of requests,
  *                             whether epochs or the terms of commands ever fell
  *
- * Listens on 127.0.0.1 only and ends by itself after SECONDS. */
+ * Listens on IP (127.0.0.1) only and ends by itself after SECONDS. */
 #include "net/net.h"
 #include "shards/shards.h"
 #include "world.h"
@@ -26,6 +26,7 @@
 #define ADDRESS_SIZE 32
 #define ANSWER_SIZE 320
 #define DECIMAL 10
+#define DEFAULT_HOST "127.0.0.1"
 enum { OK = 200, CONFLICT = 409, ABSENT = 404, EXIT_USAGE = 64, ARGUMENTS = 4 };
 
 typedef struct {
@@ -170,11 +171,19 @@
     ev_break(loop, EVBREAK_ALL);
 }
 
-static int listen_on(int port, int replicas_count) {
+/* first: PORT or IP:PORT of the state service. */
+static int listen_on(const char *first, int replicas_count) {
     char address[ADDRESS_SIZE];
+    const char *colon = strchr(first, ':');
+    const char *host = colon ? first : DEFAULT_HOST;
+    const int host_length = colon ? (int)(colon - first) : (int)strlen(DEFAULT_HOST);
+    const int port = (int)strtol(colon ? colon + 1 : first, NULL, DECIMAL);
     for (int i = 0; i <= replicas_count; i++) {
-        snprintf(address, sizeof address, "127.0.0.1:%d", port + i);
-        if (tw_net_listen(net, address, i)) return -1;
+        snprintf(address, sizeof address, "%.*s:%d", host_length, host, port + i);
+        if (tw_net_listen(net, address, i)) {
+            fprintf(stderr, "tw_emulator: can't listen on %s\n", address);
+            return -1;
+        }
     }
     return 0;
 }
@@ -185,10 +194,9 @@
         .max_server = 1024, .max_client = 1, .idle_s = 600, .max_response = 1024};
     ev_timer end;
     if (count != ARGUMENTS) {
-        fprintf(stderr, "usage: tw_emulator PORT REPLICAS SECONDS\n");
+        fprintf(stderr, "usage: tw_emulator [IP:]PORT REPLICAS SECONDS\n");
         return EXIT_USAGE;
     }
-    const int port = (int)strtol(arguments[1], NULL, DECIMAL);
     const int nreplicas = (int)strtol(arguments[2], NULL, DECIMAL);
     if (nreplicas < 0 || nreplicas > MOST_REPLICAS) return EXIT_USAGE;
     signal(SIGPIPE, SIG_IGN);
@@ -196,7 +204,7 @@
     tw_simulator_state_init(&state);
     for (int i = 0; i < nreplicas; i++) tw_shards_guard_boot(&replicas[i].guard, 1);
     net = tw_net_new(loop, &limits, &handler, NULL);
-    if (listen_on(port, nreplicas)) return 1;
+    if (listen_on(arguments[1], nreplicas)) return 1;
     ev_timer_init(&end, on_end, strtod(arguments[3], NULL), 0);
     ev_timer_start(loop, &end);
     ev_run(loop, 0);
--- a/tests/daemon/lib.sh
+++ b/tests/daemon/lib.sh
@@ -12,17 +12,22 @@
 }
 trap stop_all EXIT
 
-# The stand-ins, on ports that are free.
-for try in 1 2 3 4 5; do
-  port=$((21000 + ($$ * 97 + try * 211) % 9000))
-  "$build/emulator/tw_emulator" "$port" "$replicas" "${emu_seconds:-240}" & pids[emu]=$!
-  sleep 0.3
-  kill -0 "${pids[emu]}" 2>/dev/null && break
+# The test's own address, as in tests/loopback/own_host.c: no other test listens on it, and outgoing connections have
+# their ports on 127.0.0.1. Stand-ins of an earlier build take no address: TW_LOOPBACK_HOST=127.0.0.1.
+host=${TW_LOOPBACK_HOST:-127.$((128 + ($$ >> 16 & 63))).$(($$ >> 8 & 255)).$(($$ & 255))}
+port=8080
+listens() { (exec 3<>"/dev/tcp/$host/$1") 2>/dev/null; }
+stand_ins=$host:$port
+[ "$host" != 127.0.0.1 ] || stand_ins=$port
+"$build/emulator/tw_emulator" "$stand_ins" "$replicas" "${emu_seconds:-240}" & pids[emu]=$!
+until listens $((port + replicas)); do
+  kill -0 "${pids[emu]}" || { echo "FAIL $test: no stand-ins"; exit 1; }
+  sleep 0.05
 done
-control() { echo "127.0.0.1:$((port + 50 + $1))"; }
-machine() { echo "127.0.0.1:$((port + $1))"; }
+control() { echo "$host:$((port + 50 + $1))"; }
+machine() { echo "$host:$((port + $1))"; }
 start() {
-  "$build/src/daemon/traywalld" --name "c$1" --state "127.0.0.1:$port" --control "$(control "$1")" \
+  "$build/src/daemon/traywalld" --name "c$1" --state "$host:$port" --control "$(control "$1")" \
     --lease "$lease" --drain 2 --grace 1 2>>"$out/c$1.log" & pids[c$1]=$!
 }
 # ask NODE EXPECTED_EXIT EXPECTED_TEXT ARGUMENTS...
@@ -45,7 +50,7 @@
 }
 # http PORT METHOD PATH BODY EXPECTED_STATUS
 http() {
-  exec 3<>"/dev/tcp/127.0.0.1/$1"
+  exec 3<>"/dev/tcp/$host/$1"
   printf '%s %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' "$2" "$3" "${#4}" "$4" >&3
   said=$(cat <&3); exec 3<&-
   [[ "$said" == "HTTP/1.1 $5 "* ]] || { echo "FAIL $test: $2 $3 $4: $said"; failed=1; }
--- /dev/null
+++ b/tests/loopback/ports_held.c
@@ -0,0 +1,53 @@
+/* tw_ports_held PROGRAM [ARGUMENT...]: runs the program while ports of the range that the kernel
+ * takes for outgoing connections are in use, as beside a busy service. A test that listens on ports
+ * of that range fails then. Exits as the program does. */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define RANGE_FILE "/proc/sys/net/ipv4/ip_local_port_range"
+/* One port in so many is held, the round numbers among them. */
+#define HELD_EVERY 100
+
+static int hold_port(int port) {
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int held = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    return held < 0 ? -1 : bind(held, (struct sockaddr *)&address, sizeof address);
+}
+
+/* How many ports are held; those that others have are in use as well. */
+static int hold_ports(void) {
+    int first;
+    int last;
+    int count = 0;
+    FILE *range = fopen(RANGE_FILE, "r");
+    if (!range) return 0;
+    if (fscanf(range, "%d %d", &first, &last) != 2) first = last = 0;
+    fclose(range);
+    for (int port = first - first % HELD_EVERY + HELD_EVERY; port <= last; port += HELD_EVERY)
+        count += !hold_port(port);
+    return count;
+}
+
+int main(int count, char **arguments) {
+    int status;
+    if (count < 2) {
+        fprintf(stderr, "usage: tw_ports_held PROGRAM [ARGUMENT...]\n");
+        return 64;
+    }
+    if (!hold_ports()) {
+        fprintf(stderr, "no port could be held\n");
+        return EXIT_FAILURE;
+    }
+    const pid_t child = fork();
+    if (child == 0) {
+        execvp(arguments[1], arguments + 1);
+        _exit(127);
+    }
+    if (child < 0 || waitpid(child, &status, 0) != child || !WIFEXITED(status)) return EXIT_FAILURE;
+    return WEXITSTATUS(status);
+}
--- a/tests/runner/e2e.c
+++ b/tests/runner/e2e.c
@@ -2,6 +2,7 @@
  * told done; the leader is killed; what ran goes on; a cancel holds. The order of events is waited
  * for, no time is asserted; a generous limit ends a run that hangs. */
 #include "net/net.h"
+#include "own_host.h"
 #include "processes.h"
 #include "world.h"
 #include <cjson/cJSON.h>
@@ -14,9 +15,11 @@
 #include <unistd.h>
 
 #define NODES 3
-/* Ports after the run's base: nodes from 0, their peers' ports, then the stand-ins. */
-#define PEER_PORTS 10
-#define STAND_IN_PORTS 20
+/* Ports of the run's own address: of the first node, of its peers' requests, of the first stand-in.
+ */
+#define API_PORT 8080
+#define PEER_PORT 8090
+#define STAND_IN_PORT 8100
 /* The stand-ins that nodes call, by the number of their port; each worker has one of its own. */
 enum { PORT_STATE, PORT_CLOUD, PORT_WORKER };
 
@@ -34,11 +37,6 @@
 #define USER_TIMEOUT_S 5
 #define HEARTBEAT_TIMEOUT_S 4
 #define CONNECTIONS_PER_ADDRESS 4
-/* Ports of one run lie together: nodes, their peers' ports, then the stand-ins. */
-#define PORTS_PER_RUN 100
-#define FIRST_PORT 21000
-#define LAST_PORT 60000
-#define FIRST_CHOICES 300 /* by process id, so that runs at the same time rarely meet */
 
 #define BATCH_ID "run-000001"
 #define SERVICE_ID "run-000002"
@@ -78,7 +76,6 @@
 static tw_simulator_world world;
 static tw_net *net;
 static tw_loopback_nodes nodes;
-static int base_port;
 static enum step step;
 static bool user_waits; /* a user's request has no answer yet */
 static double started_at;
@@ -122,12 +119,19 @@
     free(answer);
 }
 
+/* IP:PORT of a listener of this run. */
+static void own_address(char *text, size_t size, int port) {
+    char host[TW_LOOPBACK_HOST_SIZE];
+    tw_loopback_own_host_text(host);
+    snprintf(text, size, "%s:%d", host, port);
+}
+
 /* Sends a request to a node; returns what is known of it, to be filled in. */
 static struct sent_call *call_node(int node, const char *method, const char *path, const char *body,
                                    double timeout_s) {
     char address[ADDRESS_SIZE];
     if (++call_count >= MAX_CALLS) finish("too many calls");
-    snprintf(address, sizeof address, "127.0.0.1:%d", base_port + node);
+    own_address(address, sizeof address, API_PORT + node);
     tw_net_call(net, call_count, address, CONNECTIONS_PER_ADDRESS, method, path, body, timeout_s);
     return &calls[call_count];
 }
@@ -317,29 +321,18 @@
     add_job(SERVICE_ID, service_text, SERVICE_REPLICAS);
 }
 
-/* Whether all stand-ins got their ports after the base. */
-static int listen_at(int base) {
+static void listen_as_stand_ins(void) {
     for (int i = 0; i < PORT_WORKER + WORKERS; i++) {
         char address[ADDRESS_SIZE];
-        snprintf(address, sizeof address, "127.0.0.1:%d", base + STAND_IN_PORTS + i);
-        if (tw_net_listen(net, address, i)) return 0;
-    }
-    return 1;
-}
-
-static void choose_ports(void) {
-    base_port = FIRST_PORT + (int)(getpid() % FIRST_CHOICES) * PORTS_PER_RUN;
-    while (!listen_at(base_port)) {
-        if (base_port > LAST_PORT) finish("no free ports");
-        base_port += PORTS_PER_RUN;
+        own_address(address, sizeof address, STAND_IN_PORT + i);
+        if (tw_net_listen(net, address, i)) finish("a stand-in can't listen");
     }
 }
 
 static void rent_workers(void) {
     for (int i = 0; i < WORKERS; i++) {
         tw_simulator_worker *worker = tw_simulator_add_machine(&world, 0, i ? "b" : "a", 0, 0);
-        snprintf(worker->endpoint, sizeof worker->endpoint, "127.0.0.1:%d",
-                 base_port + STAND_IN_PORTS + PORT_WORKER + i);
+        own_address(worker->endpoint, sizeof worker->endpoint, STAND_IN_PORT + PORT_WORKER + i);
     }
 }
 
@@ -348,7 +341,7 @@
 static void name_peer(tw_loopback_peer *peer, int node) {
     snprintf(peer->name, sizeof peer->name, "tray-%d", node);
     snprintf(peer->zone, sizeof peer->zone, "%s", zone_of(node));
-    snprintf(peer->endpoint, sizeof peer->endpoint, "127.0.0.1:%d", base_port + PEER_PORTS + node);
+    own_address(peer->endpoint, sizeof peer->endpoint, PEER_PORT + node);
 }
 
 static bool start_node(int node) {
@@ -358,14 +351,13 @@
                                      .cancel_s = CANCEL_S,
                                      .list_lag_s = LIST_LAG_S,
                                      .sockets = SOCKETS};
-    const int stand_ins = base_port + STAND_IN_PORTS;
     char path[ADDRESS_SIZE];
     snprintf(settings.name, sizeof settings.name, "tray-%d", node);
     snprintf(settings.zone, sizeof settings.zone, "%s", zone_of(node));
-    snprintf(settings.api_address, ADDRESS_SIZE, "127.0.0.1:%d", base_port + node);
-    snprintf(settings.peer_address, ADDRESS_SIZE, "127.0.0.1:%d", base_port + PEER_PORTS + node);
-    snprintf(settings.cloud, ADDRESS_SIZE, "127.0.0.1:%d", stand_ins + PORT_CLOUD);
-    snprintf(settings.state, ADDRESS_SIZE, "127.0.0.1:%d", stand_ins + PORT_STATE);
+    own_address(settings.api_address, sizeof settings.api_address, API_PORT + node);
+    own_address(settings.peer_address, sizeof settings.peer_address, PEER_PORT + node);
+    own_address(settings.cloud, sizeof settings.cloud, STAND_IN_PORT + PORT_CLOUD);
+    own_address(settings.state, sizeof settings.state, STAND_IN_PORT + PORT_STATE);
     for (int peer = 0; peer < NODES; peer++)
         if (peer != node) name_peer(&settings.peers[settings.peer_count++], peer);
     snprintf(path, sizeof path, "/tmp/tw_e2e_%d_%d.toml", (int)getpid(), node);
@@ -387,7 +379,7 @@
     const tw_net_handler handler = {on_request, on_response};
     net = tw_net_new(loop, &limits, &handler, NULL);
     init_world();
-    choose_ports();
+    listen_as_stand_ins();
     rent_workers();
     for (int node = 0; node < NODES; node++)
         if (!start_node(node)) finish("can't start a node");
--- a/tests/runner/net_test.c
+++ b/tests/runner/net_test.c
@@ -3,6 +3,7 @@
  * Requests in parts, together, long and answered late; calls that are long, answered early or on a
  * connection that was closed. Each step waits for the one before; no time is asserted. */
 #include "net/net.h"
+#include "own_host.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -19,10 +20,7 @@
 enum {
     ROOM = 4,
     MAX_CLIENTS = 8,
-    PORTS = 40,
-    FIRST_PORT = 20000,
-    PORT_RANGE = 20000,
-    PORT_STEP = 97,
+    PORT = 8080,
     LONG_ENOUGH_MS = 5000,
     CALL_S = 1000,
     TEXT = 512,
@@ -35,7 +33,6 @@
 
 static tw_net *net;
 static struct ev_loop *loop;
-static int port;
 static int failed;
 
 /* What the server was asked last, and how it answers: at once unless it is told to wait. */
@@ -103,12 +100,19 @@
 
 static struct sockaddr_in loopback(int at) {
     struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)at)};
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr = tw_loopback_own_host();
     return address;
 }
 
+/* IP:PORT of a listener of this test. */
+static void own_address(char text[TEXT], int at) {
+    char host[TW_LOOPBACK_HOST_SIZE];
+    tw_loopback_own_host_text(host);
+    snprintf(text, TEXT, "%s:%d", host, at);
+}
+
 static int dial(void) {
-    struct sockaddr_in address = loopback(port);
+    struct sockaddr_in address = loopback(PORT);
     int dialled = socket(AF_INET, SOCK_STREAM, 0);
     if (dialled < 0 || connect(dialled, (struct sockaddr *)&address, sizeof address)) return -1;
     return dialled;
@@ -193,15 +197,10 @@
     net = tw_net_new(loop, &limits, &handler, NULL);
     memset(&asked, 0, sizeof asked);
     memset(&ended, 0, sizeof ended);
-    port = 0;
-    for (int i = 0; i < PORTS && !port; i++) {
-        char address[TEXT];
-        int tried = FIRST_PORT + (getpid() + i * PORT_STEP) % PORT_RANGE;
-        snprintf(address, sizeof address, "127.0.0.1:%d", tried);
-        if (!tw_net_listen(net, address, 0)) port = tried;
-    }
-    if (port) return;
-    printf("FAIL net: no free port\n");
+    char address[TEXT];
+    own_address(address, PORT);
+    if (!tw_net_listen(net, address, 0)) return;
+    printf("FAIL net: can't listen on %s\n", address);
     exit(2);
 }
 
@@ -314,7 +313,7 @@
     struct sockaddr_in bound;
     socklen_t size = sizeof bound;
     getsockname(peer, (struct sockaddr *)&bound, &size);
-    snprintf(address, sizeof address, "127.0.0.1:%d", ntohs(bound.sin_port));
+    own_address(address, ntohs(bound.sin_port));
     tw_net_call(net, 1, address, 1, "POST", "/called", body, CALL_S);
 }
 
@@ -450,7 +449,7 @@
 
 /* A connection that is being opened, without waiting for it; -1: failed. */
 static int dial_without_waiting(void) {
-    struct sockaddr_in address = loopback(port);
+    struct sockaddr_in address = loopback(PORT);
     int dialled = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     if (dialled < 0) return -1;
     if (!connect(dialled, (struct sockaddr *)&address, sizeof address) || errno == EINPROGRESS)
