--- a/tests/loopback/ports_held.c
+++ b/tests/loopback/ports_held.c
@@ -2,6 +2,7 @@
  * takes for outgoing connections are in use, as beside a busy service. A test that listens on ports
  * of that range fails then. Exits as the program does. */
 #include <arpa/inet.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -11,6 +12,8 @@
 #define RANGE_FILE "/proc/sys/net/ipv4/ip_local_port_range"
 /* One port in so many is held, the round numbers among them. */
 #define HELD_EVERY 100
+#define LINE_SIZE 64
+#define DECIMAL 10
 
 static int hold_port(int port) {
     struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
@@ -19,15 +22,26 @@
     return held < 0 ? -1 : bind(held, (struct sockaddr *)&address, sizeof address);
 }
 
+/* The first and the last port of the kernel's range; false if the system doesn't tell it. */
+static bool read_range(int *first, int *last) {
+    char line[LINE_SIZE];
+    char *rest;
+    FILE *range = fopen(RANGE_FILE, "r");
+    if (!range) return false;
+    const bool is_read = fgets(line, sizeof line, range) != NULL;
+    fclose(range);
+    if (!is_read) return false;
+    *first = (int)strtol(line, &rest, DECIMAL);
+    *last = (int)strtol(rest, NULL, DECIMAL);
+    return true;
+}
+
 /* How many ports are held; those that others have are in use as well. */
 static int hold_ports(void) {
     int first;
     int last;
     int count = 0;
-    FILE *range = fopen(RANGE_FILE, "r");
-    if (!range) return 0;
-    if (fscanf(range, "%d %d", &first, &last) != 2) first = last = 0;
-    fclose(range);
+    if (!read_range(&first, &last)) return 0;
     for (int port = first - first % HELD_EVERY + HELD_EVERY; port <= last; port += HELD_EVERY)
         count += !hold_port(port);
     return count;
