A cancellation out of reach is refused at once, and its log line says why

Callers saw: a POST .../abort for a job whose machine is cut off answered 503 only after 3.2 s, at some times and not at others.

Cause: launch_safety took any command in flight to the machine, a probe among them, for the launch whose response may still come; and a user who waited was not refused when that response became overdue.

Why this works: the launch can be answered only until TW_DIRECT_TIMEOUT_S after it was sent, and each tick refuses who waits in vain.

The parts of a cancellation that stood in user_requests.c and job.c are now in cancellation.c. cancellation_deferred names the obstacle and the machine.

--- a/src/core/cancellation.c
+++ b/src/core/cancellation.c
@@ -1,14 +1,46 @@
 /* Cancellations, which have to be known to all nodes that may answer a job's machines: such a node
  * renews their leases without the leader, and has to stop the job's tasks with that. It can't stop
- * what a launch on its way starts later, so that none may be on its way. */
+ * what a launch on its way starts later, so that none may be on its way.
+ *
+ * Invariants:
+ *   - from the first request on, nothing of the job is launched any more, so that what keeps a
+ *     cancellation from being confirmed doesn't grow;
+ *   - a user waits only while the cancellation may be confirmed by what is under way. */
 #include "core/jobs.h"
+#include "core/workers.h"
+
+/* What keeps a cancellation from being confirmed. */
+typedef enum {
+    OBSTACLE_NONE,
+    OBSTACLE_PREDECESSOR, /* an earlier leader may still renew a machine's lease */
+    OBSTACLE_LAUNCH,      /* a direct launch may still start a task */
+    OBSTACLE_PEER         /* a node that may renew leases doesn't know of the cancellation */
+} obstacle_kind;
+
+typedef struct {
+    tw_cancellation_safety safety;
+    obstacle_kind obstacle;
+    const tw_machine *machine; /* of the obstacle; NULL: there is none */
+} cancellation_check;
+
+static const char *const obstacle_names[] = {
+    [OBSTACLE_NONE] = "none",
+    [OBSTACLE_PREDECESSOR] = "predecessor",
+    [OBSTACLE_LAUNCH] = "launch",
+    [OBSTACLE_PEER] = "peer",
+};
+
+/* ---- whether a cancellation can be confirmed ---- */
 
 /* Whether a direct launch may still start the task. It may do so whenever it arrives: the machine's
  * incarnation, which it names, lasts for as long as another node renews the lease. */
-static tw_cancellation_safety launch_safety(const tw_placement *task) {
+static tw_cancellation_safety launch_safety(const tw_core *core, const tw_placement *task) {
     if (!task->direct_launches) return TW_CANCELLATION_SAFE;
-    /* Once the response is overdue, nothing is known of the launch until the machine is heard. */
-    return task->machine->command_in_flight ? TW_CANCELLATION_PENDING : TW_CANCELLATION_UNREACHABLE;
+    /* Once the response is overdue, nothing is known of the launch until the machine is heard: what
+     * is in flight then is a later command or a probe. */
+    const bool may_be_answered = task->machine->command_in_flight &&
+                                 core->context.now < task->direct_launch_at + TW_DIRECT_TIMEOUT_S;
+    return may_be_answered ? TW_CANCELLATION_PENDING : TW_CANCELLATION_UNREACHABLE;
 }
 
 /* Whether an earlier leader may renew the machine's lease for longer than a cancellation leaves
@@ -18,32 +50,89 @@
     return !machine->confirmed && tw_cluster_predecessor_renewals_end(core->cluster) > limit;
 }
 
-static tw_cancellation_safety least_safe(tw_cancellation_safety a, tw_cancellation_safety b) {
-    return a < b ? a : b;
+/* The check with one more of the job's machines: the least safe one counts. */
+static cancellation_check least_safe(cancellation_check check, tw_cancellation_safety safety,
+                                     obstacle_kind obstacle, const tw_machine *machine) {
+    if (safety >= check.safety) return check;
+    return (cancellation_check){safety, obstacle, machine};
 }
 
-tw_cancellation_safety tw_job_cancellation_safety(tw_core *core, const tw_job *job, bool tell) {
-    tw_cancellation_safety safety = TW_CANCELLATION_SAFE;
+/* Whether the job's tasks can't start any more, and all nodes that may answer its machines without
+ * the leader, for longer than a cancellation leaves time for, know that the job is cancelled. Those
+ * that don't are told. */
+static cancellation_check check_cancellation(tw_core *core, const tw_job *job) {
+    cancellation_check check = {TW_CANCELLATION_SAFE, OBSTACLE_NONE, NULL};
     const tw_placement *task;
     DL_FOREACH2(job->placements, task, job_next) {
         const tw_machine *machine = task->machine;
         if (!tw_attempt_was_launched(task)) continue;
-        if (predecessor_may_renew(core, machine)) return TW_CANCELLATION_UNREACHABLE;
-        safety = least_safe(safety, launch_safety(task));
-        safety =
-            least_safe(safety, tw_cluster_cancellation_safety(core->cluster, machine->zone,
-                                                              job->cancellation_sequence, tell));
+        if (predecessor_may_renew(core, machine))
+            return (cancellation_check){TW_CANCELLATION_UNREACHABLE, OBSTACLE_PREDECESSOR, machine};
+        check = least_safe(check, launch_safety(core, task), OBSTACLE_LAUNCH, machine);
+        check = least_safe(check,
+                           tw_cluster_cancellation_safety(core->cluster, machine->zone,
+                                                          job->cancellation_sequence, true),
+                           OBSTACLE_PEER, machine);
     }
-    return safety;
+    return check;
 }
 
-void tw_job_settle_launches(tw_core *core, tw_job *job) {
+/* ---- requests ---- */
+
+/* The cancellation goes on as soon as it can be confirmed; the user isn't kept waiting. */
+static void defer_cancellation(tw_core *core, uint64_t connection, const tw_job *job,
+                               const cancellation_check *check) {
+    tw_log_debug("event=cancellation_deferred id=%s obstacle=%s worker=%s", job->id,
+                 obstacle_names[check->obstacle], check->machine->name);
+    tw_reply_error(&core->context, connection, TW_HTTP_UNAVAILABLE, 1,
+                   "machines of it can't be reached");
+}
+
+void tw_job_cancel(tw_core *core, uint64_t connection, tw_job *job) {
+    if (job->state != TW_JOB_PENDING) {
+        tw_job_add_waiting_client(core, job, connection, true);
+        return;
+    }
+    if (!job->cancelling) {
+        job->cancelling = true;
+        tw_job_note_cancelled(core, job);
+        job->cancellation_sequence = tw_cluster_next_cancellation(core->cluster);
+    }
+    const cancellation_check check = check_cancellation(core, job);
+    if (check.safety == TW_CANCELLATION_UNREACHABLE) {
+        defer_cancellation(core, connection, job, &check);
+        return;
+    }
+    tw_job_add_waiting_client(core, job, connection, true);
+    if (check.safety == TW_CANCELLATION_SAFE) tw_job_finish(core, job, TW_JOB_CANCELLED);
+}
+
+/* Stops the tasks whose direct launches are of unknown fate: their machines are told to launch and
+ * stop them, and then refuse the late launch. */
+static void settle_launches(tw_core *core, tw_job *job) {
     tw_placement *task, *next;
     DL_FOREACH_SAFE2(job->placements, task, next, job_next) {
         if (task->direct_launches && !task->stopping) tw_placement_stop(core, task, 0, false);
     }
 }
 
+void tw_job_cancellation_tick(tw_core *core, tw_job *job) {
+    if (!job->cancelling || job->state != TW_JOB_PENDING) return;
+    settle_launches(core, job);
+    if (!tw_cluster_may(core->cluster, TW_PERMISSION_WRITE) || !tw_cluster_is_active(core->cluster))
+        return;
+    const cancellation_check check = check_cancellation(core, job);
+    if (check.safety == TW_CANCELLATION_SAFE) {
+        tw_job_finish(core, job, TW_JOB_CANCELLED);
+    } else if (check.safety == TW_CANCELLATION_UNREACHABLE) {
+        tw_waiting_client *client;
+        while ((client = tw_job_take_waiting_cancellation(job))) {
+            defer_cancellation(core, client->connection, job, &check);
+            free(client);
+        }
+    }
+}
+
 int tw_jobs_list_cancelled(const tw_core *core, const char **ids, int most) {
     const tw_job *job;
     int count = 0;
--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -9,8 +9,6 @@
 
 /* Silent machines that are probed at once, as a share of the node's sockets. */
 #define MAX_PROBES_PER_SOCKET 0.06
-/* How long the response to direct commands is waited for. */
-#define DIRECT_TIMEOUT_S 1.5
 /* Share of the leader's lease that must be left, so that a direct launch arrives under it. */
 #define MIN_AUTHORITY_SHARE 0.1
 /* A machine without a heartbeat for so many intervals is probed. */
@@ -39,7 +37,7 @@
 static tw_call *send_to_machine(tw_core *core, tw_machine *machine, const char *method,
                                 const char *path, char *body) {
     tw_call *sent = tw_call_send(&core->context, TW_CALL_SEND_COMMANDS, TW_TO_WORKER,
-                                 machine->endpoint, method, path, body, DIRECT_TIMEOUT_S);
+                                 machine->endpoint, method, path, body, TW_DIRECT_TIMEOUT_S);
     snprintf(sent->name, sizeof sent->name, "%s", machine->name);
     machine->command_in_flight = true;
     core->commands_in_flight++;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -114,6 +114,16 @@
     return client;
 }
 
+tw_waiting_client *tw_job_take_waiting_cancellation(tw_job *job) {
+    for (tw_waiting_client **at = &job->waiting_clients; *at; at = &(*at)->next) {
+        tw_waiting_client *client = *at;
+        if (!client->cancels) continue;
+        *at = client->next;
+        return client;
+    }
+    return NULL;
+}
+
 /* Tasks that a worker has told to run. */
 static int count_running(const tw_job *job) {
     int count = 0;
@@ -215,15 +225,6 @@
 
 /* ---- time ---- */
 
-/* Ends a job that its user cancels as soon as that can be promised. */
-static void cancellation_tick(tw_core *core, tw_job *job) {
-    if (!job->cancelling || job->state != TW_JOB_PENDING) return;
-    tw_job_settle_launches(core, job);
-    if (tw_cluster_may(core->cluster, TW_PERMISSION_WRITE) && tw_cluster_is_active(core->cluster) &&
-        tw_job_cancellation_safety(core, job, true) == TW_CANCELLATION_SAFE)
-        tw_job_finish(core, job, TW_JOB_CANCELLED);
-}
-
 void tw_job_reject_waiting_clients(tw_core *core, tw_job *job) {
     tw_waiting_client *client;
     while ((client = tw_job_take_waiting_client(job))) {
@@ -256,7 +257,7 @@
     tw_job *job, *next;
     DL_FOREACH_SAFE(core->active_jobs, job, next) {
         waiting_clients_tick(core, job);
-        cancellation_tick(core, job);
+        tw_job_cancellation_tick(core, job);
         tw_gang_tick(core, job);
         tw_job_release(core, job);
     }
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -32,6 +32,8 @@
 void tw_job_add_waiting_client(tw_core *core, tw_job *job, uint64_t connection, bool cancels);
 /* Takes a client that waits off the job's list; the caller frees it. NULL: none waits. */
 tw_waiting_client *tw_job_take_waiting_client(tw_job *job);
+/* The same for a client that cancels. */
+tw_waiting_client *tw_job_take_waiting_cancellation(tw_job *job);
 /* Rejects all who wait for the job: its record can't be written. */
 void tw_job_reject_waiting_clients(tw_core *core, tw_job *job);
 /* Answers all who wait for what is durable now. status: for submissions, 201 or 200. */
@@ -50,13 +52,12 @@
 
 /* ---- cancellation.c ---- */
 
-/* Whether the job's tasks can't start any more, and all nodes that may answer its machines without
- * the leader, for longer than a cancellation leaves time for, know that the job is cancelled. tell:
- * those that don't are told. */
-tw_cancellation_safety tw_job_cancellation_safety(tw_core *core, const tw_job *job, bool tell);
-/* Stops the tasks of a job that is being cancelled whose direct launches are of unknown fate: their
- * machines are told to launch and stop them, and then refuse the late launch. */
-void tw_job_settle_launches(tw_core *core, tw_job *job);
+/* Cancels a pending job at the leader for the user at that connection, who is answered once that is
+ * durable, or refused as soon as it can't be confirmed for now. */
+void tw_job_cancel(tw_core *core, uint64_t connection, tw_job *job);
+/* Goes on with a cancellation that could not be confirmed yet: settles its launches, confirms it as
+ * soon as that is safe, and refuses the users who wait for it where that is out of reach. */
+void tw_job_cancellation_tick(tw_core *core, tw_job *job);
 /* Fills in the ids of at most `most` cancelled jobs that may still run; returns how many there are.
  */
 int tw_jobs_list_cancelled(const tw_core *core, const char **ids, int most);
--- a/src/core/user_requests.c
+++ b/src/core/user_requests.c
@@ -28,29 +28,11 @@
 /* ---- at the leader ---- */
 
 static void cancel_job(tw_core *core, uint64_t connection, tw_job *job) {
-    if (job->durable_state != TW_JOB_PENDING) {
+    if (job->durable_state == TW_JOB_PENDING)
+        tw_job_cancel(core, connection, job);
+    else
         tw_reply(&core->context, connection, TW_HTTP_OK, 0,
                  tw_wire_job_status_text(job->id, job->durable_state, -1, -1));
-        return;
-    }
-    if (job->state == TW_JOB_PENDING && !job->cancelling) {
-        job->cancelling = true; /* nothing of it is started any more */
-        tw_job_note_cancelled(core, job);
-        job->cancellation_sequence = tw_cluster_next_cancellation(core->cluster);
-    }
-    const tw_cancellation_safety safety = job->state == TW_JOB_PENDING
-                                              ? tw_job_cancellation_safety(core, job, true)
-                                              : TW_CANCELLATION_SAFE;
-    if (safety == TW_CANCELLATION_UNREACHABLE) {
-        /* The cancellation goes on as soon as it can be promised; the user isn't kept waiting. */
-        tw_log_debug("event=cancellation_deferred id=%s", job->id);
-        tw_reply_error(&core->context, connection, TW_HTTP_UNAVAILABLE, 1,
-                       "machines of it can't be reached");
-        return;
-    }
-    tw_job_add_waiting_client(core, job, connection, true);
-    if (safety == TW_CANCELLATION_SAFE && job->state == TW_JOB_PENDING)
-        tw_job_finish(core, job, TW_JOB_CANCELLED);
 }
 
 bool tw_job_tell_from_memory(tw_core *core, uint64_t connection, const char *id,
