A gang's launch and the command to forget its earlier exit never meet

A gang's task runs on one machine and starts on another, after a change of leader while the gang gathers.

Cause: the new leader tells a machine, in the answer to its heartbeat, to forget an exited task of the gang, and launches the same attempt there directly. If the launch comes first it has no effect; the forget then takes the entry away, and the launch, when it comes once more, starts the task, which has been replaced elsewhere by then. No placement kept the entry listed: it was made just after the forget had been decided.

Why this works: nothing of a gang is placed on a machine until the answer with such a forget can't be carried out any more (4 s by the worker's clock).

--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -83,6 +83,8 @@
     if (!(job->type_mask & (1U << machine->type_index)) || (machine->spot && !job->spec.spot))
         return false;
     if (!tw_quarantine_allows(machine) || tw_gang_was_on(job, machine)) return false;
+    /* A launch must not meet the command to forget the same attempt on its way. */
+    if (job->spec.gang && core->context.now < machine->gang_forgets_until) return false;
     if (!tw_gang_reservation_allows(core, job, machine)) return false;
     for (int i = 0; i < job->failed_machine_count; i++)
         if (job->failed_machines[i] == machine && core->context.now < job->failed_machines_until)
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -69,6 +69,7 @@
     int probed; /* probes on sight in the cloud's list, and after answers that didn't confirm it */
     double no_commands_before; /* a pause after a failure: no direct commands until then */
     bool in_command_queue;     /* it stands in core->command_queue */
+    double gang_forgets_until; /* a gang's exited task may be told to be forgotten until then */
     struct tw_machine *queue_prev, *queue_next;
 
     /* The cloud's list, and the machine's return. */
--- a/src/core/task_reconciliation.c
+++ b/src/core/task_reconciliation.c
@@ -161,11 +161,22 @@
     note_running(core, placed);
 }
 
+/* Tells the machine to forget a task that exited before this node knew of its placement. A gang's
+ * attempt that is under way may be launched there again: not while the answer with this command may
+ * still be carried out. Else the launch may come first, without effect, and start the forgotten
+ * task when it is repeated. */
+static void forget_unknown_exit(tw_core *core, tw_machine *machine, const tw_wire_task *reported,
+                                const tw_job *job, tw_command_list *commands) {
+    if (job && job->spec.gang)
+        machine->gang_forgets_until =
+            core->context.now + TW_ANSWER_LIFETIME_S * (1 + 2 * core->context.config->tune.drift);
+    tw_command_list_add(commands, TW_COMMAND_FORGET, reported);
+}
+
 /* The task exited before this node knew of its placement. job: still needs its tasks; NULL: none
  * does. */
-static void reconcile_unknown_exit(tw_core *core, const tw_machine *machine,
-                                   const tw_wire_task *reported, tw_job *job,
-                                   tw_command_list *commands) {
+static void reconcile_unknown_exit(tw_core *core, tw_machine *machine, const tw_wire_task *reported,
+                                   tw_job *job, tw_command_list *commands) {
     const bool is_done = reported->cause == TW_CAUSE_DONE;
     if (job && is_done && job->task_states[reported->index] == TW_ASSIGNMENT_NONE) {
         job->task_states[reported->index] = TW_ASSIGNMENT_DONE;
@@ -180,7 +191,7 @@
      * leader's launch; and without authority a later leader may know of the attempt. */
     if (commands && tw_cluster_may(core->cluster, TW_PERMISSION_COMMAND) && machine->confirmed &&
         (!job || !is_done || tw_store_is_settled(job->record)))
-        tw_command_list_add(commands, TW_COMMAND_FORGET, reported);
+        forget_unknown_exit(core, machine, reported, job, commands);
 }
 
 /* The job of the task, if it still needs tasks; NULL: there is none, or it doesn't. */
--- a/src/core/workers.h
+++ b/src/core/workers.h
@@ -23,6 +23,8 @@
 /* A machine whose last heartbeat is at most so many intervals old is in touch; another one might
  * carry out a command late. */
 #define TW_IN_TOUCH_HEARTBEATS 2.5
+/* A worker drops an answer that comes so long after it sent the heartbeat. */
+#define TW_ANSWER_LIFETIME_S 4.0
 /* How long the response to direct commands is waited for. */
 #define TW_DIRECT_TIMEOUT_S 1.5
 /* A machine on which so many launches in a row were lost is unresponsive. */
