A job no longer waits for boots that are overdue while GPU machines have room

Callers saw: a job without GPUs stayed pending for as long as the machines that were rented for it failed to boot, though a machine with GPUs was up and had room for it.

Cause: the job may use the cores beside free GPUs only where no other machine can be rented for it, and a type that is offered, granted and never boots counted as such for ever; each overdue rental was followed by the next one.

Why this works: once a machine of the type that would be rented next was rented while the job waited, and its boot is overdue (1.6 times the type's and a heartbeat), the job may use GPU machines. Rentals older than the wait don't count, so a fleet in which some boot is always late keeps its GPU machines.

boot_overdue is logged: what a job waited for could not be read before.

--- a/src/core/autoscaler_int.h
+++ b/src/core/autoscaler_int.h
@@ -42,8 +42,9 @@
  * the image. types: that the task may use, as bits. INFINITY: there are none. */
 double tw_autoscaler_rental_start_s(const tw_core *core, uint32_t types, double image_gb);
 /* Lets a job without GPUs use GPU machines that are there, and the cores that are kept for their
- * GPUs, if best is an offer of a GPU machine, or NULL: no other machine can be rented for it.
- * Returns whether this changed what the job may use. */
+ * GPUs, if best is an offer of a GPU machine, or NULL: no other machine can be rented for it; or if
+ * a machine like best was rented while the job waited, and its boot is overdue. Returns whether
+ * this changed what the job may use. */
 bool tw_autoscaler_open_gpu_machines(tw_core *core, tw_job *job, const tw_capacity_offer *best);
 
 /* autoscaler_gang.c */
--- a/src/core/autoscaler_plan.c
+++ b/src/core/autoscaler_plan.c
@@ -102,9 +102,19 @@
     return count > max_count ? max_count : count;
 }
 
+/* Whether a machine like the offered one was rented while the job waited, and its boot is overdue:
+ * the next one may not come up either. */
+static bool has_waited_in_vain(const tw_core *core, const tw_job *job,
+                               const tw_capacity_offer *offer) {
+    const double rented_at = core->machine_types[offer->type_index].overdue_rental_at;
+    return rented_at > 0 && rented_at >= job->pending_since;
+}
+
 bool tw_autoscaler_open_gpu_machines(tw_core *core, tw_job *job, const tw_capacity_offer *best) {
     if (job->spec.gpus > 0 || job->any_machine) return false;
-    if (best && core->machine_types[best->type_index].listed.gpus <= 0) return false;
+    if (best && core->machine_types[best->type_index].listed.gpus <= 0 &&
+        !has_waited_in_vain(core, job, best))
+        return false;
     job->any_machine = 1;
     core->scheduling_due = true;
     return true;
@@ -186,7 +196,11 @@
         return false;
     if (machine->state == TW_MACHINE_UP)
         return machine->preempted_at <= 0 && !machine->lease_expired;
-    if (machine->overdue) return false; /* it may never come */
+    if (machine->overdue) { /* it may never come */
+        double *rental_at = &core->machine_types[machine->type_index].overdue_rental_at;
+        *rental_at = fmax(*rental_at, machine->known_since);
+        return false;
+    }
     /* Some of the machines that boot will be late: of each type that share is not counted on. */
     double *late = &core->machine_types[machine->type_index].late_sum;
     *late += core->machine_types[machine->type_index].overdue_share;
@@ -241,7 +255,8 @@
  * machines, types and offers. */
 static void collect_bins(tw_core *core, tw_bins *bins) {
     zone_counts *counts = tw_alloc((size_t)core->machine_type_count * sizeof *counts);
-    for (int i = 0; i < core->machine_type_count; i++) core->machine_types[i].late_sum = 0;
+    for (int i = 0; i < core->machine_type_count; i++)
+        core->machine_types[i].late_sum = core->machine_types[i].overdue_rental_at = 0;
     tw_machine *machine;
     struct tw_machine *next;
     HASH_ITER(hh, core->machines, machine, next) {
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -120,6 +120,9 @@
     double fetch_deviation;
     double overdue_share; /* average share of machines that boot late or never */
     double late_sum;      /* scratch of a plan */
+    /* Scratch of a plan: when the last of those machines was rented whose boot is overdue; 0: there
+     * is none. */
+    double overdue_rental_at;
     /* Average, 0 to 1: how much each fetch at the same time slows another one on a machine. */
     double fetch_interference;
 } tw_machine_type;
--- a/src/core/machine_upkeep.c
+++ b/src/core/machine_upkeep.c
@@ -148,6 +148,8 @@
     if (age_s <= BOOT_OVERDUE * boot_s + core->context.config->report_s) return;
     machine->overdue = true;
     tw_statistics_note_boot(core, machine);
+    tw_log_info("event=boot_overdue worker=%s machine_type=%s zone=%s rented_s=%.0f", machine->name,
+                machine->type_name, machine->zone, age_s);
 }
 
 /* Whether a machine has been booting for so long that it will never be up. A new leader waits for a
