Soak and end-to-end test end controllers without a SIGCONT that hangs them

Cause: the harness sent SIGTERM and then SIGCONT. A sanitized process is stopped by its own leak check as it ends, and SIGCONT takes a pending SIGSTOP back: the check then waits for ever, and the harness with it.

Evidence: the controller had logged process_stopped and ran on, its tracer slept in wait4, no signal was pending.

Why this works: no SIGCONT comes after SIGTERM. A controller that does not end within 60 s is killed, and fails the test by name.

--- a/tests/loopback/processes.c
+++ b/tests/loopback/processes.c
@@ -6,11 +6,15 @@
 #include <stdlib.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #define PATH_SIZE 300
 #define EXIT_NO_PROGRAM 127
 #define LOG_MODE 0644
+/* A controller has 60 s to end: so many pauses of this length. */
+#define END_PAUSES 3000
+#define END_PAUSE_NS 20000000
 
 bool tw_loopback_write(const char *path, const tw_loopback_settings *settings) {
     FILE *file = fopen(path, "w");
@@ -83,9 +87,25 @@
     return -1;
 }
 
+/* Waits for the process, but not for ever; one that does not end is killed. Returns false if it is
+ * not known any more. */
+static bool wait_for_end(pid_t pid, int *status) {
+    const struct timespec pause = {.tv_nsec = END_PAUSE_NS};
+    pid_t ended = 0;
+    for (int waited = 0; !ended && waited < END_PAUSES; waited++) {
+        ended = waitpid(pid, status, WNOHANG);
+        if (!ended) nanosleep(&pause, NULL);
+    }
+    if (!ended) {
+        kill(pid, SIGKILL);
+        ended = waitpid(pid, status, 0);
+    }
+    return ended == pid;
+}
+
 static bool ended_well(pid_t pid, int node) {
     int status = 0;
-    const bool is_known = waitpid(pid, &status, 0) == pid;
+    const bool is_known = wait_for_end(pid, &status);
     if (is_known && WIFEXITED(status) && WEXITSTATUS(status) == 0) return true;
     printf("FAIL: controller %d ended %s status %d\n", node, is_known ? "with" : "before, unknown",
            status);
@@ -95,8 +115,10 @@
 bool tw_loopback_stop(tw_loopback_nodes *nodes) {
     bool well = true;
     for (int node = 0; node < TW_LOOPBACK_NODES; node++) {
-        tw_loopback_signal(nodes, node, SIGTERM);
+        /* In this order: the leak check at a process's end stops it by SIGSTOP, and waits for ever
+         * if SIGCONT takes that back. */
         tw_loopback_signal(nodes, node, SIGCONT);
+        tw_loopback_signal(nodes, node, SIGTERM);
     }
     for (int node = 0; node < TW_LOOPBACK_NODES; node++) {
         if (nodes->pid[node] && !ended_well(nodes->pid[node], node)) well = false;
