A machine that no answer reaches since the term began is found unresponsive

Callers saw: a gang that was not started anew for 150 s after a change of leader, though two machines had room for it.

Cause: of a machine that never shows this term's token nothing is evidence of a predecessor's tasks' end, and it was not taken for unresponsive either, since that asked for the same token. Its heartbeats were answered in vain, through 16 incarnations.

Why this works: an incarnation that this leader has known for more than half a lease and answered to its end has ended since the answers are lost; a late copy is not known for that long.

--- a/src/core/worker_heartbeat.c
+++ b/src/core/worker_heartbeat.c
@@ -39,6 +39,16 @@
            1 + (int)HASH_COUNT(core->machines) / MACHINES_PER_UNRESPONSIVE;
 }
 
+/* Whether the machine's lease expired though its heartbeats were answered: the answers don't reach
+ * it. One that has never shown this term's token, as none of its answers came, is believed only if
+ * its incarnation has lasted under them: it may be known by a late copy alone. */
+static bool answers_are_lost(const tw_core *core, const tw_machine *machine) {
+    const double now = core->context.now;
+    const double lately_s = ANSWERED_LATELY_LEASES * core->context.config->lease_s;
+    if (machine->lease_expired || now - machine->answered_at >= lately_s) return false;
+    return machine->confirmed || now - machine->incarnation_learned_at > lately_s;
+}
+
 /* The worker's earlier incarnation is over: the worker has killed and forgotten all its tasks. */
 static void on_new_incarnation(tw_core *core, tw_machine *machine,
                                const tw_wire_heartbeat *heartbeat) {
@@ -50,11 +60,7 @@
         const bool was_counted = placed->counted;
         if (tw_attempt_terminate(core, placed, &termination)) lost_tasks += was_counted;
     }
-    /* Its heartbeats were answered, and still its lease expired: the answers don't reach it. */
-    if (machine->confirmed &&
-        core->context.now - machine->answered_at <
-            ANSWERED_LATELY_LEASES * core->context.config->lease_s &&
-        !machine->lease_expired && is_unresponsiveness_credible(core)) {
+    if (answers_are_lost(core, machine) && is_unresponsiveness_credible(core)) {
         machine->lost_launches += TW_MAX_LOST_LAUNCHES;
         tw_log_info("event=machine_unresponsive worker=%s incarnation=%llu lost_tasks=%d",
                     machine->name, (unsigned long long)heartbeat->incarnation, lost_tasks);
