Clean-up: stops and settled launches, rejected cancellations, why= in plain words

A cancellation that is rejected logs cancellation_rejected, not submission_rejected. why= of machine_return_requested says unresponsive and quarantined, not deaf and sick (operations, "Old names").

--- a/src/core/cancellation.c
+++ b/src/core/cancellation.c
@@ -88,6 +88,12 @@
                    "machines of it can't be reached");
 }
 
+void tw_cancellation_reject(tw_core *core, uint64_t connection, const char *id, double retry_s,
+                            const char *why) {
+    tw_log_debug("event=cancellation_rejected id=%s why=\"%s\"", id, why);
+    tw_reply_error(&core->context, connection, TW_HTTP_UNAVAILABLE, retry_s, why);
+}
+
 void tw_job_cancel(tw_core *core, uint64_t connection, tw_job *job) {
     if (job->state != TW_JOB_PENDING) {
         tw_job_add_waiting_client(core, job, connection, true);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -225,11 +225,19 @@
 
 /* ---- time ---- */
 
+static void reject_client(tw_core *core, const tw_job *job, const tw_waiting_client *client,
+                          double retry_s, const char *why) {
+    if (client->cancels)
+        tw_cancellation_reject(core, client->connection, job->id, retry_s, why);
+    else
+        tw_admission_reject(core, client->connection, job->id, retry_s, why);
+}
+
 void tw_job_reject_waiting_clients(tw_core *core, tw_job *job) {
     tw_waiting_client *client;
     while ((client = tw_job_take_waiting_client(job))) {
         const double retry_s = ceil(tw_store_retry_s(core->store, job->record));
-        tw_admission_reject(core, client->connection, job->id, retry_s, "too large");
+        reject_client(core, job, client, retry_s, "too large");
         free(client);
     }
 }
@@ -244,7 +252,7 @@
             at = &client->next;
             continue;
         }
-        tw_admission_reject(core, client->connection, job->id, 1, "not durable in time");
+        reject_client(core, job, client, 1, "not durable in time");
         *at = client->next;
         free(client);
     }
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -55,6 +55,10 @@
 /* Cancels a pending job at the leader for the user at that connection, who is answered once that is
  * durable, or refused as soon as it can't be confirmed for now. */
 void tw_job_cancel(tw_core *core, uint64_t connection, tw_job *job);
+/* Rejects a cancellation that this node can't take now. retry_s: the user is to come back after it.
+ */
+void tw_cancellation_reject(tw_core *core, uint64_t connection, const char *id, double retry_s,
+                            const char *why);
 /* Goes on with a cancellation that could not be confirmed yet: settles its launches, confirms it as
  * soon as that is safe, and refuses the users who wait for it where that is out of reach. */
 void tw_job_cancellation_tick(tw_core *core, tw_job *job);
--- a/src/core/machine_upkeep.c
+++ b/src/core/machine_upkeep.c
@@ -112,7 +112,7 @@
 
 /* Why a machine that is up is to be returned; NULL: it is not. */
 static const char *return_reason(tw_core *core, const tw_machine *machine, double expires_at) {
-    if (machine->lost_launches >= TW_MAX_LOST_LAUNCHES) return "deaf";
+    if (machine->lost_launches >= TW_MAX_LOST_LAUNCHES) return "unresponsive";
     if (tw_machine_is_silent(core, machine) &&
         core->context.now > tw_cluster_delegates_until(core->cluster, machine->zone) &&
         !tw_zone_is_unreachable(core, machine))
@@ -130,7 +130,8 @@
         if (!tw_machine_is_occupied(machine)) request_return(core, machine, "notice");
     } else if (machine->cordoned || machine->decommissioning) {
         const bool occupied = tw_machine_is_occupied(machine);
-        if (!occupied) request_return(core, machine, machine->decommissioning ? "drained" : "sick");
+        if (!occupied)
+            request_return(core, machine, machine->decommissioning ? "drained" : "quarantined");
         if (occupied) tw_quarantine_tick(core, machine);
     }
 }
--- a/src/core/request_forwarding.c
+++ b/src/core/request_forwarding.c
@@ -47,5 +47,8 @@
         tw_wire_job_free(&spec);
         return;
     }
-    tw_admission_reject(core, call->connection, call->name, 1, "leader does not answer");
+    if (call->operation == TW_OPERATION_CANCEL)
+        tw_cancellation_reject(core, call->connection, call->name, 1, "leader does not answer");
+    else
+        tw_admission_reject(core, call->connection, call->name, 1, "leader does not answer");
 }
--- a/src/core/worker_commands.c
+++ b/src/core/worker_commands.c
@@ -66,6 +66,23 @@
     return core->context.now < placed->launch_after;
 }
 
+/* Whether the answer to the heartbeat of that sequence must launch the stopped task again, to be
+ * stopped at once. A direct launch got no response, and may still arrive: the machine that launches
+ * and stops the task now refuses it then. A stop alone would not settle whether the launch was
+ * lost: of a task that the machine doesn't have it tells nothing. */
+static bool must_settle_launch(const tw_machine *machine, const tw_placement *placed,
+                               uint64_t sequence) {
+    if (!sequence || placed->reported || !placed->direct_launches) return false;
+    if (placed->launch_sequence) return placed->launch_sequence < sequence;
+    return !machine->command_in_flight;
+}
+
+/* Whether the stopped task has the time to save a checkpoint. */
+static bool may_save(const tw_placement *placed) {
+    return placed->grace_s > 0 && placed->job->spec.checkpoint_s > 0 &&
+           placed->state != TW_TASK_FETCHING;
+}
+
 /* Adds stops. Subtracts from the amounts what preempted tasks hold that still save a checkpoint:
  * their room is promised to others, but it is not free yet. */
 static void add_stops(const tw_machine *machine, tw_command_list *commands, uint64_t sequence,
@@ -73,18 +90,11 @@
     const tw_placement *placed;
     DL_FOREACH(machine->placements, placed) {
         if (!placed->counted || !placed->stopping) continue;
-        if (!placed->reported && placed->direct_launches && sequence &&
-            (placed->launch_sequence ? placed->launch_sequence < sequence
-                                     : !machine->command_in_flight))
-            /* A direct launch got no response, and may still arrive. The machine launches and stops
-             * the task now, and then refuses the late launch. A stop alone would not settle whether
-             * the launch was lost: of a task that the machine doesn't have it tells nothing. */
+        if (must_settle_launch(machine, placed, sequence))
             add_command(commands, TW_COMMAND_LAUNCH, placed);
         if (placed->state != TW_TASK_SAVING || placed->grace_s <= 0)
             add_command(commands, TW_COMMAND_STOP, placed);
-        const bool is_saving = placed->grace_s > 0 && placed->job->spec.checkpoint_s > 0 &&
-                               placed->state != TW_TASK_FETCHING;
-        if (is_saving && placed->preempted) subtract_capacity(available, &placed->job->spec);
+        if (may_save(placed) && placed->preempted) subtract_capacity(available, &placed->job->spec);
     }
 }
 
