--- a/src/core/autoscaler_plan.c
+++ b/src/core/autoscaler_plan.c
@@ -143,10 +143,9 @@
     return needed;
 }
 
-/* Wants machines for so many tasks of the job, as far as there are offers. Returns for how many
- * there are none. */
-static int rent_for_tasks(tw_core *core, tw_bins *bins, tw_job *job, zone_spread *spread,
-                          int needed) {
+/* Wants machines for so many tasks of the job, as far as there are offers. */
+static void rent_for_tasks(tw_core *core, tw_bins *bins, tw_job *job, zone_spread *spread,
+                           int needed) {
     while (needed > 0) {
         tw_offer_filter filter = {.required_zone = job->spec.single_zone && spread->zone_count
                                                        ? spread->zone_names[0]
@@ -158,26 +157,17 @@
         /* An offer that was refused lately may be granted again: until then the job is bound. */
         job->capacity_bound = !offer || offer->refusal_count > 0;
         /* GPU machines that are there come before renting one for a job without GPUs. */
-        if (tw_autoscaler_open_gpu_machines(core, job, offer)) return needed;
-        if (!offer) return needed;
+        if (tw_autoscaler_open_gpu_machines(core, job, offer)) return;
+        if (!offer) return;
         const int taken =
             pack_into_bin(core, tw_offer_add_bin(core, bins, offer), job, spread, needed);
-        if (!taken) return needed;
+        if (!taken) return;
         offer->wanted_count++;
         needed -= taken;
     }
-    return 0;
 }
 
-/* The free room of the first count bins; the caller frees it. */
-static tw_capacity *copy_rooms(const tw_bins *bins, int count) {
-    tw_capacity *rooms = tw_alloc((size_t)(count + 1) * sizeof *rooms);
-    for (int i = 0; i < count; i++) rooms[i] = bins->items[i].room;
-    return rooms;
-}
-
-/* Finds room in the bins for the tasks of a job that waits, and wants machines for the others. A
- * gang that finds neither for all its tasks won't start, and leaves the bins to others. */
+/* Finds room in the bins for the tasks of a job that waits, and wants machines for the others. */
 static void plan_job(tw_core *core, tw_bins *bins, tw_job *job, tw_expected_releases *releases) {
     int needed = count_tasks_to_provide(core, bins, job, releases);
     if (needed <= 0) return;
@@ -186,19 +176,15 @@
         const char *zone = tw_autoscaler_gang_zone(core, bins, job, needed);
         if (zone) find_or_add_zone(&spread, zone);
     }
-    const int bin_count = bins->count;
-    tw_capacity *rooms = job->spec.gang ? copy_rooms(bins, bin_count) : NULL;
     /* A bin that placement passes have tried is of no use to a single task, but may hold a part of
      * a gang. */
     const int first = job->spec.gang ? 0 : tw_bins_first_useful(bins, job);
-    for (int i = first; i < bin_count && needed > 0; i++) {
+    for (int i = first; i < bins->count && needed > 0; i++) {
         core->pass_steps++;
         if (!bins->items[i].tried || job->spec.gang)
             needed -= pack_into_bin(core, &bins->items[i], job, &spread, needed);
     }
-    needed = rent_for_tasks(core, bins, job, &spread, needed);
-    for (int i = 0; rooms && needed > 0 && i < bin_count; i++) bins->items[i].room = rooms[i];
-    free(rooms);
+    rent_for_tasks(core, bins, job, &spread, needed);
 }
 
 /* ---- the round ---- */
