The plan keeps memory for free GPUs by the same rule as placement

Callers saw: a gang without GPUs waits for ever on a machine whose free GPUs need its memory, and nothing is rented for it though the cloud has machines.

Cause: placement keeps cores and memory for free GPUs, the plan compared the cores alone, so that the gang seemed to have room.

Why this works: both ask one function, tw_constraints_room_leaves_gpus.

--- a/src/core/bin_packing.c
+++ b/src/core/bin_packing.c
@@ -16,14 +16,10 @@
            (!*spec->zone || !strcmp(spec->zone, bin->zone));
 }
 
-/* As in constraints.c, but for memory. */
 bool tw_bin_leaves_gpus(const tw_core *core, const tw_bin *bin, const tw_wire_job *spec,
                         bool any_machine) {
     const tw_wire_machine_type *type = &core->machine_types[bin->type_index].listed;
-    if (spec->gpus > 0 || any_machine || type->gpus <= 0) return true;
-    double cores_per_gpu = core->cores_per_gpu;
-    if (cores_per_gpu <= 0) cores_per_gpu = type->cores / type->gpus;
-    return bin->room.cores - spec->cores + TW_CAPACITY_ROUNDING >= bin->room.gpus * cores_per_gpu;
+    return any_machine || tw_constraints_room_leaves_gpus(core, type, &bin->room, spec, 1);
 }
 
 void tw_bin_take(tw_bin *bin, const tw_wire_job *spec) { tw_capacity_take_task(&bin->room, spec); }
--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -38,23 +38,26 @@
     }
 }
 
-bool tw_constraints_leave_gpus(const tw_core *core, const tw_machine *machine, const tw_job *job,
-                               int tasks) {
-    const tw_wire_job *spec = &job->spec;
-    const tw_wire_machine_type *type = &core->machine_types[machine->type_index].listed;
-    if (spec->gpus > 0 || type->gpus <= 0 || job->any_machine) return true;
-    const double free_gpus = type->gpus - machine->used_gpus;
+bool tw_constraints_room_leaves_gpus(const tw_core *core, const tw_wire_machine_type *type,
+                                     const tw_capacity *room, const tw_wire_job *spec, int tasks) {
+    if (spec->gpus > 0 || type->gpus <= 0) return true;
     double cores_per_gpu = core->cores_per_gpu;
     double memory_gb_per_gpu = core->memory_gb_per_gpu;
     if (cores_per_gpu <= 0) { /* unknown: each GPU keeps its share of the machine */
         cores_per_gpu = type->cores / type->gpus;
         memory_gb_per_gpu = type->memory_gb / type->gpus;
     }
-    return type->cores - machine->used_cores - tasks * spec->cores + TW_CAPACITY_ROUNDING >=
-               free_gpus * cores_per_gpu &&
-           type->memory_gb - machine->used_memory_gb - tasks * spec->memory_gb +
-                   TW_CAPACITY_ROUNDING >=
-               free_gpus * memory_gb_per_gpu;
+    return room->cores - tasks * spec->cores + TW_CAPACITY_ROUNDING >= room->gpus * cores_per_gpu &&
+           room->memory_gb - tasks * spec->memory_gb + TW_CAPACITY_ROUNDING >=
+               room->gpus * memory_gb_per_gpu;
+}
+
+bool tw_constraints_leave_gpus(const tw_core *core, const tw_machine *machine, const tw_job *job,
+                               int tasks) {
+    const tw_wire_machine_type *type = &core->machine_types[machine->type_index].listed;
+    const tw_capacity room = tw_machine_free_capacity(machine, type);
+    return job->any_machine ||
+           tw_constraints_room_leaves_gpus(core, type, &room, &job->spec, tasks);
 }
 
 /* The zones, as bits, that the job's next task may go to. */
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -50,6 +50,12 @@
     bool service, gang;
 } tw_placement_failure;
 
+/* constraints.c */
+/* Whether so many tasks leave the free GPUs of the room, which is on a machine of this type, the
+ * cores and memory that tasks with GPUs need. Always true for tasks with GPUs. */
+bool tw_constraints_room_leaves_gpus(const tw_core *core, const tw_wire_machine_type *type,
+                                     const tw_capacity *room, const tw_wire_job *spec, int tasks);
+
 /* What no task uses on the machine, which is of this type. */
 static inline tw_capacity tw_machine_free_capacity(const tw_machine *machine,
                                                    const tw_wire_machine_type *type) {
