Cores of GPUs that an incomplete gang would use are not room for others in the plan

Callers saw: a job without GPUs waits for ever beside a gang that can't be had whole (stuck), also where the cloud has machines for it.

Cause: the plan packs a part of that gang into a machine; with the free GPUs gone no cores had to be kept for them, so that the other job fitted there and nothing was rented for it. Placement places no part of a gang and keeps them.

Why this works: the room stays taken for the gang, and what others rent stays as it was, but the GPUs count as free for the question whether cores are left to them, as in placement.

--- a/src/core/autoscaler.h
+++ b/src/core/autoscaler.h
@@ -34,10 +34,12 @@
     tw_capacity_offer *offer; /* from which this plan rents it; NULL: it is there or asked for */
     int type_index;           /* in core->machine_types */
     bool spot;
-    bool occupied;    /* a task runs on the machine, or may */
-    bool tried;       /* placement passes have had the chance to use it */
-    const char *zone; /* belongs to the machine or to its type */
-    tw_capacity room; /* what is free */
+    bool occupied;        /* a task runs on the machine, or may */
+    bool tried;           /* placement passes have had the chance to use it */
+    const char *zone;     /* belongs to the machine or to its type */
+    tw_capacity room;     /* what is free */
+    tw_capacity unplaced; /* taken from room for gangs that don't have room for all tasks */
+    int packed_count;     /* tasks of the job that was packed last */
 } tw_bin;
 
 /* The bins of a plan, which own no machines or offers. Freed with tw_bins_free. */
--- a/src/core/autoscaler_int.h
+++ b/src/core/autoscaler_int.h
@@ -6,6 +6,10 @@
 #include <stdbool.h>
 
 /* bin_packing.c */
+/* Notes that the tasks of the gang that was packed last are not placed before there is room for all
+ * of it: what they take of the bins stays taken, but GPUs that they would use still count as free
+ * for tw_bin_leaves_gpus. */
+void tw_bins_note_incomplete_gang(tw_bins *bins, const tw_wire_job *spec);
 /* Adds a bin at the end for the caller to fill. It is valid until the next one is added. */
 tw_bin *tw_bins_add(tw_bins *bins);
 /* The index of the first bin that may be of use to a task of the job. Those before it are too full,
--- a/src/core/autoscaler_plan.c
+++ b/src/core/autoscaler_plan.c
@@ -71,6 +71,7 @@
 static int pack_into_bin(const tw_core *core, tw_bin *bin, const tw_job *job, zone_spread *spread,
                          int wanted) {
     int taken = 0;
+    bin->packed_count = 0;
     if (!tw_bin_is_allowed(bin, &job->spec, job->type_mask)) return 0;
     if (job->spec.single_zone && spread->zone_count &&
         strcmp(spread->zone_names[0], bin->zone) != 0)
@@ -83,6 +84,7 @@
         spread->task_counts[slot]++;
         taken++;
     }
+    bin->packed_count = taken;
     return taken;
 }
 
@@ -143,9 +145,10 @@
     return needed;
 }
 
-/* Wants machines for so many tasks of the job, as far as there are offers. */
-static void rent_for_tasks(tw_core *core, tw_bins *bins, tw_job *job, zone_spread *spread,
-                           int needed) {
+/* Wants machines for so many tasks of the job, as far as there are offers. Returns for how many
+ * there are none. */
+static int rent_for_tasks(tw_core *core, tw_bins *bins, tw_job *job, zone_spread *spread,
+                          int needed) {
     while (needed > 0) {
         tw_offer_filter filter = {.required_zone = job->spec.single_zone && spread->zone_count
                                                        ? spread->zone_names[0]
@@ -157,14 +160,15 @@
         /* An offer that was refused lately may be granted again: until then the job is bound. */
         job->capacity_bound = !offer || offer->refusal_count > 0;
         /* GPU machines that are there come before renting one for a job without GPUs. */
-        if (tw_autoscaler_open_gpu_machines(core, job, offer)) return;
-        if (!offer) return;
+        if (tw_autoscaler_open_gpu_machines(core, job, offer)) return needed;
+        if (!offer) return needed;
         const int taken =
             pack_into_bin(core, tw_offer_add_bin(core, bins, offer), job, spread, needed);
-        if (!taken) return;
+        if (!taken) return needed;
         offer->wanted_count++;
         needed -= taken;
     }
+    return needed;
 }
 
 /* Finds room in the bins for the tasks of a job that waits, and wants machines for the others. */
@@ -184,7 +188,8 @@
         if (!bins->items[i].tried || job->spec.gang)
             needed -= pack_into_bin(core, &bins->items[i], job, &spread, needed);
     }
-    rent_for_tasks(core, bins, job, &spread, needed);
+    needed = rent_for_tasks(core, bins, job, &spread, needed);
+    if (job->spec.gang && needed > 0) tw_bins_note_incomplete_gang(bins, &job->spec);
 }
 
 /* ---- the round ---- */
--- a/src/core/bin_packing.c
+++ b/src/core/bin_packing.c
@@ -19,7 +19,17 @@
 bool tw_bin_leaves_gpus(const tw_core *core, const tw_bin *bin, const tw_wire_job *spec,
                         bool any_machine) {
     const tw_wire_machine_type *type = &core->machine_types[bin->type_index].listed;
-    return any_machine || tw_constraints_room_leaves_gpus(core, type, &bin->room, spec, 1);
+    /* While a gang waits for the rest of its room, its tasks use no GPUs, so the cores are kept. */
+    const tw_capacity room = {bin->room.cores + bin->unplaced.cores,
+                              bin->room.gpus + bin->unplaced.gpus,
+                              bin->room.memory_gb + bin->unplaced.memory_gb};
+    return any_machine || tw_constraints_room_leaves_gpus(core, type, &room, spec, 1);
+}
+
+void tw_bins_note_incomplete_gang(tw_bins *bins, const tw_wire_job *spec) {
+    for (int i = 0; i < bins->count; i++)
+        for (int task = 0; task < bins->items[i].packed_count; task++)
+            tw_capacity_give_task(&bins->items[i].unplaced, spec);
 }
 
 void tw_bin_take(tw_bin *bin, const tw_wire_job *spec) { tw_capacity_take_task(&bin->room, spec); }
