The plan counts one task for a machine on probation, as placement does

Callers saw: a gang waits for ever for a machine on probation that would hold all of it, and nothing is rented for it.

Cause: a machine on probation takes one task at a time; the plan counted its whole free room.

Why this works: a bin on probation is full after one task, so the rest of the gang is rented for.

--- a/src/core/autoscaler.h
+++ b/src/core/autoscaler.h
@@ -39,6 +39,7 @@
     const char *zone;     /* belongs to the machine or to its type */
     tw_capacity room;     /* what is free */
     tw_capacity unplaced; /* taken from room for gangs that don't have room for all tasks */
+    bool is_full;         /* on probation: its machine takes no other task now */
     int packed_count;     /* tasks of the job that was packed last */
 } tw_bin;
 
@@ -92,7 +93,7 @@
 void tw_reserve_take(tw_core *core, const tw_machine *machine, const tw_job *job);
 
 /* bin_packing.c */
-/* Whether a task fits into what is free in the bin. */
+/* Whether a task fits into what is free in the bin, and its machine takes another one. */
 bool tw_bin_fits(const tw_bin *bin, const tw_wire_job *spec);
 /* Whether a job may use the bin's machine: its type is one of types (bits), it is no spot machine
  * if the job takes none, and it is in the job's zone if it names one. */
--- a/src/core/autoscaler_plan.c
+++ b/src/core/autoscaler_plan.c
@@ -228,6 +228,7 @@
                                   .tried = machine->state == TW_MACHINE_UP &&
                                            core->context.now - machine->first_answered_at >
                                                core->context.config->report_s,
+                                  .is_full = !tw_quarantine_allows(machine),
                                   .room = tw_machine_free_capacity(machine, type)};
 }
 
--- a/src/core/bin_packing.c
+++ b/src/core/bin_packing.c
@@ -8,7 +8,7 @@
 #define INITIAL_START_CAPACITY 16
 
 bool tw_bin_fits(const tw_bin *bin, const tw_wire_job *spec) {
-    return tw_capacity_fits(&bin->room, spec, TW_CAPACITY_ROUNDING);
+    return !bin->is_full && tw_capacity_fits(&bin->room, spec, TW_CAPACITY_ROUNDING);
 }
 
 bool tw_bin_is_allowed(const tw_bin *bin, const tw_wire_job *spec, uint32_t types) {
@@ -32,9 +32,20 @@
             tw_capacity_give_task(&bins->items[i].unplaced, spec);
 }
 
-void tw_bin_take(tw_bin *bin, const tw_wire_job *spec) { tw_capacity_take_task(&bin->room, spec); }
+/* Whether the bin's machine takes one task at a time. */
+static bool is_on_probation(const tw_bin *bin) {
+    return bin->machine && bin->machine->on_probation;
+}
+
+void tw_bin_take(tw_bin *bin, const tw_wire_job *spec) {
+    tw_capacity_take_task(&bin->room, spec);
+    if (is_on_probation(bin)) bin->is_full = true;
+}
 
-void tw_bin_give(tw_bin *bin, const tw_wire_job *spec) { tw_capacity_give_task(&bin->room, spec); }
+void tw_bin_give(tw_bin *bin, const tw_wire_job *spec) {
+    tw_capacity_give_task(&bin->room, spec);
+    bin->is_full = bin->machine && !tw_quarantine_allows(bin->machine);
+}
 
 tw_bin *tw_bins_add(tw_bins *bins) {
     bins->items = tw_grow(bins->items, bins->count, &bins->capacity, INITIAL_BIN_CAPACITY,
