A type whose rentals bring no machine up counts as dearer, and is tried again later

Callers saw: a job of any shape waits for ever while the cheapest type that holds it is granted, paid for and never up, though a dearer type, or another zone, would have booted.

Cause: an offer was chosen by its price alone. Each overdue rental was followed by the next one of the same type and zone; the learned share of late boots makes up for the number of machines, not for the type.

Why this works: rounds of rentals in a row without a machine that came up are counted by type and by offer, and from the second one on each makes the offer four times as dear in the choice. The factor falls as the last failure ages; one machine at a time is tried then. Rounds, not machines, since at an opening many are late at once: 200 machines with 5% of failing boots rent no dearer type. New in the stand-ins: failboots, expect rented.

--- a/simulator/cloud.c
+++ b/simulator/cloud.c
@@ -61,6 +61,18 @@
     return TW_SIMULATOR_OK;
 }
 
+/* Whether a machine of the type that is rented now in the zone never boots. */
+static bool boot_fails(tw_simulator_world *world, int type, const char *zone) {
+    if (world->never_up > 0) {
+        world->never_up--;
+        return true;
+    }
+    if (world->now >= world->failing_until[type]) return false;
+    if (*world->failing_zone[type] && strcmp(world->failing_zone[type], zone) != 0) return false;
+    return tw_simulator_draw(world, TW_SIMULATOR_DRAW_FAILED_BOOTS, 0, 1) <
+           world->failing_share[type];
+}
+
 static double draw_boot_s(tw_simulator_world *world) {
     if (world->now >= world->fast_until) return world->boot_s;
     return tw_simulator_draw(world, TW_SIMULATOR_DRAW_BOOT, FAST_BOOT_LEAST_S, FAST_BOOT_MOST_S);
@@ -78,11 +90,10 @@
         return NULL;
     cJSON *object = cJSON_CreateObject(), *ids = cJSON_AddArrayToObject(object, "trays");
     int spot = cJSON_IsTrue(cJSON_GetObjectItemCaseSensitive(request, "loaner"));
+    const char *zone = tw_simulator_json_text(request, "yard");
     for (int i = 0; i < count && have < world->capacity[type]; i++, have++) {
-        double boot = world->never_up > 0 ? NEVER : draw_boot_s(world);
-        if (world->never_up > 0) world->never_up--;
-        tw_simulator_worker *worker = tw_simulator_add_machine(
-            world, type, tw_simulator_json_text(request, "yard"), spot, boot);
+        double boot = boot_fails(world, type, zone) ? NEVER : draw_boot_s(world);
+        tw_simulator_worker *worker = tw_simulator_add_machine(world, type, zone, spot, boot);
         cJSON_AddItemToArray(ids, cJSON_CreateString(worker->id));
     }
     return tw_simulator_json_print(object);
--- a/simulator/expect.c
+++ b/simulator/expect.c
@@ -93,6 +93,15 @@
     return in_range(expected, count, expected->arguments[0], expected->arguments[1]);
 }
 
+/* How many machines of a type there have been. */
+static bool rented(expectation *expected) {
+    const tw_simulator_world *world = &expected->sim->world;
+    int count = 0;
+    for (int i = 0; i < world->worker_count; i++)
+        count += !strcmp(world->types[world->workers[i]->type_index].name, expected->arguments[0]);
+    return in_range(expected, count, expected->arguments[1], expected->arguments[2]);
+}
+
 static tw_simulator_worker *find_machine(expectation *expected) {
     int i = tw_simulator_parse_int(expected->arguments[0]);
     return i >= 0 && i < expected->sim->world.worker_count ? expected->sim->world.workers[i] : NULL;
@@ -168,27 +177,17 @@
 static const struct {
     const char *name;
     bool (*holds)(expectation *x);
-} kinds[] = {{"done", is_done},
-             {"cancelled", is_cancelled},
-             {"accepted", is_accepted},
-             {"refused", is_refused},
-             {"starts", starts},
-             {"running", running},
-             {"machines", machines},
-             {"gone", is_gone},
-             {"incarnation", is_in_incarnation},
-             {"leader", has_leader},
-             {"steps", steps},
-             {"struck", struck},
-             {"cancel", cancel_answered},
-             {"toolarge", too_large},
-             {"keys", keys},
-             {"waiting", waiting},
-             {"gang_starts", gang_starts},
-             {"attempts", attempts},
-             {"saved", saved},
-             {"exits", exits},
-             {"old", old_nodes},
+} kinds[] = {{"done", is_done},         {"cancelled", is_cancelled},
+             {"accepted", is_accepted}, {"refused", is_refused},
+             {"starts", starts},        {"running", running},
+             {"machines", machines},    {"rented", rented},
+             {"gone", is_gone},         {"incarnation", is_in_incarnation},
+             {"leader", has_leader},    {"steps", steps},
+             {"struck", struck},        {"cancel", cancel_answered},
+             {"toolarge", too_large},   {"keys", keys},
+             {"waiting", waiting},      {"gang_starts", gang_starts},
+             {"attempts", attempts},    {"saved", saved},
+             {"exits", exits},          {"old", old_nodes},
              {"led", leader_version}};
 
 void tw_simulator_expect(tw_simulator *sim, const tw_simulator_words *words) {
--- a/simulator/trouble.c
+++ b/simulator/trouble.c
@@ -258,6 +258,16 @@
 static void fail_boots(tw_simulator *sim, const tw_simulator_words *words) {
     sim->world.never_up = (int)number_at(words, 1);
 }
+static void fail_boots_of_type(tw_simulator *sim, const tw_simulator_words *words) {
+    tw_simulator_world *world = &sim->world;
+    for (int i = 0; i < world->type_count; i++) {
+        if (strcmp(world->types[i].name, words->words[1]) != 0) continue;
+        world->failing_share[i] = number_at(words, 2);
+        world->failing_until[i] = world->now + number_at(words, 3);
+        snprintf(world->failing_zone[i], sizeof world->failing_zone[i], "%s",
+                 words->count > 4 ? words->words[4] : "");
+    }
+}
 
 const tw_simulator_command tw_simulator_trouble_commands[] = {
     {"kill", 2, 2, kill_node},
@@ -286,6 +296,7 @@
     {"nocloud", 2, 1, begin_cloud_outage},
     {"refuse", 2, 0, refuse_rentals},
     {"neverup", 2, 0, fail_boots},
+    {"failboots", 4, 3, fail_boots_of_type},
     {"latewrites", 3, 2, delay_writes},
     {"lostwrites", 3, 2, lose_write_answers},
     {"lateheartbeats", 3, 2, copy_heartbeats},
--- a/simulator/world.h
+++ b/simulator/world.h
@@ -178,6 +178,7 @@
     TW_SIMULATOR_DRAW_ODD,
     TW_SIMULATOR_DRAW_GANGS,
     TW_SIMULATOR_DRAW_REPEATS,
+    TW_SIMULATOR_DRAW_FAILED_BOOTS,
     TW_SIMULATOR_DRAW_KINDS
 };
 
@@ -197,9 +198,12 @@
     /* cloud */
     tw_wire_machine_type types[TW_SIMULATOR_MAX_TYPES];
     int type_count, capacity[TW_SIMULATOR_MAX_TYPES];
-    int refuses_rentals; /* no capacity */
-    double fast_until;   /* machines rented until then are up within two seconds */
-    int never_up;        /* that many of the next machines never boot */
+    double failing_share[TW_SIMULATOR_MAX_TYPES]; /* of the machines rented until then never boot */
+    double failing_until[TW_SIMULATOR_MAX_TYPES];
+    char failing_zone[TW_SIMULATOR_MAX_TYPES][TW_SIMULATOR_NAME]; /* "": in all zones */
+    int refuses_rentals;                                          /* no capacity */
+    double fast_until; /* machines rented until then are up within two seconds */
+    int never_up;      /* that many of the next machines never boot */
     double boot_s;
     tw_simulator_rental *rentals;
     int rental_count, rental_capacity;
--- a/src/core/autoscaler.h
+++ b/src/core/autoscaler.h
@@ -26,6 +26,7 @@
     int machine_count;    /* scratch of a plan: machines of the type in the zone, there or coming */
     int wanted_count;     /* machines that the last plan wants and that aren't asked for yet */
     double wanted_since;  /* 0: none is wanted */
+    tw_boot_record boots;
 } tw_capacity_offer;
 
 /* A bin of the plan: the free room of a machine, or of one that is to come. */
@@ -128,6 +129,8 @@
 void tw_scale_in_consolidate(tw_core *core, tw_bins *bins);
 
 /* capacity_offers.c */
+/* The offer that the machine was, or would have been, rented from. NULL: there is none. */
+tw_capacity_offer *tw_offer_of_machine(const tw_core *core, const tw_machine *machine);
 /* The name of the offer's zone. It belongs to the machine type. */
 const char *tw_offer_zone(const tw_core *core, const tw_capacity_offer *offer);
 
--- a/src/core/autoscaler_gang.c
+++ b/src/core/autoscaler_gang.c
@@ -47,14 +47,17 @@
                                     int task_count) {
     const char *best = NULL;
     int max_count = -1;
+    double least_factor = INFINITY;
     for (int zone = 0; zone < core->zone_count; zone++) {
         const char *name = core->zone_names[zone];
         const tw_offer_filter filter = {.required_zone = name};
         if (!tw_constraints_allow_zone(job, name)) continue;
         const int count = count_tasks_in_zone(core, bins, job, name, task_count);
-        if (count <= max_count) continue;
-        if (count < task_count && !tw_offer_best(core, &job->spec, job->type_mask, &filter))
-            continue;
+        const tw_capacity_offer *offer = tw_offer_best(core, &job->spec, job->type_mask, &filter);
+        if (count < task_count && !offer) continue;
+        const double factor = count < task_count ? tw_offer_boot_factor(core, offer) : 1;
+        if (factor > least_factor || (factor == least_factor && count <= max_count)) continue;
+        least_factor = factor;
         max_count = count;
         best = name;
     }
--- a/src/core/autoscaler_int.h
+++ b/src/core/autoscaler_int.h
@@ -32,6 +32,9 @@
 tw_capacity_offer *tw_offer_of_request(const tw_core *core, const tw_rental_request *request);
 /* How many of the job's tasks an empty machine of the type holds, a whole number. */
 double tw_offer_task_count(const tw_wire_machine_type *type, const tw_wire_job *spec);
+/* How many times as much as its price a machine of the offer counts: the factors of its type's
+ * machines in all zones and of the offer's own, multiplied. */
+double tw_offer_boot_factor(const tw_core *core, const tw_capacity_offer *offer);
 /* The offer at which a task costs least. types: machine types, as bits. NULL: there is none. */
 tw_capacity_offer *tw_offer_best(tw_core *core, const tw_wire_job *spec, uint32_t types,
                                  const tw_offer_filter *filter);
@@ -41,6 +44,11 @@
  * about to be returned are taken first. */
 void tw_offers_update_wanted(tw_core *core);
 
+/* boot_record.c */
+/* How many times as much as its price a machine counts in the choice of an offer, since such
+ * machines did not come up lately; 1 or more. startup_s: of its type. */
+double tw_boot_record_cost_factor(const tw_boot_record *record, double now, double startup_s);
+
 /* autoscaler_plan.c */
 /* How long it takes at least until a machine that is rented now runs a task: to boot and to fetch
  * the image. types: that the task may use, as bits. INFINITY: there are none. */
@@ -60,8 +68,8 @@
  * tw_autoscaler_open_gpu_machines. */
 void tw_autoscaler_gang_avoid_late_start(tw_core *core, tw_job *job, double start_at);
 /* The name of the zone for a gang that must stand in a single one: of those in which the rest can
- * be rented, or all task_count tasks have room, the one with room for most tasks. NULL: there is
- * none. */
+ * be rented, or all task_count tasks have room, the one where the rest is most likely to boot, then
+ * the one with room for most tasks. NULL: there is none. */
 const char *tw_autoscaler_gang_zone(tw_core *core, tw_bins *bins, const tw_job *job,
                                     int task_count);
 
--- a/src/core/autoscaler_plan.c
+++ b/src/core/autoscaler_plan.c
@@ -257,23 +257,42 @@
     return count;
 }
 
+/* Resets what the last plan noted on types and offers. */
+static void reset_scratch(tw_core *core) {
+    for (int i = 0; i < core->machine_type_count; i++) {
+        core->machine_types[i].late_sum = core->machine_types[i].overdue_rental_at = 0;
+        core->machine_types[i].boots.coming_count = 0;
+    }
+    for (int i = 0; i < core->capacity_offer_count; i++) {
+        core->capacity_offers[i].wanted_count = 0;
+        core->capacity_offers[i].boots.coming_count = 0;
+    }
+}
+
+/* Counts a machine that boots, and is not overdue, at its type and its offer. */
+static void count_coming_machine(tw_core *core, const tw_machine *machine) {
+    if (machine->type_index < 0 || machine->overdue || machine->failed) return;
+    core->machine_types[machine->type_index].boots.coming_count++;
+    tw_capacity_offer *offer = tw_offer_of_machine(core, machine);
+    if (offer) offer->boots.coming_count++;
+}
+
 /* Fills the bins with the machines that the plan counts on, and resets what the last plan noted on
  * machines, types and offers. */
 static void collect_bins(tw_core *core, tw_bins *bins) {
     zone_counts *counts = tw_alloc((size_t)core->machine_type_count * sizeof *counts);
-    for (int i = 0; i < core->machine_type_count; i++)
-        core->machine_types[i].late_sum = core->machine_types[i].overdue_rental_at = 0;
+    reset_scratch(core);
     tw_machine *machine;
     struct tw_machine *next;
     HASH_ITER(hh, core->machines, machine, next) {
         machine->kept_as_headroom = false;
+        if (machine->state == TW_MACHINE_BOOTING) count_coming_machine(core, machine);
         if (!counts_as_capacity(core, machine)) continue;
         add_machine_bin(core, bins, machine);
         counts[machine->type_index][machine->zone_index < 0 ? TW_MAX_ZONES : machine->zone_index]++;
     }
     for (int i = 0; i < core->capacity_offer_count; i++) {
         tw_capacity_offer *offer = &core->capacity_offers[i];
-        offer->wanted_count = 0;
         offer->machine_count = count_machines_of_offer(core, offer, bins, counts);
     }
     free(counts);
--- a/src/core/capacity_offers.c
+++ b/src/core/capacity_offers.c
@@ -19,6 +19,33 @@
     return NULL;
 }
 
+tw_capacity_offer *tw_offer_of_machine(const tw_core *core, const tw_machine *machine) {
+    for (int i = 0; i < core->capacity_offer_count; i++) {
+        tw_capacity_offer *offer = &core->capacity_offers[i];
+        if (offer->type_index == machine->type_index && offer->spot == machine->spot &&
+            !strcmp(tw_offer_zone(core, offer), machine->zone))
+            return offer;
+    }
+    return NULL;
+}
+
+double tw_offer_boot_factor(const tw_core *core, const tw_capacity_offer *offer) {
+    const tw_machine_type *type = &core->machine_types[offer->type_index];
+    const double startup_s = type->listed.startup_s;
+    return tw_boot_record_cost_factor(&type->boots, core->context.now, startup_s) *
+           tw_boot_record_cost_factor(&offer->boots, core->context.now, startup_s);
+}
+
+/* What a task costs on a machine of the offer, of which one holds so many tasks. At almost equal
+ * cost the zone with the fewest machines of the type wins, by CROWDING_COST_SHARE. Machines that
+ * may not come up cost more. */
+static double offer_cost(const tw_core *core, const tw_capacity_offer *offer, double task_count) {
+    const tw_wire_machine_type *type = &core->machine_types[offer->type_index].listed;
+    const double price = offer->spot ? type->spot_price : type->on_demand_price;
+    return price / task_count * (1 + CROWDING_COST_SHARE * offer->machine_count) *
+           tw_offer_boot_factor(core, offer);
+}
+
 /* How many machines of an offer a plan may want: the next plan sees what was granted of them. */
 static int max_wanted_per_offer(const tw_core *core) {
     return (int)(TW_MAX_RENTAL * fmax(1, core->context.config->cloud_rps));
@@ -44,9 +71,6 @@
            (!filter->required_zone || !strcmp(filter->required_zone, zone));
 }
 
-/* At almost equal cost the zone with the fewest machines of the type wins, by CROWDING_COST_SHARE.
- */
-
 tw_capacity_offer *tw_offer_best(tw_core *core, const tw_wire_job *spec, uint32_t types,
                                  const tw_offer_filter *filter) {
     tw_capacity_offer *best = NULL;
@@ -58,8 +82,7 @@
             continue;
         const double task_count = tw_offer_task_count(type, spec);
         if (task_count < 1) continue;
-        double cost = (offer->spot ? type->spot_price : type->on_demand_price) / task_count;
-        cost *= 1 + CROWDING_COST_SHARE * offer->machine_count;
+        const double cost = offer_cost(core, offer, task_count);
         if (cost < least_cost) {
             least_cost = cost;
             best = offer;
@@ -77,6 +100,8 @@
                            .zone = tw_offer_zone(core, offer),
                            .room = {type->cores, type->gpus, type->memory_gb}};
     offer->machine_count++;
+    offer->boots.coming_count++;
+    core->machine_types[offer->type_index].boots.coming_count++;
     return bin;
 }
 
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -111,6 +111,13 @@
     UT_hash_handle hh;        /* core->machines, by name */
 } tw_machine;
 
+/* How the latest boots of machines went, see boot_record.c. */
+typedef struct tw_boot_record {
+    int failed_rounds; /* rounds of rentals in a row of which no machine came up in time */
+    double failed_at;  /* when the last of these rounds was noted */
+    int coming_count;  /* scratch of a plan: machines that boot, are asked for or are wanted */
+} tw_boot_record;
+
 /* A machine type as the cloud lists it, and what was learned of its machines. */
 typedef struct tw_machine_type {
     tw_wire_machine_type listed;
@@ -125,6 +132,7 @@
     double overdue_rental_at;
     /* Average, 0 to 1: how much each fetch at the same time slows another one on a machine. */
     double fetch_interference;
+    tw_boot_record boots;
 } tw_machine_type;
 
 /* ---- machine.c, lease_expiry.c ---- */
--- a/src/core/machine_upkeep.c
+++ b/src/core/machine_upkeep.c
@@ -142,13 +142,15 @@
     return core->machine_types[machine->type_index].listed.startup_s;
 }
 
-/* Notes once that a machine has been booting for longer than is usual for its type. */
+/* Notes once that a machine has been booting for longer than is usual for its type, or has failed.
+ */
 static void note_overdue_boot(tw_core *core, tw_machine *machine, double boot_s) {
     const double age_s = core->context.now - machine->known_since;
     if (machine->overdue || machine->type_index < 0) return;
-    if (age_s <= BOOT_OVERDUE * boot_s + core->context.config->report_s) return;
+    if (!machine->failed && age_s <= BOOT_OVERDUE * boot_s + core->context.config->report_s) return;
     machine->overdue = true;
     tw_statistics_note_boot(core, machine);
+    tw_boot_records_note_failure(core, machine);
     tw_log_info("event=boot_overdue worker=%s machine_type=%s zone=%s rented_s=%.0f", machine->name,
                 machine->type_name, machine->zone, age_s);
 }
--- a/src/core/worker_heartbeat.c
+++ b/src/core/worker_heartbeat.c
@@ -211,6 +211,9 @@
                               const tw_wire_heartbeat *heartbeat) {
     machine->first_answered_at = core->context.now;
     if (machine->type_index >= 0 && !machine->overdue) tw_statistics_note_boot(core, machine);
+    /* Of a machine that is first heard of now nobody knows when it booted. */
+    if (machine->type_index >= 0 && machine->known_since < core->context.now)
+        tw_boot_records_note_up(core, machine);
     tw_log_info("event=machine_started worker=%s machine_type=%s zone=%s spot=%d after=%.1f",
                 machine->name, heartbeat->machine_type, heartbeat->zone, heartbeat->spot,
                 core->context.now - machine->known_since);
--- a/src/core/workers.h
+++ b/src/core/workers.h
@@ -82,6 +82,13 @@
 /* The machine has booted in time, or is overdue: learns how often its type is late. */
 void tw_statistics_note_boot(tw_core *core, const tw_machine *machine);
 
+/* ---- boot_record.c ---- */
+
+/* The machine, whose type is known, did not come up in time, or never will. */
+void tw_boot_records_note_failure(tw_core *core, const tw_machine *machine);
+/* The machine, whose type is known, came up, in time or late. */
+void tw_boot_records_note_up(tw_core *core, const tw_machine *machine);
+
 /* ---- task_reconciliation.c ---- */
 
 /* Takes in what a heartbeat says of a task that has a placement. */
