Simulated users repeat a cancellation after 404; scenario of a refused connection

The simulated users took 404 for the end of a cancellation. By the protocol they repeat it until they are told aborted or done, so that a cancellation that was lost that way was not noticed. Now they do, unless their job was refused.

New in the stand-ins: refusecommands.

--- a/simulator/network.c
+++ b/simulator/network.c
@@ -283,6 +283,11 @@
     if (seconds < 0 || world->now < worker->unresponsive_until ||
         world->now < sim->nodes[node].no_workers_until)
         return;
+    if (world->now < worker->refuses_until) {
+        tw_simulator_schedule_response(sim, node, sim->nodes[node].generation, effect->id, 0, NULL,
+                                       TW_SIMULATOR_LATENCY);
+        return;
+    }
     bool late = delay_command(sim, to, effect, &seconds);
     if (!late) repeat_command(sim, node, to, effect);
     tw_simulator_event *event = schedule_arrival(sim, seconds, deliver_command, node, effect);
--- a/simulator/trouble.c
+++ b/simulator/trouble.c
@@ -177,6 +177,11 @@
     if (worker) worker->unresponsive_until = sim->world.now + number_at(words, 2);
 }
 
+static void refuse_commands(tw_simulator *sim, const tw_simulator_words *words) {
+    tw_simulator_worker *worker = find_machine(sim, words);
+    if (worker) worker->refuses_until = sim->world.now + number_at(words, 2);
+}
+
 static void mute_machine(tw_simulator *sim, const tw_simulator_words *words) {
     tw_simulator_worker *worker = find_machine(sim, words);
     if (worker) worker->mute_until = sim->world.now + number_at(words, 2);
@@ -286,6 +291,7 @@
     {"latetxn", 2, 1, delay_next_transaction},
     {"hang", 3, 2, hang_machine},
     {"unresponsive", 3, 2, make_unresponsive},
+    {"refusecommands", 3, 2, refuse_commands},
     {"take", 2, 0, remove_machine},
     {"notice", 3, 2, announce_preemption},
     {"faulty", 2, 0, make_faulty},
--- a/simulator/user.c
+++ b/simulator/user.c
@@ -78,6 +78,17 @@
     tw_simulator_fail(sim, "odd request", text);
 }
 
+/* Whether the answer ends the request, so that it is not sent again. A cancellation is repeated
+ * until it is told `aborted` or `done`, also after 404, unless the job was refused. */
+static bool answer_is_final(const tw_simulator_job *job, int kind, int status) {
+    if (status == TW_SIMULATOR_UNKNOWN && kind == TW_SIMULATOR_CANCEL)
+        return job->last_status == TW_SIMULATOR_MALFORMED ||
+               job->last_status == TW_SIMULATOR_IMPOSSIBLE;
+    return kind == TW_SIMULATOR_POLL || status == TW_SIMULATOR_OK ||
+           status == TW_SIMULATOR_CREATED || status == TW_SIMULATOR_MALFORMED ||
+           status == TW_SIMULATOR_IMPOSSIBLE || status == TW_SIMULATOR_UNKNOWN;
+}
+
 /* status 0: there was no answer. Ends the connection. */
 static void deliver_answer(tw_simulator *sim, tw_simulator_connection *connection, int status,
                            const char *body) {
@@ -89,8 +100,7 @@
         return;
     }
     tw_simulator_job *job = sim->world.jobs[connection->target];
-    int kind = connection->user_kind, once = connection->tried_once,
-        ok = status == TW_SIMULATOR_OK || status == TW_SIMULATOR_CREATED;
+    int kind = connection->user_kind, once = connection->tried_once;
     int was_accepted = job->accepted, was_over = job->told_over;
     if (kind == TW_SIMULATOR_SUBMIT && !once) job->last_status = status;
     if (kind == TW_SIMULATOR_CANCEL && !once) job->cancel_status = status;
@@ -100,10 +110,7 @@
         tw_simulator_schedule_after(sim, TW_SIMULATOR_POLL_S, poll_again)->target = job->index;
     if (job->accepted != was_accepted || job->told_over != was_over)
         tw_simulator_look_closely(sim, job->index, !job->told_over);
-    if (kind == TW_SIMULATOR_POLL || ok || status == TW_SIMULATOR_MALFORMED ||
-        status == TW_SIMULATOR_IMPOSSIBLE || status == TW_SIMULATOR_UNKNOWN)
-        return;
-    if (!once) retry_later(sim, job, kind);
+    if (!once && !answer_is_final(job, kind, status)) retry_later(sim, job, kind);
 }
 
 /* ---- connections ---- */
--- a/simulator/world.h
+++ b/simulator/world.h
@@ -147,6 +147,7 @@
     double next_heartbeat, last_heartbeat;
     double hung_until, slowdown, preempted_at;
     double unresponsive_until;     /* answers and direct commands don't arrive */
+    double refuses_until;          /* connections with direct commands are refused at once */
     double mute_until;             /* its heartbeats reach no controller */
     bool faulty;                   /* every task fails */
     double delay_next_heartbeat_s; /* the next heartbeat arrives that much later */
