Heartbeats with long lists that say nothing new are recognised, within a tenth of memory

What it cost: a heartbeat that lists 200 attempts 1,291,197 instructions, one with 100 attempts 30,085, at 4,000 machines. Ended attempts stay listed for 12 leases, so machines with many short tasks send such lists all the time.

Cause: the cache of heartbeats left out texts over 8 KiB. By the profile 96% of the instructions are the parser's; nothing is quadratic.

Test: heartbeat_cache failed before (0 long ones are kept), and passes now; it checks the bound on memory too.

Whether pauses of the loop endanger the lease was not measured.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -10,6 +10,8 @@
 #include "core/scheduler_int.h"
 #include <stdbool.h>
 
+#define LONG_HEARTBEATS_SHARE 0.1 /* of the memory, for cached heartbeats with long lists */
+#define BYTES_PER_MIB (1024 * 1024)
 #define PATH_SIZE 512
 #define JOB_PATH_LIMIT 256 /* longer paths are of no job */
 /* Ticks between two heartbeats of a worker, within limits. */
@@ -69,7 +71,8 @@
     tw_rate_limiters_init(core);
     core->team_cores_used = tw_alloc((config->team_count + 1) * sizeof(double));
     core->team_gpus_used = tw_alloc((config->team_count + 1) * sizeof(double));
-    core->heartbeat_cache = tw_wire_heartbeat_cache_new();
+    core->heartbeat_cache = tw_wire_heartbeat_cache_new(
+        (size_t)(LONG_HEARTBEATS_SHARE * config->mem_mb * BYTES_PER_MIB));
     init_objectives(core);
     return core;
 }
--- a/src/wire/heartbeat_cache.c
+++ b/src/wire/heartbeat_cache.c
@@ -14,8 +14,10 @@
 #include <string.h>
 #include <uthash.h>
 
-/* Longer texts are read anew each time. */
-#define LONGEST_KEPT 8192
+/* Longer texts are read anew each time. A machine that runs many short tasks lists hundreds. */
+#define LONGEST_KEPT_BYTES (128 * 1024)
+/* Texts up to this are kept of every machine. */
+#define SHORT_BYTES (8 * 1024)
 
 static const char sequence_name[] = "\"tick\":";
 
@@ -29,21 +31,26 @@
     tw_wire_heartbeat report; /* its pieces are ours */
     size_t head, rest;        /* lengths of the text's parts */
     bool came;                /* since the last sweep */
+    size_t long_bytes;        /* what counts against the most_long_bytes */
     UT_hash_handle hh;        /* by the first part */
     char text[];              /* both parts */
 } kept;
 
 struct tw_wire_heartbeat_cache {
     kept *kept;
-    tw_wire_heartbeat passing; /* the last one, where it was not kept */
+    size_t long_bytes, most_long_bytes; /* of all texts that are not short, and their reports */
+    tw_wire_heartbeat passing;          /* the last one, where it was not kept */
 };
 
-tw_wire_heartbeat_cache *tw_wire_heartbeat_cache_new(void) {
-    return tw_json_alloc(sizeof(tw_wire_heartbeat_cache));
+tw_wire_heartbeat_cache *tw_wire_heartbeat_cache_new(size_t most_long_bytes) {
+    tw_wire_heartbeat_cache *cache = tw_json_alloc(sizeof *cache);
+    cache->most_long_bytes = most_long_bytes;
+    return cache;
 }
 
 static void let_go(tw_wire_heartbeat_cache *cache, kept *old) {
     HASH_DEL(cache->kept, old);
+    cache->long_bytes -= old->long_bytes;
     tw_wire_heartbeat_free(&old->report);
     free(old);
 }
@@ -74,7 +81,7 @@
     static const tw_json_field field = {.type = TW_JSON_COUNT, .max = TW_JSON_LARGEST};
     const size_t name = sizeof sequence_name - 1;
     const char *found = length ? memmem(text, length, sequence_name, name) : NULL;
-    if (!found || *text != '{' || length > LONGEST_KEPT) return false;
+    if (!found || *text != '{' || length > LONGEST_KEPT_BYTES) return false;
     const size_t head = (size_t)(found - text) + name;
     if (memchr(text + 1, '{', head - 1) || memchr(text, '\\', head)) return false;
     if (head == length || !isdigit((unsigned char)text[head])) return false;
@@ -91,16 +98,23 @@
     return old->rest == rest && !memcmp(old->text + old->head, of->text + of->tail, rest);
 }
 
-/* Keeps the report, whose pieces pass to the set, in place of one that began alike. */
-static const tw_wire_heartbeat *keep(tw_wire_heartbeat_cache *cache, kept *old, const parts *of,
+/* What the text and its report count against the most_long_bytes; 0 for a short text. */
+static size_t long_bytes_of(const parts *of, const tw_wire_heartbeat *heartbeat) {
+    if (of->length <= SHORT_BYTES) return 0;
+    return of->length + (size_t)heartbeat->task_count * sizeof *heartbeat->tasks;
+}
+
+/* Keeps the report, whose pieces pass to the set. */
+static const tw_wire_heartbeat *keep(tw_wire_heartbeat_cache *cache, const parts *of,
                                      const tw_wire_heartbeat *heartbeat) {
-    if (old) let_go(cache, old);
     const size_t rest = of->length - of->tail;
     kept *added = tw_json_alloc(sizeof *added + of->head + rest);
     added->report = *heartbeat;
     added->head = of->head;
     added->rest = rest;
     added->came = true;
+    added->long_bytes = long_bytes_of(of, heartbeat);
+    cache->long_bytes += added->long_bytes;
     memcpy(added->text, of->text, of->head);
     memcpy(added->text + of->head, of->text + of->tail, rest);
     HASH_ADD_KEYPTR(hh, cache->kept, added->text, added->head, added);
@@ -122,7 +136,10 @@
         return &old->report;
     }
     if (tw_wire_heartbeat_parse(&heartbeat, text, length)) return NULL;
-    if (recognisable) return keep(cache, old, &of, &heartbeat);
+    if (old) let_go(cache, old); /* the new report takes its place */
+    if (recognisable &&
+        cache->long_bytes + long_bytes_of(&of, &heartbeat) <= cache->most_long_bytes)
+        return keep(cache, &of, &heartbeat);
     cache->passing = heartbeat;
     return &cache->passing;
 }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -138,7 +138,9 @@
 /* Heartbeats that came before, with their texts, so that one that says nothing new need not be
  * parsed. The cache owns the heartbeats in it. */
 typedef struct tw_wire_heartbeat_cache tw_wire_heartbeat_cache;
-tw_wire_heartbeat_cache *tw_wire_heartbeat_cache_new(void);
+/* most_long_bytes: what texts longer than 8 KiB and their heartbeats may take together; those
+ * beyond it are parsed each time. */
+tw_wire_heartbeat_cache *tw_wire_heartbeat_cache_new(size_t most_long_bytes);
 void tw_wire_heartbeat_cache_free(tw_wire_heartbeat_cache *cache);
 /* What tw_wire_heartbeat_parse would read, valid until the next call; NULL where that refuses. */
 const tw_wire_heartbeat *tw_wire_heartbeat_cache_read(tw_wire_heartbeat_cache *cache,
--- a/tests/unit/heartbeat_cache_test.c
+++ b/tests/unit/heartbeat_cache_test.c
@@ -96,6 +96,7 @@
     return alike;
 }
 
+enum { MOST_LONG_BYTES = 8 * 1024 * 1024 };
 enum { WORKERS = 500, ROUNDS = 20, CHANGE_ROUNDS = 5 };
 
 /* A heartbeat of the worker; its sequence is the number of the round, and its token changes at
@@ -114,7 +115,7 @@
 static int reads_many(void) {
     const tw_wire_heartbeat *last[WORKERS] = {NULL};
     int wrong = 0;
-    tw_wire_heartbeat_cache *cache = tw_wire_heartbeat_cache_new();
+    tw_wire_heartbeat_cache *cache = tw_wire_heartbeat_cache_new(MOST_LONG_BYTES);
     for (int round = 0; round < ROUNDS; round++) {
         for (int worker = round > 0; worker < WORKERS; worker++) {
             const tw_wire_heartbeat *read = read_round(cache, worker, round);
@@ -134,11 +135,55 @@
     return wrong;
 }
 
+enum { LONG_TASKS = 200, LONG_WORKERS = 1000, TASK_TEXT = 80 };
+
+/* A heartbeat that lists so many tasks. */
+static const tw_wire_heartbeat *read_long(tw_wire_heartbeat_cache *cache, int worker, int round) {
+    static char text[400 + LONG_TASKS * TASK_TEXT];
+    int length = snprintf(text, sizeof text,
+                          "{\"tray\":\"n-%d\",\"endpoint\":\"h:1\",\"rack\":\"g8\",\"yard\":\"a\","
+                          "\"loaner\":true,\"shift\":1,\"tick\":%d,\"baton\":1,\"pieces\":[",
+                          worker, round);
+    for (int task = 0; task < LONG_TASKS; task++)
+        length += snprintf(text + length, sizeof text - (size_t)length,
+                           "%s{\"piece\":\"run-%06d/0\",\"try\":1,\"stage\":\"exited\","
+                           "\"cause\":\"done\"}",
+                           task ? "," : "", task);
+    length += snprintf(text + length, sizeof text - (size_t)length, "]}");
+    return tw_wire_heartbeat_cache_read(cache, text, (size_t)length);
+}
+
+/* A heartbeat with 200 listed attempts and nothing new cost 71 times one with 50, since its text
+ * was read anew each time: it is the kept one. Of very many such machines not all are kept, but all
+ * are read. */
+static int reads_long(void) {
+    tw_wire_heartbeat_cache *cache = tw_wire_heartbeat_cache_new(MOST_LONG_BYTES);
+    int wrong = 0;
+    const tw_wire_heartbeat *first = read_long(cache, 0, 1);
+    const tw_wire_heartbeat *second = read_long(cache, 0, 2);
+    if (!first || first != second || second->sequence != 2 || second->task_count != LONG_TASKS ||
+        tw_wire_heartbeat_cache_count(cache) != 1) {
+        printf("FAIL reports: a long one with nothing new is read anew\n");
+        wrong++;
+    }
+    for (int worker = 1; worker < LONG_WORKERS; worker++) {
+        const tw_wire_heartbeat *read = read_long(cache, worker, 1);
+        wrong += !read || read->task_count != LONG_TASKS;
+    }
+    const size_t count = tw_wire_heartbeat_cache_count(cache);
+    if (count < 2 || count >= LONG_WORKERS) {
+        printf("FAIL reports: %zu long ones are kept of %d workers\n", count, LONG_WORKERS);
+        wrong++;
+    }
+    tw_wire_heartbeat_cache_free(cache);
+    return wrong;
+}
+
 int main(void) {
-    int wrong = reads_many();
+    int wrong = reads_many() + reads_long();
     for (size_t i = 0; i < text_count; i++) {
         for (size_t j = 0; j < text_count; j++) {
-            tw_wire_heartbeat_cache *cache = tw_wire_heartbeat_cache_new();
+            tw_wire_heartbeat_cache *cache = tw_wire_heartbeat_cache_new(MOST_LONG_BYTES);
             if (!reads(cache, texts[i]) || !reads(cache, texts[j]) || !reads(cache, texts[j]) ||
                 !reads(cache, texts[i])) {
                 printf("FAIL reports: %s after %s\n", texts[j], texts[i]);
