A machine that was emptied is kept if a gang needs it for its next attempt

Callers saw: a gang's attempt fails, and the next one waits for a rental for as long as the cloud refuses, though the gang's machine was there.

Cause: a machine that is being emptied is put back into use if a job waits that may use it, but that is asked twice a second by the plan; the upkeep returned it as soon as the attempt's last task there was gone. And a gang does not count as waiting while its attempt is stopped, nor in the pause after an error.

Why this works: before it returns an emptied machine the upkeep asks whether a gang lacks tasks that may run there.

--- a/src/core/autoscaler.h
+++ b/src/core/autoscaler.h
@@ -124,6 +124,9 @@
 void tw_scale_in_idle(tw_core *core);
 /* Puts machines that are being emptied back into use if a job waits that may use them. */
 void tw_scale_in_reopen(tw_core *core);
+/* Puts a machine that was emptied back into use if a gang needs it for its next attempt. Returns
+ * whether it did. */
+bool tw_scale_in_keep_for_gang(tw_core *core, tw_machine *machine);
 /* Empties machines whose replicas fit on others, one after the other, so that they are returned.
  * bins: of all the machines there are; room in them is taken for the tasks that move. */
 void tw_scale_in_consolidate(tw_core *core, tw_bins *bins);
--- a/src/core/machine_upkeep.c
+++ b/src/core/machine_upkeep.c
@@ -129,10 +129,13 @@
         handle_preemption_notice(core, machine);
         if (!tw_machine_is_occupied(machine)) request_return(core, machine, "notice");
     } else if (machine->cordoned || machine->decommissioning) {
-        const bool occupied = tw_machine_is_occupied(machine);
-        if (!occupied)
-            request_return(core, machine, machine->decommissioning ? "drained" : "quarantined");
-        if (occupied) tw_quarantine_tick(core, machine);
+        if (tw_machine_is_occupied(machine)) {
+            tw_quarantine_tick(core, machine);
+            return;
+        }
+        /* A gang's attempt may have ended there just now, and the next one be waiting. */
+        if (!machine->cordoned && tw_scale_in_keep_for_gang(core, machine)) return;
+        request_return(core, machine, machine->decommissioning ? "drained" : "quarantined");
     }
 }
 
--- a/src/core/scale_in.c
+++ b/src/core/scale_in.c
@@ -144,6 +144,13 @@
                     .room = {type->cores, type->gpus, type->memory_gb}};
 }
 
+/* Whether a task of the job may run on the machine, a bin of which is given, once it has room. */
+static bool may_use_machine(const tw_job *job, const tw_machine *machine, const tw_bin *whole) {
+    return tw_bin_is_allowed(whole, &job->spec, job->type_mask) && tw_bin_fits(whole, &job->spec) &&
+           tw_constraints_allow_zone(job, machine->zone) &&
+           (job->spec.gpus > 0 || whole->room.gpus <= 0 || job->any_machine);
+}
+
 /* Whether some job waits that may use the machine once it has room. Then it is not emptied: where
  * no more can be rented, nothing would replace it. */
 static bool job_waits_for_machine(const tw_core *core, const tw_machine *machine) {
@@ -151,24 +158,45 @@
     const tw_job *job;
     DL_FOREACH(core->active_jobs, job) {
         if (!tw_job_is_pending(core, job) || !tw_quota_allows_tasks(core, job, 1)) continue;
-        if (!tw_bin_is_allowed(&whole, &job->spec, job->type_mask)) continue;
-        if (!tw_bin_fits(&whole, &job->spec)) continue;
-        if (!tw_constraints_allow_zone(job, machine->zone)) continue;
-        if (job->spec.gpus > 0 || whole.room.gpus <= 0 || job->any_machine) return true;
+        if (may_use_machine(job, machine, &whole)) return true;
+    }
+    return false;
+}
+
+/* Whether a gang needs the machine for its next attempt, also while what is left of the last one is
+ * stopped, and in the pause after an error. */
+static bool gang_needs_machine(const tw_core *core, const tw_machine *machine) {
+    const tw_bin whole = bin_of_whole_machine(core, machine);
+    const tw_job *job;
+    DL_FOREACH(core->active_jobs, job) {
+        if (!tw_job_lacks_tasks(job) || !job->spec.gang) continue;
+        if (!job->placed_count && !tw_quota_allows_tasks(core, job, 1)) continue;
+        if (may_use_machine(job, machine, &whole)) return true;
     }
     return false;
 }
 
+/* Puts a machine that is being emptied back into use. */
+static void cancel_decommission(tw_core *core, tw_machine *machine) {
+    machine->decommissioning = false;
+    core->scheduling_due = true;
+    tw_log_info("event=decommission_cancelled worker=%s", machine->name);
+}
+
+bool tw_scale_in_keep_for_gang(tw_core *core, tw_machine *machine) {
+    if (!machine->decommissioning || machine->type_index < 0) return false;
+    if (!gang_needs_machine(core, machine)) return false;
+    cancel_decommission(core, machine);
+    return true;
+}
+
 void tw_scale_in_reopen(tw_core *core) {
     tw_machine *machine;
     struct tw_machine *next;
     HASH_ITER(hh, core->machines, machine, next) {
         if (!machine->decommissioning || machine->return_wanted || machine->type_index < 0)
             continue;
-        if (!job_waits_for_machine(core, machine)) continue;
-        machine->decommissioning = false;
-        core->scheduling_due = true;
-        tw_log_info("event=decommission_cancelled worker=%s", machine->name);
+        if (job_waits_for_machine(core, machine)) cancel_decommission(core, machine);
     }
 }
 
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -144,5 +144,8 @@
 void tw_job_queue_free(tw_job_queue *queue);
 /* Whether the job has tasks that may be placed now. */
 bool tw_job_is_pending(const tw_core *core, const tw_job *job);
+/* Whether tasks of the job are neither placed nor done, also while it pauses after an error, or is
+ * a gang whose attempt is being stopped. */
+bool tw_job_lacks_tasks(const tw_job *job);
 
 #endif
