Machines into which the plan packs a waiting gang are not returned as idle

Callers saw: a gang starts later, or not at all while the cloud grants little, since each machine that it could use is returned half a boot time after it became idle, before the others are there.

Cause: the idle rule knew headroom, not the tasks of a gang that the plan packs.

Why this works: the plan marks these machines as needed (needed_by_plan, which was kept_as_headroom).

--- a/src/core/autoscaler_headroom.c
+++ b/src/core/autoscaler_headroom.c
@@ -73,7 +73,7 @@
     while (reserved < wanted && tw_bin_fits(bin, sample) &&
            tw_bin_leaves_gpus(core, bin, sample, false)) {
         tw_bin_take(bin, sample);
-        if (bin->machine) bin->machine->kept_as_headroom = true;
+        if (bin->machine) bin->machine->needed_by_plan = true;
         reserved++;
     }
     return reserved;
--- a/src/core/autoscaler_plan.c
+++ b/src/core/autoscaler_plan.c
@@ -4,7 +4,7 @@
  * (capacity_offers.c). What differs for gangs stands in autoscaler_gang.c.
  *
  * A plan decides nothing about single tasks: its bins are scratch, and only offers' wanted counts,
- * a job's any_machine and capacity_bound, and machines' kept_as_headroom outlive it. Room is taken
+ * a job's any_machine and capacity_bound, and machines' needed_by_plan outlive it. Room is taken
  * bin by bin, so that a round costs jobs times bins, not tasks times bins. */
 #include "core/autoscaler_int.h"
 #include <stdbool.h>
@@ -85,6 +85,8 @@
         taken++;
     }
     bin->packed_count = taken;
+    /* The gang starts when it has the rest, and needs this machine then. */
+    if (taken && job->spec.gang && bin->machine) bin->machine->needed_by_plan = true;
     return taken;
 }
 
@@ -285,7 +287,7 @@
     tw_machine *machine;
     struct tw_machine *next;
     HASH_ITER(hh, core->machines, machine, next) {
-        machine->kept_as_headroom = false;
+        machine->needed_by_plan = false;
         if (machine->state == TW_MACHINE_BOOTING) count_coming_machine(core, machine);
         if (!counts_as_capacity(core, machine)) continue;
         add_machine_bin(core, bins, machine);
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -80,8 +80,8 @@
     bool return_in_flight;
     bool decommissioning; /* its replicas are evicted in order to return it */
     double no_decommission_until;
-    double idle_since;     /* 0: it is not idle */
-    bool kept_as_headroom; /* scratch of a plan: it is needed as headroom */
+    double idle_since;   /* 0: it is not idle */
+    bool needed_by_plan; /* scratch of a plan: as headroom, or for a gang that waits for more */
 
     /* Whether the machine works, see quarantine.c. */
     bool cordoned;     /* it gets nothing new: quarantined, or to be returned */
--- a/src/core/scale_in.c
+++ b/src/core/scale_in.c
@@ -34,7 +34,7 @@
 
 /* Notes since when the machine is idle. Returns whether that is for too long. */
 static bool update_idle_since(const tw_core *core, tw_machine *machine) {
-    if (holds_work(core, machine) || machine->kept_as_headroom) {
+    if (holds_work(core, machine) || machine->needed_by_plan) {
         machine->idle_since = 0;
         return false;
     }
