--- a/src/wire/heartbeat_cache.c
+++ b/src/wire/heartbeat_cache.c
@@ -15,9 +15,9 @@
 #include <uthash.h>
 
 /* Longer texts are read anew each time. A machine that runs many short tasks lists hundreds. */
-#define LONGEST_KEPT_BYTES (128 * 1024)
+#define LONGEST_KEPT_BYTES 131072
 /* Texts up to this are kept of every machine. */
-#define SHORT_BYTES (8 * 1024)
+#define SHORT_BYTES 8192
 
 static const char sequence_name[] = "\"tick\":";
 
