Beside earlier nodes followers of this version campaign first, and log the window

Cause, from the leaders' logs: when the leader's key is gone, followers of both versions wait a draw of the same length, so an earlier one often takes over from a leader of this version while another one lives. It takes a machine's later incarnation, heard in two late copies, for proof that a task of its predecessor has ended, and starts it again.

Change: while some peer has not said that it is of this version (recordFormat), the first two followers of this version by name don't wait when the watch tells that the key is gone, and acquire it without reading it, since the acquisition compares that. The key, its lease and who has authority for how long stay as they are; nothing on the wire changes. Among nodes of this version alone nothing changes. mixed_versions_began, _ended and peer_version_changed say when peers of an earlier version are there.

Clean-up: worker_routing.c had a copy of the rule for a peer that answers.

--- a/src/cluster/cluster_int.h
+++ b/src/cluster/cluster_int.h
@@ -3,6 +3,7 @@
  * election.c               the leader's key and lease, elections, terms; the cluster's inputs
  * authority.c              what this node may do, and until when others may answer workers
  * peer_heartbeat.c         heartbeats between nodes, and what the peers know
+ * peer_versions.c          peers of an earlier version, during a rolling upgrade
  * lease_delegate.c         this node as a delegate of a leader that can't be reached
  * delegate_registry.c      the delegates, as the leader knows them
  * worker_routing.c         which node a worker is told to send heartbeats to
@@ -99,6 +100,7 @@
     double started_at, store_answered_at;
     bool failover_in_time;          /* of this node, as of a peer */
     uint64_t cancellation_sequence; /* numbers the cancellations */
+    double mixed_versions_since;    /* when this node first heard of a peer of an earlier version */
 
     /* This node as a delegate (lease_delegate.c). */
     uint64_t delegate_token, delegate_sequence; /* of the key that this node wrote */
@@ -152,9 +154,18 @@
 tw_peer *tw_cluster_find_peer(const tw_cluster *cluster, const char *name);
 void tw_cluster_heartbeat_response(tw_cluster *cluster, const tw_call *sent, int status,
                                    const char *body, size_t len);
+/* Whether the peer answered a heartbeat lately. */
+bool tw_cluster_peer_answers(const tw_cluster *cluster, const tw_peer *peer);
 /* Sends the heartbeats that are due. */
 void tw_cluster_heartbeat_tick(tw_cluster *cluster);
 
+/* ---- peer_versions.c ---- */
+/* The peer says which records it reads, which shows whether it is of an earlier version. */
+void tw_cluster_note_peer_format(tw_cluster *cluster, tw_peer *from, int record_format);
+/* Whether this node, of the followers of this version the first by name, is to campaign before any
+ * peer of an earlier version does. false where there is no such peer. */
+bool tw_cluster_campaigns_first(const tw_cluster *cluster);
+
 /* ---- lease_delegate.c ---- */
 /* How long a delegate's entitlement lasts from the sending of its write. */
 double tw_cluster_delegate_lease_s(const tw_cluster *cluster);
--- a/src/cluster/election.c
+++ b/src/cluster/election.c
@@ -174,6 +174,41 @@
                  hold + cluster->lease_s * 0.5 + WATCH_ANSWER_S);
 }
 
+static void start_election(tw_cluster *cluster) {
+    char body[64];
+    cluster->election_in_flight = true;
+    cluster->lease_requested_at = cluster->context->now;
+    snprintf(body, sizeof body, "{\"lifeMs\":%d}", (int)(cluster->lease_s * MS_PER_S));
+    election_call(cluster, TW_CALL_GRANT_LEASE, "POST", "/grants", strdup(body),
+                  cluster->lease_s * ELECTION_TIMEOUT);
+}
+
+/* Whether the answer to the watch ends with the removal of the key. */
+static bool shows_key_gone(const char *body, size_t len) {
+    tw_wire_entry *changes;
+    int count;
+    if (tw_wire_changes_parse("log", &changes, &count, body, len)) return false;
+    const bool is_gone = count > 0 && !changes[count - 1].value;
+    tw_wire_entries_free(changes, count);
+    return is_gone;
+}
+
+/* Not all followers read the changed key at the same moment, but for those that are to win against
+ * an earlier version's: they don't even read it where the news is that it is gone, since the
+ * acquisition compares that anyway. */
+static void on_key_changed(tw_cluster *cluster, const char *body, size_t len) {
+    const bool is_first = tw_cluster_campaigns_first(cluster);
+    const double spread =
+        fmax(cluster->lease_s * CHANGED_SPREAD, request_round_s(cluster) * SPREAD_ROUNDS);
+    const double pause_s = is_first ? 0 : tw_context_random(cluster->context, 0, spread);
+    cluster->next_leader_read_at = cluster->context->now + pause_s;
+    if (!is_first || cluster->role != TW_ROLE_FOLLOWER || cluster->election_in_flight ||
+        !shows_key_gone(body, len))
+        return;
+    *cluster->leader_name = 0;
+    start_election(cluster);
+}
+
 static void on_watch(tw_cluster *cluster, int status, const char *body, size_t len) {
     uint64_t revision;
     cluster->leader_read_in_flight = false;
@@ -184,11 +219,7 @@
                                                                          WATCH_RETRY_LEAST,
                                                                          WATCH_RETRY_MOST);
     } else if (tw_wire_watch_has_changes(body, len)) {
-        /* So that not all followers read the key at the same moment. */
-        const double spread =
-            fmax(cluster->lease_s * CHANGED_SPREAD, request_round_s(cluster) * SPREAD_ROUNDS);
-        cluster->next_leader_read_at =
-            cluster->context->now + tw_context_random(cluster->context, 0, spread);
+        on_key_changed(cluster, body, len);
     } else {
         cluster->watch_from_revision = revision;
         cluster->next_leader_read_at = cluster->context->now;
@@ -197,15 +228,6 @@
 
 /* ---- elections ---- */
 
-static void start_election(tw_cluster *cluster) {
-    char body[64];
-    cluster->election_in_flight = true;
-    cluster->lease_requested_at = cluster->context->now;
-    snprintf(body, sizeof body, "{\"lifeMs\":%d}", (int)(cluster->lease_s * MS_PER_S));
-    election_call(cluster, TW_CALL_GRANT_LEASE, "POST", "/grants", strdup(body),
-                  cluster->lease_s * ELECTION_TIMEOUT);
-}
-
 static void revoke_lease(tw_cluster *cluster, uint64_t lease_id) {
     char path[TW_PATH_SIZE];
     if (!lease_id) return;
@@ -344,6 +366,8 @@
         break;
     }
     note_rate_limit(cluster, status);
+    if (sent->kind == TW_CALL_WATCH_LEADER && tw_cluster_campaigns_first(cluster))
+        tw_cluster_election_tick(cluster);
 }
 
 static void leader_tick(tw_cluster *cluster) {
--- a/src/cluster/peer_heartbeat.c
+++ b/src/cluster/peer_heartbeat.c
@@ -44,9 +44,9 @@
     return true;
 }
 
-/* A peer that answered no heartbeat sent since then does not count as answering. */
-static double answers_since(const tw_cluster *cluster) {
-    return cluster->context->now - ANSWERS_S - ANSWERS_LEASES * cluster->lease_s;
+bool tw_cluster_peer_answers(const tw_cluster *cluster, const tw_peer *peer) {
+    return peer->answered_at >=
+           cluster->context->now - ANSWERS_S - ANSWERS_LEASES * cluster->lease_s;
 }
 
 /* What this node says of itself. cancelled: room for the ids that a leader sends along; *count: how
@@ -105,7 +105,7 @@
         tw_peer *peer = &cluster->peers[i];
         if (!must_be_told(peer, zone, number, limit)) continue;
         safety = TW_CANCELLATION_PENDING;
-        if (peer->answered_at < answers_since(cluster)) return TW_CANCELLATION_UNREACHABLE;
+        if (!tw_cluster_peer_answers(cluster, peer)) return TW_CANCELLATION_UNREACHABLE;
         if (!tell || peer->cancellations_told >= number) continue;
         peer->cancellations_told = number;
         send_heartbeat(cluster, peer);
@@ -118,7 +118,7 @@
 static void note_peer(tw_cluster *cluster, tw_peer *from, const tw_wire_peer_heartbeat *message) {
     if (message->highest_token > from->highest_token) from->highest_token = message->highest_token;
     from->store_reachable = message->store_reachable;
-    from->record_format = message->record_format;
+    tw_cluster_note_peer_format(cluster, from, message->record_format);
     tw_cluster_observe_token(cluster, message->highest_token,
                              message->is_leader ? message->name : NULL);
     if (cluster->role != TW_ROLE_LEADER || cluster->peers_confirmed_at > 0) return;
--- /dev/null
+++ b/src/cluster/peer_versions.c
@@ -0,0 +1,56 @@
+/* Peers of an earlier version, while a rolling upgrade has both versions serve, or goes back.
+ *
+ * An earlier version takes over by rules that may not be safe any more. So while one of its nodes
+ * may campaign, the first of this version's followers does so without the usual pause and wins. Who
+ * leads, and for how long, still follows from the leader's key alone. */
+#include "cluster/cluster_int.h"
+
+/* Followers that campaign without a pause: with two of them it doesn't matter that one has just
+ * ended, and the others' requests don't use up the state service's limit. */
+#define FIRST_CANDIDATES 2
+
+/* Nodes that don't say which records they read are of a version from before there was a choice. */
+static bool is_of_earlier_version(const tw_peer *peer) {
+    return peer->record_format == TW_RECORD_FORMAT_WHOLE;
+}
+
+static int count_earlier_peers(const tw_cluster *cluster) {
+    int count = 0;
+    for (size_t i = 0; i < cluster->peer_count; i++)
+        count += is_of_earlier_version(&cluster->peers[i]);
+    return count;
+}
+
+void tw_cluster_note_peer_format(tw_cluster *cluster, tw_peer *from, int record_format) {
+    const bool was_earlier = is_of_earlier_version(from);
+    const int earlier_before = count_earlier_peers(cluster);
+    from->record_format = record_format;
+    if (is_of_earlier_version(from) == was_earlier) return;
+    const int earlier = count_earlier_peers(cluster);
+    if (!earlier_before) {
+        cluster->mixed_versions_since = cluster->context->now;
+        tw_log_info("event=mixed_versions_began earlier_peers=%d", earlier);
+    }
+    tw_log_info("event=peer_version_changed peer=%s earlier=%d earlier_peers=%d", from->config.name,
+                !was_earlier, earlier);
+    if (!earlier)
+        tw_log_info("event=mixed_versions_ended lasted_s=%.1f",
+                    cluster->context->now - cluster->mixed_versions_since);
+}
+
+/* Whether the peer will campaign before this node: both are of this version, it is named first, and
+ * it lives and reaches the state service. The leader that has just ended does not count. */
+static bool campaigns_earlier(const tw_cluster *cluster, const tw_peer *peer) {
+    return peer->record_format >= TW_RECORD_FORMAT_CHUNKED &&
+           strcmp(peer->config.name, cluster->context->config->host_name) < 0 &&
+           strcmp(peer->config.name, cluster->leader_name) != 0 && peer->store_reachable &&
+           tw_cluster_peer_answers(cluster, peer);
+}
+
+bool tw_cluster_campaigns_first(const tw_cluster *cluster) {
+    if (tw_cluster_all_read_chunks(cluster)) return false;
+    int before = 0;
+    for (size_t i = 0; i < cluster->peer_count; i++)
+        before += campaigns_earlier(cluster, &cluster->peers[i]);
+    return before < FIRST_CANDIDATES;
+}
--- a/src/cluster/worker_routing.c
+++ b/src/cluster/worker_routing.c
@@ -9,12 +9,8 @@
 /* Workers that came back from a node within a lease, from which on the node is avoided. */
 #define AVOID_AFTER 3
 
-static bool is_live(const tw_cluster *cluster, const tw_peer *peer) {
-    return peer->answered_at > cluster->context->now - 1 - 0.5 * cluster->lease_s;
-}
-
 static bool is_live_in_zone(const tw_cluster *cluster, const tw_peer *peer, const char *zone) {
-    return !strcmp(peer->config.zone, zone) && is_live(cluster, peer);
+    return !strcmp(peer->config.zone, zone) && tw_cluster_peer_answers(cluster, peer);
 }
 
 bool tw_cluster_zone_has_live_peer(const tw_cluster *cluster, const char *zone) {
@@ -123,7 +119,7 @@
 /* Whether all peers answer; if not, it is no time to move workers without need. */
 static bool all_peers_live(const tw_cluster *cluster) {
     for (size_t i = 0; i < cluster->peer_count; i++)
-        if (!is_live(cluster, &cluster->peers[i])) return false;
+        if (!tw_cluster_peer_answers(cluster, &cluster->peers[i])) return false;
     return true;
 }
 
