--- a/fuzz/play.c
+++ b/fuzz/play.c
@@ -22,13 +22,32 @@
         tw_simulator_free(sim);
         return;
     }
+    tw_simulator_judge_to_end(sim);
     tw_simulator_run(sim, verdict);
     tw_simulator_free(sim);
     if (!*verdict->rule && verdict->failed)
         snprintf(verdict->rule, sizeof verdict->rule, "%s", TW_FUZZ_EXPECTED);
+    if (!*verdict->again.rule && *verdict->again.detail)
+        snprintf(verdict->again.rule, sizeof verdict->again.rule, "%s", TW_FUZZ_EXPECTED);
     verdict->failed = *verdict->rule != 0;
 }
 
+static tw_simulator_break first_break(const tw_simulator_verdict *verdict) {
+    tw_simulator_break first = {.at = verdict->broken_at};
+    memcpy(first.rule, verdict->rule, sizeof first.rule);
+    memcpy(first.detail, verdict->detail, sizeof first.detail);
+    return first;
+}
+
+tw_simulator_break tw_fuzz_own_break(const tw_simulator_verdict *verdict) {
+    return verdict->only_earlier_led ? verdict->again : first_break(verdict);
+}
+
+tw_simulator_break tw_fuzz_chosen_break(const tw_simulator_verdict *verdict) {
+    const tw_simulator_break own = tw_fuzz_own_break(verdict);
+    return *own.rule ? own : first_break(verdict);
+}
+
 void tw_fuzz_limit_time(void) {
     const struct itimerval limit = {.it_value = {.tv_sec = DAY_CPU_S}};
     setitimer(ITIMER_VIRTUAL, &limit, NULL); /* SIGVTALRM ends the process */
--- a/simulator/simulator.c
+++ b/simulator/simulator.c
@@ -39,6 +39,9 @@
     tw_simulator_world *world = &sim->world;
     if (!sim->failed++ && !*world->rule)
         snprintf(world->detail, sizeof world->detail, "t=%.2f %s %s", world->now, what, detail);
+    if (*world->by_earlier.rule && !world->earlier_alone && !*sim->failed_after)
+        snprintf(sim->failed_after, sizeof sim->failed_after, "t=%.2f %s %s", world->now, what,
+                 detail);
     if (!sim->quiet) printf("FAIL %s: t=%.2f %s %s\n", sim->name, world->now, what, detail);
 }
 
@@ -56,11 +59,44 @@
 
 /* Notes which version a new leader is of. */
 static void note_leader(tw_simulator *sim) {
-    const uint64_t version = tw_simulator_state_version(&sim->world.state, "leader");
+    tw_simulator_world *world = &sim->world;
+    const uint64_t version = tw_simulator_state_version(&world->state, "leader");
+    if (sim->earlier_version_leads) world->earlier_led_at = world->now;
     if (version == sim->leader_key_version || !version) return;
     sim->leader_key_version = version;
     const int leader = tw_simulator_leader(sim);
+    sim->earlier_version_leads = leader >= 0 && sim->nodes[leader].earlier_version;
     if (leader >= 0 && !sim->nodes[leader].earlier_version) sim->new_version_led = true;
+    world->earlier_alone = sim->to_end && !sim->new_version_led;
+    /* The token of a leader is the version of its key. */
+    if (world->earlier_alone) world->earlier_token = version;
+}
+
+void tw_simulator_judge_to_end(tw_simulator *sim) { sim->to_end = true; }
+
+static void take_verdict(const tw_simulator *sim, tw_simulator_verdict *verdict) {
+    const tw_simulator_world *world = &sim->world;
+    const tw_simulator_break *first = &world->by_earlier;
+    memset(verdict, 0, sizeof *verdict);
+    memcpy(verdict->rule, world->rule, sizeof verdict->rule);
+    memcpy(verdict->detail, world->detail, sizeof verdict->detail);
+    verdict->broken_at = *world->rule ? world->broken_at : world->now;
+    verdict->failed = sim->failed;
+    verdict->crossings = world->crossings;
+    verdict->end_s = world->now;
+    verdict->digest = sim->digest;
+    verdict->only_earlier_led = sim->leader_key_version && !sim->new_version_led;
+    if (!*first->rule) return;
+    verdict->only_earlier_led = true;
+    memcpy(verdict->again.rule, world->rule, sizeof verdict->again.rule);
+    snprintf(verdict->again.detail, sizeof verdict->again.detail, "%s",
+             *world->rule ? world->detail : sim->failed_after);
+    verdict->again.at = verdict->broken_at;
+    memcpy(verdict->rule, first->rule, sizeof verdict->rule);
+    memcpy(verdict->detail, first->detail, sizeof verdict->detail);
+    verdict->broken_at = first->at;
+    verdict->aftermath = world->aftermath;
+    verdict->aftermath_count = world->aftermath_count;
 }
 
 void tw_simulator_run(tw_simulator *sim, tw_simulator_verdict *verdict) {
@@ -79,14 +115,7 @@
         if (over) break;
     }
     if (world->served_age_s > 0 && !*world->rule) tw_simulator_judge_served(world);
-    memset(verdict, 0, sizeof *verdict);
-    memcpy(verdict->rule, world->rule, sizeof verdict->rule);
-    memcpy(verdict->detail, world->detail, sizeof verdict->detail);
-    verdict->failed = sim->failed;
-    verdict->crossings = world->crossings;
-    verdict->end_s = world->now;
-    verdict->digest = sim->digest;
-    verdict->only_earlier_led = sim->leader_key_version && !sim->new_version_led;
+    take_verdict(sim, verdict);
 }
 
 void tw_simulator_free(tw_simulator *sim) {
--- a/simulator/simulator.h
+++ b/simulator/simulator.h
@@ -9,16 +9,32 @@
 #include <stdint.h>
 
 typedef struct tw_simulator tw_simulator;
+/* A broken rule. */
+typedef struct {
+    char rule[32];    /* its name ("ran_twice", ...); "": none is broken */
+    char detail[512]; /* time and what happened */
+    double at;        /* simulated time */
+} tw_simulator_break;
+
 typedef struct {
     char rule[32];      /* name of the first broken rule ("ran_twice", ...), or "" */
     char detail[512];   /* time and what happened */
+    double broken_at;   /* simulated time of it; without a broken rule that of the end */
     int failed;         /* `expect`/`raw` lines that did not hold, refusals without Retry-After */
     unsigned crossings; /* answers that contradicted a newer one but whose request was sent before
                            it was told */
     double end_s;       /* simulated time reached */
     /* Only nodes of the earlier version had led when the rule broke. Leaders alone decide, so this
-     * version has decided nothing on that day. */
+     * version had decided nothing on that day by then. */
     bool only_earlier_led;
+    /* Of a run that is judged to its end, if only the earlier version had led at the first break:
+     * the first break after it in which this version had a part, which means that a node of it had
+     * led by then. A detail without a rule is of a line that did not hold. */
+    tw_simulator_break again;
+    /* The first one of those that only go on from a break by the earlier version alone, and how
+     * many there were (judge.c has what counts as one). */
+    tw_simulator_break aftermath;
+    unsigned aftermath_count;
     uint64_t digest; /* of all that users and workers were told: equal for equal runs */
 } tw_simulator_verdict;
 
@@ -32,6 +48,9 @@
 bool tw_simulator_lacks_earlier_version(const tw_simulator *sim);
 /* Takes one line of the scenario language; 0, or -1 with a text. */
 int tw_simulator_take_line(tw_simulator *sim, const char *line, char *error, size_t error_size);
+/* A rule that breaks while only nodes of the earlier version have led is noted, and the run goes on
+ * to its end or to the first broken rule in which this version has a part. */
+void tw_simulator_judge_to_end(tw_simulator *sim);
 /* Plays the lines taken so far to their end or to the first broken rule. Once only. Without any
  * node nothing happens. */
 void tw_simulator_run(tw_simulator *sim, tw_simulator_verdict *verdict);
--- a/simulator/simulator_int.h
+++ b/simulator/simulator_int.h
@@ -156,7 +156,11 @@
     int next_node;               /* the load balancer's */
     uint64_t leader_key_version; /* of the leader's key when it was last looked at; 0: never set */
     bool new_version_led;        /* some leader so far was of this version */
+    bool earlier_version_leads;  /* the last one is not */
+    bool to_end;                 /* see tw_simulator_judge_to_end */
     int failed;
+    char failed_after[TW_SIMULATOR_MESSAGE]; /* the first line that did not hold after a break by
+                                                the earlier version, and not under it alone */
     uint64_t digest;
     unsigned strike_counts[TW_SIMULATOR_TROUBLE_KINDS];
     int next_odd; /* number of the next job that can't be taken */
--- a/simulator/world.c
+++ b/simulator/world.c
@@ -74,6 +74,7 @@
         tw_wire_job_free(&world->jobs[i]->spec);
         free(world->jobs[i]->done);
         free(world->jobs[i]->saved);
+        free(world->jobs[i]->earlier_attempts);
         free(world->jobs[i]->gangs);
         free(world->jobs[i]);
     }
--- a/simulator/world.h
+++ b/simulator/world.h
@@ -7,10 +7,12 @@
  *   simulation, the end-to-end test and the soak share it.
  * - Everything is owned by the tw_simulator_world and freed with it. Workers and jobs are never
  *   removed and keep their index and address; a machine that is no more is `gone`.
- * - Only the first broken rule is kept, in `rule` and `detail`.
+ * - Only the first broken rule is kept, in `rule` and `detail`, and apart from it the first one
+ *   that broke while `earlier_alone` was set.
  * - Random numbers come from `seed` alone, one stream for each kind of draw. */
 #ifndef TW_SIMULATOR_WORLD_H
 #define TW_SIMULATOR_WORLD_H
+#include "simulator.h"
 #include "wire/wire.h"
 #include <cjson/cJSON.h>
 #include <gsl/gsl_rng.h>
@@ -118,7 +120,10 @@
     int on_machine;     /* tasks on machines, counted by judge_live.c */
     int unstarted;      /* those of them whose gang has not begun */
     double waits_since; /* > 0: it could have run and doesn't */
-    int index;          /* in world.jobs */
+    /* The latest attempts that were launched under tokens up to `earlier_token`, by task; NULL:
+     * none was. */
+    uint64_t *earlier_attempts;
+    int index; /* in world.jobs */
     UT_hash_handle hh;
 } tw_simulator_job;
 
@@ -128,9 +133,11 @@
     int index, stage, cause, saved; /* TW_TASK_*, TW_CAUSE_* */
     uint64_t attempt;
     double ready_at, started_at, end_at;
-    double from_s;       /* run time saved before it started */
-    double stopped_at_s; /* run time reached when it was told to stop */
-    double peers_at;     /* > 0: finds out then that its gang is broken */
+    double from_s;         /* run time saved before it started */
+    double stopped_at_s;   /* run time reached when it was told to stop */
+    double peers_at;       /* > 0: finds out then that its gang is broken */
+    uint64_t launch_token; /* the fencing token that it was launched under */
+    bool was_done;         /* by an earlier attempt, when it was launched */
 } tw_simulator_task;
 
 typedef struct {
@@ -221,8 +228,14 @@
     /* judge */
     double troubles_end; /* of those that have begun */
     double served_age_s; /* > 0: jobs older than that must be served at the end */
-    /* the first broken rule */
+    /* the first broken rule, without those of the next two */
     char rule[32], detail[512];
+    double broken_at;
+    bool earlier_alone;     /* what breaks now is noted in `by_earlier` instead */
+    uint64_t earlier_token; /* the last fencing token while so; 0: never was */
+    double earlier_led_at;  /* when a node of the earlier version last led */
+    tw_simulator_break by_earlier, aftermath;
+    unsigned aftermath_count;
 } tw_simulator_world;
 
 /* The number at the start of a text; 0 if there is none. */
@@ -339,6 +352,9 @@
                              int kind, double sent, int status, const char *body);
 /* A user is told that status for a job that no machine can run, or whose text is malformed. */
 void tw_simulator_judge_impossible_job(tw_simulator_world *world, const char *id, int status);
+/* A machine was told to launch the task, under that token. */
+void tw_simulator_judge_launch(tw_simulator_world *world, tw_simulator_task *task,
+                               uint64_t fencing_token);
 /* A task has its image and starts. */
 void tw_simulator_judge_start(tw_simulator_world *world, const tw_simulator_worker *worker,
                               const tw_simulator_task *task);
--- a/tests/runner/simulator_test.c
+++ b/tests/runner/simulator_test.c
@@ -408,6 +408,139 @@
     expect_rule(&world, "went_back", "an answer that is older");
 }
 
+/* ---- what a break by the earlier version leaves behind ---- */
+
+enum { EARLIER_TOKEN = 5, OWN_TOKEN = 9 };
+
+/* A task starts on a machine, by a launch under that token. */
+static void start_on(tw_simulator_world *world, int machine, tw_simulator_job *job,
+                     uint64_t attempt, uint64_t token) {
+    tw_simulator_worker *worker = world->workers[machine];
+    worker->tasks = tw_simulator_grow(worker->tasks, worker->task_count, &worker->task_capacity,
+                                      sizeof *worker->tasks);
+    tw_simulator_task *task = &worker->tasks[worker->task_count++];
+    *task = (tw_simulator_task){.job = job, .stage = TW_TASK_RUNNING, .attempt = attempt};
+    strcpy(task->job_id, job->spec.id);
+    tw_simulator_judge_launch(world, task, token);
+    tw_simulator_judge_start(world, worker, task);
+}
+
+/* Machines 0 in zone a, 1 and 2 in b; the team may use four cores. An earlier leader has launched a
+ * task of two cores on machine 0 and once more on machine 1, and then this version leads. */
+static tw_simulator_job *world_after_break(tw_simulator_world *world) {
+    world_of_one_machine(world);
+    for (int i = 1; i <= 2; i++) tw_simulator_add_machine(world, 0, "b", 0, 0)->up = 1;
+    world->lease_s = 10;
+    world->teams[0].cpus_max = 4;
+    world->earlier_alone = true;
+    world->earlier_token = EARLIER_TOKEN;
+    tw_simulator_job *job = accepted_job(world, "run-000001", 2);
+    start_on(world, 0, job, 1, EARLIER_TOKEN);
+    start_on(world, 1, job, 2, EARLIER_TOKEN);
+    check(!strcmp(world->by_earlier.rule, "ran_twice") && !*world->rule,
+          "a break by the earlier version alone is not noted as its own");
+    world->earlier_alone = false;
+    world->earlier_led_at = world->now;
+    world->now += 1;
+    return job;
+}
+
+/* Ends the world: its next break, and the first aftermath; "" for none. */
+static void expect_after_break(tw_simulator_world *world, const char *rule, const char *aftermath,
+                               const char *what) {
+    check(!strcmp(world->aftermath.rule, aftermath), what);
+    check((world->aftermath_count > 0) == (*aftermath != 0), what);
+    expect_rule(world, rule, what);
+}
+
+/* A job of this version's starts under the team's limit of four cores, of which the known attempt
+ * takes two, and the stray two more. */
+static void quota_case(int cores, double after_s, double troubles_end, const char *rule,
+                       const char *aftermath, const char *what) {
+    tw_simulator_world world;
+    world_after_break(&world);
+    world.now += after_s;
+    world.troubles_end = troubles_end;
+    start_on(&world, 2, accepted_job(&world, "run-000002", cores), 1, OWN_TOKEN);
+    expect_after_break(&world, rule, aftermath, what);
+}
+
+static void test_quota_after_break(void) {
+    tw_simulator_world world;
+    quota_case(2, 0, 0, "", "quota", "a limit is exceeded by the stray alone");
+    quota_case(3, 0, 0, "quota", "", "a limit is exceeded without the stray");
+    quota_case(2, 18, 0, "", "quota", "a stray two leases after the earlier version led");
+    quota_case(2, 20, 0, "quota", "", "a stray that nobody stops for more than two leases");
+    quota_case(2, 20, 15, "", "quota", "a stray two leases after the troubles");
+    world_after_break(&world);
+    memset(&world.by_earlier, 0, sizeof world.by_earlier);
+    start_on(&world, 2, accepted_job(&world, "run-000002", 2), 1, OWN_TOKEN);
+    expect_after_break(&world, "quota", "", "an excuse without a break by the earlier version");
+}
+
+static void test_starts_after_break(void) {
+    tw_simulator_world world;
+    tw_simulator_job *job = world_after_break(&world);
+    world.workers[1]->task_count = 0;
+    start_on(&world, 2, job, 3, OWN_TOKEN);
+    expect_after_break(&world, "", "ran_twice", "a new attempt beside the stray of the same task");
+    job = world_after_break(&world);
+    world.workers[0]->task_count = 0;
+    start_on(&world, 2, job, 3, OWN_TOKEN);
+    expect_after_break(&world, "ran_twice", "", "a new attempt beside the one in the record");
+    world_after_break(&world);
+    job = accepted_job(&world, "run-000002", 0);
+    start_on(&world, 0, job, 1, OWN_TOKEN);
+    start_on(&world, 2, job, 2, OWN_TOKEN);
+    expect_after_break(&world, "ran_twice", "", "another task is started twice");
+    world_after_break(&world);
+    job = accepted_job(&world, "run-000002", 2);
+    start_on(&world, 0, job, 1, EARLIER_TOKEN);
+    start_on(&world, 2, job, 2, OWN_TOKEN);
+    expect_after_break(&world, "ran_twice", "quota",
+                       "a second start of what an earlier leader began");
+}
+
+/* A launch by an earlier leader that comes once more, after the task is done. */
+static void test_repeated_launch_after_break(void) {
+    tw_simulator_world world;
+    world_after_break(&world);
+    tw_simulator_job *job = accepted_job(&world, "run-000002", 3);
+    job->done[0] = 1;
+    start_on(&world, 2, job, 1, EARLIER_TOKEN);
+    expect_after_break(&world, "", "quota", "a late launch by an earlier leader of what is done");
+    world_after_break(&world);
+    job = accepted_job(&world, "run-000002", 3);
+    job->done[0] = 1;
+    start_on(&world, 2, job, 1, OWN_TOKEN);
+    expect_after_break(&world, "quota", "", "this version launches what is done");
+}
+
+static void test_places_after_break(void) {
+    tw_simulator_world world;
+    tw_simulator_job *job = world_after_break(&world);
+    world.teams[0].cpus_max = 0;
+    job->spec.single_zone = true;
+    start_on(&world, 2, job, 3, EARLIER_TOKEN);
+    check(world.aftermath_count == 3,
+          "a third attempt by an earlier leader, beside two, in two zones");
+    expect_after_break(&world, "", "ran_twice", "all of it goes on from the break");
+    job = world_after_break(&world);
+    job->spec.single_zone = true;
+    world.workers[0]->task_count = 0;
+    strcpy(world.workers[2]->zone, "c");
+    start_on(&world, 2, job, 3, OWN_TOKEN);
+    expect_after_break(&world, "ran_twice", "", "beside the attempt in the record");
+    job = world_after_break(&world);
+    job->spec.spread = true;
+    job->spec.task_count = 1;
+    world.workers[1]->task_count = 0;
+    strcpy(world.workers[0]->zone, "b");
+    start_on(&world, 2, job, 3, OWN_TOKEN);
+    check(world.aftermath_count == 2, "the stray is in the same zone, too");
+    expect_after_break(&world, "", "ran_twice", "a stray in the zone of a job that is spread");
+}
+
 int main(int argc, char **argv) {
     if (argc != 2) {
         fprintf(stderr, "usage: tw_simulator_test TW_CORE_SERVER\n");
@@ -427,6 +560,10 @@
     test_unserved();
     test_took_bad();
     test_told();
+    test_quota_after_break();
+    test_starts_after_break();
+    test_repeated_launch_after_break();
+    test_places_after_break();
     if (!failures) printf("ok simulator\n");
     return failures != 0;
 }
