--- a/fuzz/day.c
+++ b/fuzz/day.c
@@ -1,6 +1,7 @@
 /* The lines of a day: kept, ordered, written and read. */
 #include "line.h"
 #include "fuzz.h"
+#include "plan.h"
 #include <errno.h>
 #include <limits.h>
 #include <stdarg.h>
@@ -47,6 +48,26 @@
     return (long)(strtod(seconds, NULL) * 100 + 0.5);
 }
 
+int tw_fuzz_line_moment(const char *line) {
+    return (int)tw_fuzz_line_hundredths(line + strlen("at "));
+}
+
+void tw_fuzz_line_set(char **line, const char *format, ...) {
+    va_list arguments;
+    char *other = NULL;
+    va_start(arguments, format);
+    if (vasprintf(&other, format, arguments) < 0) abort();
+    va_end(arguments);
+    free(*line);
+    *line = other;
+}
+
+void tw_fuzz_line_delay(char **line, int hundredths) {
+    const int moment = tw_fuzz_line_moment(*line) + hundredths;
+    const char *what = strchr(*line + strlen("at "), ' ');
+    tw_fuzz_line_set(line, "at %s%s", tw_fuzz_seconds_of(moment).text, what);
+}
+
 /* Settings come first, then the `at` lines by time, then the end. */
 static long place_of(const char *line) {
     if (tw_fuzz_line_is(line, "at ")) return tw_fuzz_line_hundredths(line + 3);
--- a/fuzz/draw_upgrade.c
+++ b/fuzz/draw_upgrade.c
@@ -1,7 +1,7 @@
 /* A day with two versions: the day of the seed, in which nodes begin as ones of the earlier version
  * and are upgraded one after the other, now and then a few at once, or are never all upgraded. */
+#include "upgrade.h"
 #include "line.h"
-#include "plan.h"
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,16 +10,9 @@
 /* Shares in percent. */
 enum { ALL_OLD = 70, BY_LEADERSHIP = 60, LEADER_FIRST = 25, HALTS = 15, GOES_BACK = 20 };
 enum { FIRST_S = 3, APART_MIN_S = 1, APART_MAX_S = 12, BACK_MIN_S = 1, BACK_MAX_S = 6 };
-enum { SECOND_STREAM = 0x5bd1e995 }; /* apart from the seed's own draws */
-
-typedef struct {
-    tw_fuzz_plan plan;
-    int end;                      /* of the day */
-    int order[TW_FUZZ_NODES_MAX]; /* in which nodes are upgraded by name */
-} rolling_upgrade;
 
 /* How many nodes the day has, and when it ends. */
-static void read_day(rolling_upgrade *upgrade, const tw_fuzz_day *day) {
+static void read_day(tw_fuzz_upgrade *upgrade, const tw_fuzz_day *day) {
     for (size_t i = 0; i < day->count; i++) {
         const char *line = day->lines[i];
         upgrade->plan.node_count += tw_fuzz_line_is(line, "node ");
@@ -42,7 +35,7 @@
     day->count = kept;
 }
 
-static void draw_order(rolling_upgrade *upgrade) {
+static void draw_order(tw_fuzz_upgrade *upgrade) {
     for (int i = 0; i < upgrade->plan.node_count; i++) {
         const int k = tw_fuzz_dice_range(&upgrade->plan.dice, 0, i);
         upgrade->order[i] = upgrade->order[k];
@@ -50,7 +43,7 @@
     }
 }
 
-static void draw_old_nodes(rolling_upgrade *upgrade) {
+static void draw_old_nodes(tw_fuzz_upgrade *upgrade) {
     tw_fuzz_dice *dice = &upgrade->plan.dice;
     const bool all = tw_fuzz_dice_percent(dice, ALL_OLD);
     const int always = tw_fuzz_dice_range(dice, 0, upgrade->plan.node_count - 1);
@@ -59,30 +52,31 @@
             tw_fuzz_day_add(upgrade->plan.day, "old tray-%d", i);
 }
 
-static int draw_moment(rolling_upgrade *upgrade) {
+static int draw_moment(tw_fuzz_upgrade *upgrade) {
     const int first = FIRST_S * TW_FUZZ_SECOND;
     return tw_fuzz_dice_range(&upgrade->plan.dice, first,
                               upgrade->end > first ? upgrade->end : first);
 }
 
-static void draw_step(rolling_upgrade *upgrade, int when, int step, bool by_leadership,
-                      bool leader_first) {
+void tw_fuzz_upgrade_draw_step(tw_fuzz_upgrade *upgrade, const char *command, int when, int step,
+                               const tw_fuzz_upgrade_choice *choice) {
     const int back = tw_fuzz_dice_range(&upgrade->plan.dice, BACK_MIN_S * TW_FUZZ_SECOND,
                                         BACK_MAX_S * TW_FUZZ_SECOND);
     const tw_fuzz_seconds back_s = tw_fuzz_seconds_of(back);
-    if (!by_leadership)
-        tw_fuzz_add_at(&upgrade->plan, when, "upgrade tray-%d %s", upgrade->order[step],
+    if (!choice->by_leadership)
+        tw_fuzz_add_at(&upgrade->plan, when, "%s tray-%d %s", command, upgrade->order[step],
                        back_s.text);
-    else if (leader_first && step == 0)
-        tw_fuzz_add_at(&upgrade->plan, when, "upgrade leader %s", back_s.text);
+    else if (choice->leader_first && step == 0)
+        tw_fuzz_add_at(&upgrade->plan, when, "%s leader %s", command, back_s.text);
     else
-        tw_fuzz_add_at(&upgrade->plan, when, "upgrade next %s", back_s.text);
+        tw_fuzz_add_at(&upgrade->plan, when, "%s next %s", command, back_s.text);
 }
 
-static void draw_upgrades(rolling_upgrade *upgrade) {
+static void draw_upgrades(tw_fuzz_upgrade *upgrade) {
     tw_fuzz_dice *dice = &upgrade->plan.dice;
-    const bool by_leadership = tw_fuzz_dice_percent(dice, BY_LEADERSHIP);
-    const bool leader_first = tw_fuzz_dice_percent(dice, LEADER_FIRST);
+    tw_fuzz_upgrade_choice choice;
+    choice.by_leadership = tw_fuzz_dice_percent(dice, BY_LEADERSHIP);
+    choice.leader_first = tw_fuzz_dice_percent(dice, LEADER_FIRST);
     const int steps = tw_fuzz_dice_percent(dice, HALTS)
                           ? tw_fuzz_dice_range(dice, 0, upgrade->plan.node_count - 1)
                           : upgrade->plan.node_count;
@@ -90,7 +84,7 @@
     int when = tw_fuzz_dice_range(dice, FIRST_S * TW_FUZZ_SECOND,
                                   upgrade->end / 2 + FIRST_S * TW_FUZZ_SECOND);
     for (int step = 0; step < steps; step++) {
-        draw_step(upgrade, when, step, by_leadership, leader_first);
+        tw_fuzz_upgrade_draw_step(upgrade, "upgrade", when, step, &choice);
         if ((step + 1) % together == 0)
             when += tw_fuzz_dice_range(dice, APART_MIN_S * TW_FUZZ_SECOND,
                                        APART_MAX_S * TW_FUZZ_SECOND);
@@ -100,15 +94,25 @@
                        tw_fuzz_dice_range(dice, 0, upgrade->plan.node_count - 1));
 }
 
-void tw_fuzz_draw_upgrade(uint32_t seed, tw_fuzz_day *day) {
-    rolling_upgrade upgrade = {.plan = {.day = day}};
+void tw_fuzz_upgrade_begin(tw_fuzz_upgrade *upgrade, uint32_t seed, uint32_t stream,
+                           tw_fuzz_day *day) {
+    *upgrade = (tw_fuzz_upgrade){.plan = {.day = day}};
     tw_fuzz_draw(seed, day);
     drop_unfit_lines(day);
-    read_day(&upgrade, day);
-    tw_fuzz_dice_init(&upgrade.plan.dice, seed ^ SECOND_STREAM);
-    draw_order(&upgrade);
+    read_day(upgrade, day);
+    tw_fuzz_dice_init(&upgrade->plan.dice, seed ^ stream);
+    draw_order(upgrade);
+}
+
+void tw_fuzz_upgrade_end(tw_fuzz_upgrade *upgrade) {
+    tw_fuzz_day_sort(upgrade->plan.day);
+    tw_fuzz_dice_free(&upgrade->plan.dice);
+}
+
+void tw_fuzz_draw_upgrade(uint32_t seed, tw_fuzz_day *day) {
+    tw_fuzz_upgrade upgrade;
+    tw_fuzz_upgrade_begin(&upgrade, seed, TW_FUZZ_UPGRADE_STREAM, day);
     draw_old_nodes(&upgrade);
     draw_upgrades(&upgrade);
-    tw_fuzz_day_sort(day);
-    tw_fuzz_dice_free(&upgrade.plan.dice);
+    tw_fuzz_upgrade_end(&upgrade);
 }
--- a/fuzz/fuzz.h
+++ b/fuzz/fuzz.h
@@ -44,6 +44,14 @@
 tw_fuzz_draw_function tw_fuzz_draw;
 /* The same day, with nodes of the earlier version that are upgraded one after the other. */
 tw_fuzz_draw_function tw_fuzz_draw_upgrade;
+/* The same day without its gangs, with some nodes of the earlier version and some of this one all
+ * day long: an upgrade that halts. */
+tw_fuzz_draw_function tw_fuzz_draw_mixed;
+/* The same day with its troubles amid an upgrade: all nodes begin as ones of the earlier version,
+ * the first step comes before the first trouble, the last after the last one has begun; some
+ * upgrades halt, go back, or go back and forward again. Gangs come after the last step, and not at
+ * all if nodes of the earlier version are left. */
+tw_fuzz_draw_function tw_fuzz_draw_roll;
 
 /* Plays a day in this process. A line that the world does not take is a
  * verdict as well. */
--- /dev/null
+++ b/fuzz/gang_lines.c
@@ -0,0 +1,59 @@
+/* Finds the lines of a day that are about a gang, and drops or moves them. */
+#include "gang_lines.h"
+#include "line.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { GANG_AFTER_MOST = 3 * TW_FUZZ_SECOND }; /* from the last step to a gang */
+enum { ID_SIZE = 32 };
+
+/* The id of the gang that a line submits for the first time; false: it submits none. */
+static bool read_gang(const char *line, char id[ID_SIZE]) {
+    return strstr(line, " shape=gang") && sscanf(line, "at %*s submit %31s", id) == 1;
+}
+
+/* Whether a line says what a user does with the job. */
+static bool is_about(const char *line, const char *id) {
+    char command[ID_SIZE], job[ID_SIZE];
+    return sscanf(line, "at %*s %31s %31s", command, job) == 2 && !strcmp(job, id) &&
+           (!strcmp(command, "submit") || !strcmp(command, "cancel") || !strcmp(command, "poll"));
+}
+
+static void drop_lines_about(tw_fuzz_day *day, const char *id) {
+    size_t kept = 0;
+    for (size_t i = 0; i < day->count; i++) {
+        if (is_about(day->lines[i], id))
+            free(day->lines[i]);
+        else
+            day->lines[kept++] = day->lines[i];
+    }
+    day->count = kept;
+}
+
+void tw_fuzz_drop_gangs(tw_fuzz_day *day) {
+    char id[ID_SIZE];
+    size_t i = 0;
+    while (i < day->count) {
+        if (!read_gang(day->lines[i], id)) {
+            i++;
+            continue;
+        }
+        drop_lines_about(day, id);
+        i = 0; /* lines before this one are gone, too */
+    }
+}
+
+void tw_fuzz_draw_gangs_after(tw_fuzz_upgrade *upgrade, int moment) {
+    tw_fuzz_day *day = upgrade->plan.day;
+    char id[ID_SIZE];
+    for (size_t i = 0; i < day->count; i++) {
+        if (!read_gang(day->lines[i], id)) continue;
+        const int submitted = tw_fuzz_line_moment(day->lines[i]);
+        if (submitted >= moment) continue;
+        const int later =
+            moment - submitted + tw_fuzz_dice_range(&upgrade->plan.dice, 0, GANG_AFTER_MOST);
+        for (size_t k = 0; k < day->count; k++)
+            if (is_about(day->lines[k], id)) tw_fuzz_line_delay(&day->lines[k], later);
+    }
+}
--- a/tests/runner/fuzz_test.c
+++ b/tests/runner/fuzz_test.c
@@ -7,8 +7,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Changes with every change of what is drawn: give it the number that the test prints. */
+/* Change with every change of what is drawn: give them the numbers that the test prints. */
 #define DRAWN_DIGEST 15753392031410744863u
+#define UPGRADE_DIGEST 14624247613589295128u
+#define MIXED_DIGEST 14742231730787171121u
+#define ROLL_DIGEST 4221624261079804725u
 
 #define HASH_START 14695981039346656037u
 #define HASH_PRIME 1099511628211u
@@ -30,6 +33,31 @@
     return digest;
 }
 
+/* Equal seeds give equal days, now and with the next build. */
+static void check_digest(tw_fuzz_draw_function *draw, uint64_t expected, const char *kind) {
+    uint64_t digest = HASH_START;
+    for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+        tw_fuzz_day day = {0}, again = {0};
+        draw(seed, &day);
+        draw(seed, &again);
+        check(digest_of(&day, HASH_START) == digest_of(&again, HASH_START),
+              "a seed draws another day when it draws again");
+        digest = digest_of(&day, digest);
+        tw_fuzz_day_free(&day);
+        tw_fuzz_day_free(&again);
+    }
+    if (digest != expected) printf("%s digest %lluu\n", kind, (unsigned long long)digest);
+    check(digest == expected, "the seeds draw other days than they did");
+}
+
+static void check_lines_are_taken(const tw_fuzz_day *day) {
+    char error[256];
+    tw_simulator *sim = tw_simulator_new(NULL);
+    for (size_t i = 0; i < day->count; i++)
+        check(!tw_simulator_take_line(sim, day->lines[i], error, sizeof error), error);
+    tw_simulator_free(sim);
+}
+
 static void test_draws(void) {
     uint64_t digest = HASH_START;
     char error[256];
@@ -52,6 +80,7 @@
 static void test_upgrade_draws(void) {
     char error[256];
     int upgrades = 0;
+    check_digest(tw_fuzz_draw_upgrade, UPGRADE_DIGEST, "upgrade");
     for (uint32_t seed = 1; seed <= SEEDS; seed++) {
         tw_fuzz_day day = {0};
         bool old = false, upgraded = false;
@@ -70,6 +99,110 @@
     check(upgrades > SEEDS * 3 / 4 && upgrades < SEEDS, "upgrades are too few or never stop");
 }
 
+/* What the lines of a day with two versions are. Moments in seconds; -1: there is none. */
+typedef struct {
+    int nodes, old;
+    int upgrades, downgrades;
+    double first_upgrade, last_change; /* of upgrades and downgrades */
+    double first_trouble, last_trouble;
+    int gangs;
+    double first_gang;
+} two_versions;
+
+static bool is_one_of(const char *word, const char *const *words, size_t count) {
+    for (size_t i = 0; i < count; i++)
+        if (!strcmp(word, words[i])) return true;
+    return false;
+}
+
+static void take_later(double *moment, double other) {
+    if (other > *moment) *moment = other;
+}
+
+static void take_earlier(double *moment, double other) {
+    if (*moment < 0 || other < *moment) *moment = other;
+}
+
+static void count_happening(two_versions *counted, const char *line, double when,
+                            const char *command) {
+    static const char *const users[] = {"submit",     "cancel",      "poll",
+                                        "closelooks", "cancelatend", "oddrequests"};
+    const bool upgrade = !strcmp(command, "upgrade"), downgrade = !strcmp(command, "downgrade");
+    counted->upgrades += upgrade;
+    counted->downgrades += downgrade;
+    if (upgrade) take_earlier(&counted->first_upgrade, when);
+    if (upgrade || downgrade) {
+        take_later(&counted->last_change, when);
+    } else if (!is_one_of(command, users, sizeof users / sizeof *users)) {
+        take_earlier(&counted->first_trouble, when);
+        take_later(&counted->last_trouble, when);
+    }
+    if (!strstr(line, " shape=gang")) return;
+    counted->gangs++;
+    take_earlier(&counted->first_gang, when);
+}
+
+static two_versions count_lines(const tw_fuzz_day *day) {
+    two_versions counted = {.first_upgrade = -1,
+                            .last_change = -1,
+                            .first_trouble = -1,
+                            .last_trouble = -1,
+                            .first_gang = -1};
+    for (size_t i = 0; i < day->count; i++) {
+        const char *line = day->lines[i];
+        char moment[32], command[32];
+        counted.nodes += !strncmp(line, "node ", strlen("node "));
+        counted.old += !strncmp(line, "old ", strlen("old "));
+        if (sscanf(line, "at %31s %31s", moment, command) == 2)
+            count_happening(&counted, line, strtod(moment, NULL), command);
+    }
+    return counted;
+}
+
+/* Nodes of both versions serve all day, and no gang is submitted. */
+static void test_mixed_draws(void) {
+    check_digest(tw_fuzz_draw_mixed, MIXED_DIGEST, "mixed");
+    for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+        tw_fuzz_day day = {0};
+        tw_fuzz_draw_mixed(seed, &day);
+        check_lines_are_taken(&day);
+        const two_versions counted = count_lines(&day);
+        check(counted.old >= 1 && counted.old < counted.nodes, "a mixed day lacks a version");
+        check(counted.upgrades + counted.downgrades == 0, "a node of a mixed day is upgraded");
+        check(!counted.gangs, "a gang while old nodes serve");
+        tw_fuzz_day_free(&day);
+    }
+}
+
+/* The troubles lie amid the upgrade, and no gang comes before its last step, nor at all if nodes of
+ * the earlier version are left. */
+static void test_roll_draws(void) {
+    int finished = 0, went_back = 0, with_gangs = 0;
+    check_digest(tw_fuzz_draw_roll, ROLL_DIGEST, "roll");
+    for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+        tw_fuzz_day day = {0};
+        tw_fuzz_draw_roll(seed, &day);
+        check_lines_are_taken(&day);
+        const two_versions counted = count_lines(&day);
+        const bool all_new = counted.upgrades - counted.downgrades >= counted.nodes;
+        check(counted.old == counted.nodes, "an upgrade doesn't begin with old nodes alone");
+        check(counted.first_upgrade >= 0, "an upgrade has no step");
+        check(counted.first_trouble < 0 || counted.first_upgrade < counted.first_trouble,
+              "a trouble before the first step");
+        check(!all_new || counted.last_change > counted.last_trouble,
+              "a trouble begins after the last step");
+        check(!counted.gangs || (all_new && counted.first_gang >= counted.last_change),
+              "a gang before the last step, or while old nodes are left");
+        finished += all_new;
+        went_back += counted.downgrades > 0;
+        with_gangs += counted.gangs > 0;
+        tw_fuzz_day_free(&day);
+    }
+    check(finished > SEEDS / 2 && finished < SEEDS * 9 / 10, "upgrades halt too often or never");
+    check(went_back > SEEDS / 10 && went_back < SEEDS / 2, "upgrades go back too often or never");
+    check(with_gangs > SEEDS / 4, "gangs after an upgrade are too few");
+}
+
 static void test_plays(void) {
     for (uint32_t seed = 1; seed <= PLAYED_SEEDS; seed++) {
         tw_fuzz_day day = {0};
@@ -149,6 +282,8 @@
 int main(void) {
     test_draws();
     test_upgrade_draws();
+    test_mixed_draws();
+    test_roll_draws();
     test_plays();
     test_shrinks();
     test_pool();
--- a/tools/explore/explore.c
+++ b/tools/explore/explore.c
@@ -23,7 +23,8 @@
     double seconds;         /* 0: until all days are played */
     const char *directory, *rule, *play;
     uint32_t print;
-    bool until_first, each, upgrade;
+    bool until_first, each;
+    tw_fuzz_draw_function *draw; /* which kind of days */
 } explore_options;
 
 typedef struct {
@@ -81,6 +82,8 @@
     {"upgrade", 'u', 0, 0,
      "nodes begin as ones of the earlier version, which TW_EARLIER_CORE plays, and are upgraded",
      0},
+    {"roll", 'R', 0, 0, "as --upgrade, with the troubles amid the upgrade and gangs after it", 0},
+    {"mixed", 'm', 0, 0, "some nodes are of the earlier version all day long, no gangs", 0},
     {0}};
 
 static uint32_t seed_of(struct argp_state *state, const char *text, char **rest) {
@@ -155,7 +158,13 @@
         chosen->each = true;
         break;
     case 'u':
-        chosen->upgrade = true;
+        chosen->draw = tw_fuzz_draw_upgrade;
+        break;
+    case 'R':
+        chosen->draw = tw_fuzz_draw_roll;
+        break;
+    case 'm':
+        chosen->draw = tw_fuzz_draw_mixed;
         break;
     case 'p':
         chosen->print = seed_of(state, text, &rest);
@@ -329,16 +338,17 @@
         0,
         0,
         0};
-    exploration run = {
-        .options = {.shrinks = SHRINKS_DEFAULT, .directory = "target/explore/breaks"}};
+    exploration run = {.options = {.shrinks = SHRINKS_DEFAULT,
+                                   .directory = "target/explore/breaks",
+                                   .draw = tw_fuzz_draw}};
     run.options.jobs = (unsigned)sysconf(_SC_NPROCESSORS_ONLN);
     fresh_seeds(DAYS_DEFAULT, &run.options);
     argp_err_exit_status = USAGE;
     argp_parse(&argp, argc, argv, 0, 0, &run.options);
-    tw_fuzz_draw_function *draw = run.options.upgrade ? tw_fuzz_draw_upgrade : tw_fuzz_draw;
+    tw_fuzz_draw_function *draw = run.options.draw;
     if (run.options.print) return print_day(run.options.print, draw);
     if (run.options.play) return play_file(run.options.play);
-    if (run.options.upgrade && !getenv("TW_EARLIER_CORE")) {
+    if (draw != tw_fuzz_draw && !getenv("TW_EARLIER_CORE")) {
         fputs("TW_EARLIER_CORE names no program of the earlier version\n", stderr);
         return 2;
     }
