Aftermath: repeated launches by the very launch, and tasks that ran on already

Change: instead of "the task was done when it was launched", a stray is now "the same machine had carried out the same launch before, under a token of the earlier version alone". A task that runs past its cancellation is an aftermath if the same attempt on the same machine broke ran_cancelled under the earlier version alone, for the same two leases.

--- a/simulator/worker.c
+++ b/simulator/worker.c
@@ -124,7 +124,7 @@
     task->job = tw_simulator_job_find(world, job_id);
     task->index = index;
     task->attempt = attempt;
-    tw_simulator_judge_launch(world, task, fencing_token);
+    tw_simulator_judge_launch(world, worker, task, fencing_token);
     worker->changed = true;
     int cause = find_refusal(world, worker, task);
     if (cause != TW_CAUSE_NONE) {
--- a/simulator/world.c
+++ b/simulator/world.c
@@ -66,6 +66,7 @@
     free(world->rentals);
     for (int i = 0; i < world->worker_count; i++) {
         free(world->workers[i]->tasks);
+        free(world->workers[i]->launches);
         free(world->workers[i]);
     }
     free(world->workers);
--- a/simulator/world.h
+++ b/simulator/world.h
@@ -137,9 +137,17 @@
     double stopped_at_s;   /* run time reached when it was told to stop */
     double peers_at;       /* > 0: finds out then that its gang is broken */
     uint64_t launch_token; /* the fencing token that it was launched under */
-    bool was_done;         /* by an earlier attempt, when it was launched */
+    bool ran_cancelled;    /* too long, and only the earlier version had led then */
+    bool is_repeated;      /* the machine had carried out the same launch before */
 } tw_simulator_task;
 
+/* A launch that a machine has carried out. */
+typedef struct {
+    const tw_simulator_job *job;
+    int index;
+    uint64_t attempt;
+} tw_simulator_launch;
+
 typedef struct {
     char id[TW_SIMULATOR_NAME], type[TW_SIMULATOR_NAME], zone[TW_SIMULATOR_NAME],
         endpoint[TW_SIMULATOR_NAME];
@@ -160,6 +168,8 @@
     double delay_next_heartbeat_s; /* the next heartbeat arrives that much later */
     tw_simulator_task *tasks;
     int task_count, task_capacity;
+    tw_simulator_launch *launches; /* under tokens up to the world's `earlier_token` */
+    int launch_count, launch_capacity;
     char images[TW_SIMULATOR_MAX_IMAGES][TW_SIMULATOR_NAME];
     int image_count;
 } tw_simulator_worker;
@@ -352,9 +362,9 @@
                              int kind, double sent, int status, const char *body);
 /* A user is told that status for a job that no machine can run, or whose text is malformed. */
 void tw_simulator_judge_impossible_job(tw_simulator_world *world, const char *id, int status);
-/* A machine was told to launch the task, under that token. */
-void tw_simulator_judge_launch(tw_simulator_world *world, tw_simulator_task *task,
-                               uint64_t fencing_token);
+/* The machine launches the task, as it was told under that token. */
+void tw_simulator_judge_launch(const tw_simulator_world *world, tw_simulator_worker *worker,
+                               tw_simulator_task *task, uint64_t fencing_token);
 /* A task has its image and starts. */
 void tw_simulator_judge_start(tw_simulator_world *world, const tw_simulator_worker *worker,
                               const tw_simulator_task *task);
