--- a/simulator/controller.h
+++ b/simulator/controller.h
@@ -27,6 +27,7 @@
 struct tw_simulator_controller {
     const tw_simulator_controller_methods *methods;
     const char *failure; /* why it has ended by itself; NULL: it goes on */
+    bool failure_told;   /* to the judge: it ends once */
 };
 
 /* What a controller begins with. */
--- a/simulator/node.c
+++ b/simulator/node.c
@@ -120,9 +120,10 @@
         else
             send_effect(sim, node, effect);
     }
-    if (controller->failure)
-        tw_simulator_rule_broken(&sim->world, "ended", "%s: %s", sim->world.nodes[node],
-                                 controller->failure);
+    if (!controller->failure || controller->failure_told) return;
+    controller->failure_told = true;
+    tw_simulator_judge_ended(&sim->world, sim->nodes[node].earlier_version, sim->world.nodes[node],
+                             controller->failure);
 }
 
 static bool stands_still(const tw_simulator *sim, int node) {
