--- a/simulator/simulator.c
+++ b/simulator/simulator.c
@@ -85,8 +85,8 @@
     verdict->crossings = world->crossings;
     verdict->end_s = world->now;
     verdict->digest = sim->digest;
-    verdict->only_earlier_led = sim->leader_key_version && !sim->new_version_led &&
-                                !(sim->to_end && *world->rule);
+    verdict->only_earlier_led =
+        sim->leader_key_version && !sim->new_version_led && !(sim->to_end && *world->rule);
     if (!*first->rule) return;
     verdict->only_earlier_led = true;
     memcpy(verdict->again.rule, world->rule, sizeof verdict->again.rule);
--- a/src/core/lease_expiry.c
+++ b/src/core/lease_expiry.c
@@ -41,8 +41,8 @@
 
 /* A successor of an earlier version takes a later incarnation for proof that the attempts of its
  * predecessor ended, though it may have begun before their launch. Where such a node would succeed
- * this one, nothing is launched in an incarnation that is not the first. A machine that has tasks is
- * still used, since it can't be replaced while they run. */
+ * this one, nothing is launched in an incarnation that is not the first. A machine that has tasks
+ * is still used, since it can't be replaced while they run. */
 bool tw_machine_is_unsafe_to_inherit(const tw_core *core, const tw_machine *machine, double for_s) {
     return machine->incarnation > FIRST_INCARNATION &&
            tw_cluster_is_sole_upgraded(core->cluster, for_s) && !tw_machine_is_occupied(machine);
