--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -24,7 +24,6 @@
     cluster->owner = *owner;
     cluster->started_at = context->now;
     cluster->store_answered_at = LONG_AGO;
-    cluster->sole_upgraded_since = INFINITY;
     cluster->lease_s = fmax(SHORTEST_LEASE_S, config->tune.election_ratio * config->lease_s);
     init_peers(cluster);
     tw_cluster_init_election(cluster);
@@ -67,7 +66,6 @@
     tw_cluster_log_permissions(cluster);
     tw_cluster_election_tick(cluster);
     tw_cluster_heartbeat_tick(cluster);
-    tw_cluster_peer_versions_tick(cluster);
 }
 
 void tw_cluster_activate(tw_cluster *cluster) { cluster->phase = TW_PHASE_ACTIVE; }
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -195,9 +195,6 @@
  */
 bool tw_cluster_all_read_chunks(const tw_cluster *cluster);
 bool tw_cluster_any_lacks_chunks(const tw_cluster *cluster);
-/* Whether for so long a peer of an earlier version would have succeeded this node: there are such
- * peers, and no other node of this version answers. */
-bool tw_cluster_is_sole_upgraded(const tw_cluster *cluster, double for_s);
 /* Whether some node of that zone answers this one. */
 bool tw_cluster_zone_has_live_peer(const tw_cluster *cluster, const char *zone);
 /* Whether a zone that has nodes is another one than this node's, and none of its nodes answers, or
--- a/src/cluster/cluster_int.h
+++ b/src/cluster/cluster_int.h
@@ -101,8 +101,6 @@
     bool failover_in_time;          /* of this node, as of a peer */
     uint64_t cancellation_sequence; /* numbers the cancellations */
     double mixed_versions_since;    /* when this node first heard of a peer of an earlier version */
-    double sole_upgraded_since;     /* when it began to be the only one of its version beside
-                                       earlier ones; INFINITY: it is not */
 
     /* This node as a delegate (lease_delegate.c). */
     uint64_t delegate_token, delegate_sequence; /* of the key that this node wrote */
@@ -164,11 +162,9 @@
 /* ---- peer_versions.c ---- */
 /* The peer says which records it reads, which shows whether it is of an earlier version. */
 void tw_cluster_note_peer_format(tw_cluster *cluster, tw_peer *from, int record_format);
-/* Whether this node, of the followers of this version the first by name, is to campaign before any
- * peer of an earlier version does. false where there is no such peer. */
+/* Whether this node is one of the two followers of this version, by name, that campaign before any
+ * peer of an earlier version does. A peer that was never heard counts as such a one. */
 bool tw_cluster_campaigns_first(const tw_cluster *cluster);
-/* Notes since when a peer of an earlier version would succeed this node. */
-void tw_cluster_peer_versions_tick(tw_cluster *cluster);
 
 /* ---- lease_delegate.c ---- */
 /* How long a delegate's entitlement lasts from the sending of its write. */
--- a/src/cluster/election.c
+++ b/src/cluster/election.c
@@ -205,7 +205,6 @@
     if (!is_first || cluster->role != TW_ROLE_FOLLOWER || cluster->election_in_flight ||
         !shows_key_gone(body, len))
         return;
-    *cluster->leader_name = 0;
     start_election(cluster);
 }
 
@@ -366,6 +365,10 @@
         break;
     }
     note_rate_limit(cluster, status);
+    /* The key may end before the next tick, and whose watch is open then has the news first. */
+    if (sent->kind == TW_CALL_WATCH_LEADER && tw_cluster_any_lacks_chunks(cluster) &&
+        tw_cluster_campaigns_first(cluster))
+        tw_cluster_election_tick(cluster);
 }
 
 static void leader_tick(tw_cluster *cluster) {
--- a/src/cluster/peer_versions.c
+++ b/src/cluster/peer_versions.c
@@ -1,8 +1,9 @@
-/* Peers of an earlier version, while a rolling upgrade has both versions serve, or goes back.
+/* Peers of an earlier version, while both versions serve.
  *
  * An earlier version takes over by rules that may not be safe any more. So while one of its nodes
- * may campaign, the first of this version's followers does so without the usual pause and wins. Who
- * leads, and for how long, still follows from the leader's key alone. */
+ * may campaign, two followers of this version do so without the usual pause once their watches tell
+ * that the leader's key is gone, and mostly win. Without an open watch, as after an outage, nobody
+ * has an advantage. Who leads, and for how long, follows from the leader's key alone. */
 #include "cluster/cluster_int.h"
 
 /* Followers that campaign without a pause: with two of them it doesn't matter that one has just
@@ -38,41 +39,19 @@
                     cluster->context->now - cluster->mixed_versions_since);
 }
 
-/* Whether the peer is of this version, lives and reaches the state service. */
-static bool may_campaign_first(const tw_cluster *cluster, const tw_peer *peer) {
-    return peer->record_format >= TW_RECORD_FORMAT_CHUNKED && peer->store_reachable &&
+/* Whether the peer is a follower of this version that comes before this node by name, lives and
+ * reaches the state service. The leader that has just ended does not count. */
+static bool precedes_this_node(const tw_cluster *cluster, const tw_peer *peer) {
+    return peer->record_format >= TW_RECORD_FORMAT_CHUNKED &&
+           strcmp(peer->config.name, cluster->context->config->host_name) < 0 &&
+           strcmp(peer->config.name, cluster->leader_name) != 0 && peer->store_reachable &&
            tw_cluster_peer_answers(cluster, peer);
 }
 
-/* Whether the peer will campaign before this node. The leader that has just ended does not. */
-static bool campaigns_earlier(const tw_cluster *cluster, const tw_peer *peer) {
-    return strcmp(peer->config.name, cluster->context->config->host_name) < 0 &&
-           strcmp(peer->config.name, cluster->leader_name) != 0 &&
-           may_campaign_first(cluster, peer);
-}
-
 bool tw_cluster_campaigns_first(const tw_cluster *cluster) {
     if (tw_cluster_all_read_chunks(cluster)) return false;
-    int before = 0;
-    for (size_t i = 0; i < cluster->peer_count; i++)
-        before += campaigns_earlier(cluster, &cluster->peers[i]);
-    return before < FIRST_CANDIDATES;
-}
-
-static bool is_sole_upgraded(const tw_cluster *cluster) {
-    if (!count_earlier_peers(cluster)) return false;
+    int preceding = 0;
     for (size_t i = 0; i < cluster->peer_count; i++)
-        if (may_campaign_first(cluster, &cluster->peers[i])) return false;
-    return true;
-}
-
-void tw_cluster_peer_versions_tick(tw_cluster *cluster) {
-    if (!is_sole_upgraded(cluster))
-        cluster->sole_upgraded_since = INFINITY;
-    else if (isinf(cluster->sole_upgraded_since))
-        cluster->sole_upgraded_since = cluster->context->now;
-}
-
-bool tw_cluster_is_sole_upgraded(const tw_cluster *cluster, double for_s) {
-    return cluster->context->now - cluster->sole_upgraded_since >= for_s;
+        preceding += precedes_this_node(cluster, &cluster->peers[i]);
+    return preceding < FIRST_CANDIDATES;
 }
--- a/src/core/lease_expiry.c
+++ b/src/core/lease_expiry.c
@@ -18,8 +18,6 @@
 /* Intervals that a zone counts as unreachable for after it was seen to be: its workers need a while
  * to find a node that answers. */
 #define REACHABLE_AGAIN_HEARTBEATS 3
-/* A worker's first incarnation has this number. */
-#define FIRST_INCARNATION 1
 /* In a zone of so few machines it says nothing that most are silent. */
 #define FEW_MACHINES 2
 
@@ -39,20 +37,10 @@
                max_silence_s;
 }
 
-/* A successor of an earlier version takes a later incarnation for proof that the attempts of its
- * predecessor ended, though it may have begun before their launch. Where such a node would succeed
- * this one, nothing is launched in an incarnation that is not the first. A machine that has tasks
- * is still used, since it can't be replaced while they run. */
-bool tw_machine_is_unsafe_to_inherit(const tw_core *core, const tw_machine *machine, double for_s) {
-    return machine->incarnation > FIRST_INCARNATION &&
-           tw_cluster_is_sole_upgraded(core->cluster, for_s) && !tw_machine_is_occupied(machine);
-}
-
 bool tw_machine_is_usable(const tw_core *core, const tw_machine *machine) {
     return machine->state == TW_MACHINE_UP && machine->confirmed && machine->type_index >= 0 &&
            !machine->cordoned && !machine->return_wanted && !machine->decommissioning &&
            !machine->lease_expired && !machine->failed && machine->preempted_at <= 0 &&
-           !tw_machine_is_unsafe_to_inherit(core, machine, 0) &&
            core->context.now - machine->last_contact_at <
                TW_IN_TOUCH_HEARTBEATS * core->context.config->report_s;
 }
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -155,9 +155,6 @@
 bool tw_machine_is_occupied(const tw_machine *machine);
 /* Whether new tasks may be placed there. */
 bool tw_machine_is_usable(const tw_core *core, const tw_machine *machine);
-/* Whether for so long nothing is to be launched on the machine, since a node of an earlier version
- * would succeed this one and take it for ended too early. */
-bool tw_machine_is_unsafe_to_inherit(const tw_core *core, const tw_machine *machine, double for_s);
 
 /* ---- image.c ---- */
 
--- a/src/core/machine_upkeep.c
+++ b/src/core/machine_upkeep.c
@@ -136,8 +136,6 @@
         /* A gang's attempt may have ended there just now, and the next one be waiting. */
         if (!machine->cordoned && tw_scale_in_keep_for_gang(core, machine)) return;
         request_return(core, machine, machine->decommissioning ? "drained" : "quarantined");
-    } else if (tw_machine_is_unsafe_to_inherit(core, machine, core->context.config->lease_s)) {
-        request_return(core, machine, "unsafe_to_inherit");
     }
 }
 
