--- a/simulator/judge.c
+++ b/simulator/judge.c
@@ -12,7 +12,7 @@
 /* ---- broken rules, and whose they are ----
  *
  * A day with the earlier version is judged to its end: what breaks while only nodes of the earlier
- * version have led is noted as theirs, and the day goes on. A stray is what such a break leaves
+ * version have led is noted as theirs, and the day goes on. A leftover is what such a break leaves
  * behind: a task on a machine, launched by one of those leaders, although
  *   - one of them has launched a later attempt of the same task too, for it took this one for lost
  *     (drawn day 2101458, upgraded 0.1 s after its break: n-000005 runs attempt 10 of
@@ -24,15 +24,15 @@
  *     cancelled, run once more beside what the new leader has placed up to the team's limit, until
  *     it hears of them).
  * No leader of this version has launched one, and none finds one in the record. So a start that
- * breaks ran_twice, quota or wrong_place only by what strays are on machines is an aftermath: it is
- * counted and told apart, and the day goes on. So is a task that runs on after its job was
+ * breaks ran_twice, quota or wrong_place only by what leftovers are on machines is an aftermath: it
+ * is counted and told apart, and the day goes on. So is a task that runs on after its job was
  * cancelled, if the same attempt on the same machine broke ran_cancelled under the earlier version
  * alone (day 1823 with old nodes, upgraded 0.01 to 0.3 s after its break: run-000015/0 on n-000005
- * runs until 0.9 s after the break). Everything else is a break of its own, as is a stray
+ * runs until 0.9 s after the break). Everything else is a break of its own, as is a leftover
  * that is still there later than two leases after the earlier version last led and all troubles are
  * over: within one lease its machine was told to stop it, or has stopped all that it ran. */
 
-#define STRAY_LEASES 2
+#define LEFTOVER_LEASES 2
 
 static void write_break(const tw_simulator_world *world, tw_simulator_break *broken,
                         const char *rule, const char *what) {
@@ -71,10 +71,10 @@
 static bool is_aftermath_time(const tw_simulator_world *world) {
     const double since = fmax(world->earlier_led_at, world->troubles_end);
     return *world->by_earlier.rule && !world->earlier_alone &&
-           world->now <= since + STRAY_LEASES * world->lease_s;
+           world->now <= since + LEFTOVER_LEASES * world->lease_s;
 }
 
-static bool is_stray(const tw_simulator_world *world, const tw_simulator_task *task) {
+static bool is_leftover(const tw_simulator_world *world, const tw_simulator_task *task) {
     const tw_simulator_job *job = task->job;
     if (!is_aftermath_time(world) || task->launch_token > world->earlier_token) return false;
     return task->is_repeated ||
@@ -141,7 +141,7 @@
             const tw_simulator_task *other = &other_worker->tasks[k];
             if (tw_simulator_task_active(other) && other->job == task->job &&
                 other->index == task->index && other != task)
-                broken_by(world, is_stray(world, task) || is_stray(world, other), "ran_twice",
+                broken_by(world, is_leftover(world, task) || is_leftover(world, other), "ran_twice",
                           "%s/%d on %s and %s", task->job_id, task->index, other_worker->id,
                           worker->id);
         }
@@ -155,14 +155,14 @@
 } team_usage;
 
 static team_usage measure_usage(const tw_simulator_world *world, const tw_simulator_worker *worker,
-                                const tw_simulator_task *task, bool with_strays) {
+                                const tw_simulator_task *task, bool with_leftovers) {
     team_usage used = {0};
     const char *team = task->job->spec.team;
     for (int i = 0; i < world->worker_count; i++) {
         const tw_simulator_worker *other_worker = world->workers[i];
         for (int k = 0; k < other_worker->task_count && !other_worker->gone; k++) {
             const tw_simulator_task *other = &other_worker->tasks[k];
-            if (!tw_simulator_task_active(other) || (!with_strays && is_stray(world, other)))
+            if (!tw_simulator_task_active(other) || (!with_leftovers && is_leftover(world, other)))
                 continue;
             if (other->job == task->job || !strcmp(other->job->spec.team, team)) {
                 used.cpus += other->job->spec.cores;
@@ -180,8 +180,8 @@
 
 /* What a task's start is judged by. */
 typedef struct {
-    team_usage used, used_without_strays;
-    bool of_stray; /* the task is one itself */
+    team_usage used, used_without_leftovers;
+    bool of_leftover; /* the task is one itself */
 } task_start;
 
 static bool is_allowed_place(const tw_simulator_worker *worker, const tw_wire_job *spec) {
@@ -208,15 +208,15 @@
 static void judge_place(tw_simulator_world *world, const tw_simulator_worker *worker,
                         const tw_simulator_task *task, const task_start *start) {
     const tw_wire_job *spec = &task->job->spec;
-    const team_usage *others = &start->used_without_strays;
+    const team_usage *others = &start->used_without_leftovers;
     if (!is_allowed_place(worker, spec))
         tw_simulator_rule_broken(world, "wrong_place", "%s/%d on %s", task->job_id, task->index,
                                  worker->id);
     if (!is_spread(spec, &start->used))
-        broken_by(world, start->of_stray || is_spread(spec, others), "wrong_place",
+        broken_by(world, start->of_leftover || is_spread(spec, others), "wrong_place",
                   "%d of %s in %s", start->used.same_zone, task->job_id, worker->zone);
     if (!is_in_one_zone(spec, &start->used))
-        broken_by(world, start->of_stray || is_in_one_zone(spec, others), "wrong_place",
+        broken_by(world, start->of_leftover || is_in_one_zone(spec, others), "wrong_place",
                   "%s in two zones", task->job_id);
 }
 
@@ -224,8 +224,8 @@
     for (int i = 0; i < world->team_count; i++) {
         const tw_simulator_team *limits = &world->teams[i];
         if (strcmp(limits->name, team) != 0 || is_within(limits, &start->used)) continue;
-        broken_by(world, start->of_stray || is_within(limits, &start->used_without_strays), "quota",
-                  "%s", team);
+        broken_by(world, start->of_leftover || is_within(limits, &start->used_without_leftovers),
+                  "quota", "%s", team);
     }
 }
 
@@ -236,8 +236,8 @@
 void tw_simulator_judge_start(tw_simulator_world *world, const tw_simulator_worker *worker,
                               const tw_simulator_task *task) {
     const task_start start = {.used = measure_usage(world, worker, task, true),
-                              .used_without_strays = measure_usage(world, worker, task, false),
-                              .of_stray = is_stray(world, task)};
+                              .used_without_leftovers = measure_usage(world, worker, task, false),
+                              .of_leftover = is_leftover(world, task)};
     judge_twice(world, worker, task);
     judge_place(world, worker, task, &start);
     if (is_past_cancel(world, task->job))
--- a/tests/runner/simulator_test.c
+++ b/tests/runner/simulator_test.c
@@ -454,7 +454,7 @@
 }
 
 /* A job of this version's starts under the team's limit of four cores, of which the known attempt
- * takes two, and the stray two more. */
+ * takes two, and the leftover two more. */
 static void quota_case(int cores, double after_s, double troubles_end, const char *rule,
                        const char *aftermath, const char *what) {
     tw_simulator_world world;
@@ -467,11 +467,11 @@
 
 static void test_quota_after_break(void) {
     tw_simulator_world world;
-    quota_case(2, 0, 0, "", "quota", "a limit is exceeded by the stray alone");
-    quota_case(3, 0, 0, "quota", "", "a limit is exceeded without the stray");
-    quota_case(2, 18, 0, "", "quota", "a stray two leases after the earlier version led");
-    quota_case(2, 20, 0, "quota", "", "a stray that nobody stops for more than two leases");
-    quota_case(2, 20, 15, "", "quota", "a stray two leases after the troubles");
+    quota_case(2, 0, 0, "", "quota", "a limit is exceeded by the leftover alone");
+    quota_case(3, 0, 0, "quota", "", "a limit is exceeded without the leftover");
+    quota_case(2, 18, 0, "", "quota", "a leftover two leases after the earlier version led");
+    quota_case(2, 20, 0, "quota", "", "a leftover that nobody stops for more than two leases");
+    quota_case(2, 20, 15, "", "quota", "a leftover two leases after the troubles");
     world_after_break(&world);
     memset(&world.by_earlier, 0, sizeof world.by_earlier);
     start_on(&world, 2, accepted_job(&world, "run-000002", 2), 1, OWN_TOKEN);
@@ -483,7 +483,8 @@
     tw_simulator_job *job = world_after_break(&world);
     world.workers[1]->task_count = 0;
     start_on(&world, 2, job, 3, OWN_TOKEN);
-    expect_after_break(&world, "", "ran_twice", "a new attempt beside the stray of the same task");
+    expect_after_break(&world, "", "ran_twice",
+                       "a new attempt beside the leftover of the same task");
     job = world_after_break(&world);
     world.workers[0]->task_count = 0;
     start_on(&world, 2, job, 3, OWN_TOKEN);
@@ -564,8 +565,8 @@
     world.workers[1]->task_count = 0;
     strcpy(world.workers[0]->zone, "b");
     start_on(&world, 2, job, 3, OWN_TOKEN);
-    check(world.aftermath_count == 2, "the stray is in the same zone, too");
-    expect_after_break(&world, "", "ran_twice", "a stray in the zone of a job that is spread");
+    check(world.aftermath_count == 2, "the leftover is in the same zone, too");
+    expect_after_break(&world, "", "ran_twice", "a leftover in the zone of a job that is spread");
 }
 
 int main(int argc, char **argv) {
