--- a/src/cluster/election.c
+++ b/src/cluster/election.c
@@ -365,10 +365,6 @@
         break;
     }
     note_rate_limit(cluster, status);
-    /* The key may end before the next tick, and whose watch is open then has the news first. */
-    if (sent->kind == TW_CALL_WATCH_LEADER && tw_cluster_any_lacks_chunks(cluster) &&
-        tw_cluster_campaigns_first(cluster))
-        tw_cluster_election_tick(cluster);
 }
 
 static void leader_tick(tw_cluster *cluster) {
