A predecessor's task ends by a later session only if the machine knew our token

Cause: new_session took all that a predecessor had left on a machine for stopped as soon as any later session was heard of. A record doesn't name the session of a launch. A late copy of session 1, heard first, makes session 2 look new, though it is older than this leader and the task runs in it. Change: of an inherited attempt a later session is evidence only if the machine was known to refuse older tokens in an earlier one. Else the report that shows our token ends it by not naming it, or its lease does. Why it works: what a machine that knows our token starts, this leader launched or an earlier leader did before, and the latter is named in that report. What it costs: a machine that really began anew between two leaders has its tasks ended by the report that confirms it. Nothing changes in messages, records or settings.

--- a/src/core/report.c
+++ b/src/core/report.c
@@ -24,13 +24,23 @@
     return ++core->deaf_n <= 1 + (int)HASH_COUNT(core->machines) / MACHINES_PER_DEAF;
 }
 
-/* The session is over: the worker has killed and forgotten all. */
+/* Whether the attempt could run only in a session before the report's: with its session a worker
+ * kills and forgets all tasks. This leader knows the session that it launched in. An earlier leader
+ * may have launched in the new one, of which only a late copy was heard yet, or by a message that
+ * is still on its way, unless the machine refused that leader's token in the old one already.
+ * `confirmed` is as of before this report; a report that confirms the machine ends what it doesn't
+ * name as absent. */
+static int is_of_earlier_session(const placement *placed, const tw_wire_report *report) {
+    if (placed->inherited) return placed->m->confirmed;
+    return placed->sent && placed->shift < report->shift;
+}
+
+/* A later session than the last one that was heard of. */
 static void new_session(tw_core *core, machine *machine, const tw_wire_report *report) {
     placement *each, *next;
     int lost = 0;
     DL_FOREACH_SAFE(machine->pls, each, next) {
-        if (!each->sent && !each->inherited) continue;
-        if (!each->inherited && each->shift >= report->shift) continue;
+        if (!is_of_earlier_session(each, report)) continue;
         lost += each->on_job;
         tw_placement_lost(core, each, "session");
     }
