--- a/simulator/node.c
+++ b/simulator/node.c
@@ -222,9 +222,9 @@
 static tw_simulator_controller *new_controller(const tw_simulator *sim, bool old,
                                                const tw_simulator_controller_start *start,
                                                char *error, size_t error_size) {
+    const char *program = old ? sim->earlier_program : sim->target_program;
+    if (program) return tw_simulator_controller_remote(program, start, error, error_size);
     if (!old) return tw_simulator_controller_local(start, error, error_size);
-    if (sim->earlier_program)
-        return tw_simulator_controller_remote(sim->earlier_program, start, error, error_size);
     snprintf(error, error_size, "there is no program of the earlier version");
     return NULL;
 }
--- a/simulator/simulator.c
+++ b/simulator/simulator.c
@@ -15,6 +15,7 @@
     sim->quiet = !name;
     sim->trace = name && getenv("TW_TRACE");
     tw_simulator_earlier_version(sim, getenv("TW_EARLIER_CORE"));
+    tw_simulator_target_version(sim, getenv("TW_TARGET_CORE"));
     tw_simulator_world_init(&sim->world);
     sim->world.job_ended = tw_simulator_job_ended;
     sim->world.context = sim;
@@ -31,6 +32,10 @@
     sim->earlier_program = program && *program ? program : NULL;
 }
 
+void tw_simulator_target_version(tw_simulator *sim, const char *program) {
+    sim->target_program = program && *program ? program : NULL;
+}
+
 bool tw_simulator_lacks_earlier_version(const tw_simulator *sim) {
     return sim->needs_earlier && !sim->earlier_program;
 }
--- a/simulator/simulator.h
+++ b/simulator/simulator.h
@@ -44,6 +44,10 @@
  * built with it; the text must outlive the simulation. Without the call it is what the
  * environment's TW_EARLIER_CORE names. */
 void tw_simulator_earlier_version(tw_simulator *sim, const char *program);
+/* Which program plays all other nodes, those that an upgrade leads to; NULL: they are of this
+ * version, in this process. Without the call it is what the environment's TW_TARGET_CORE names.
+ * What a verdict says of this version is then meant of that one. */
+void tw_simulator_target_version(tw_simulator *sim, const char *program);
 /* Whether the lines taken so far ask for the earlier version, and there is no program for it. */
 bool tw_simulator_lacks_earlier_version(const tw_simulator *sim);
 /* Takes one line of the scenario language; 0, or -1 with a text. */
--- a/simulator/simulator_int.h
+++ b/simulator/simulator_int.h
@@ -141,6 +141,7 @@
     char name[TW_SIMULATOR_TITLE];
     bool quiet, trace;
     const char *earlier_program; /* program of the earlier version (tw_core_server), or NULL */
+    const char *target_program;  /* the same of the version upgraded to; NULL: this version */
     bool needs_earlier;          /* a line asks for a node of the earlier version */
     tw_simulator_world world;
     tw_simulator_node nodes[TW_SIMULATOR_MAX_NODES];
--- a/tests/runner/simulator_test.c
+++ b/tests/runner/simulator_test.c
@@ -137,6 +137,19 @@
         line(sim, mixes[i]);
         check(run(sim) == alone, mixes[i]);
     }
+    tw_simulator *sim = small_day(7);
+    tw_simulator_target_version(sim, server);
+    check(run(sim) == alone, "nodes of the version upgraded to");
+}
+
+/* Without old nodes each node is played by the program of the version upgraded to. */
+static void test_target_that_ends(void) {
+    tw_simulator_verdict verdict;
+    tw_simulator *sim = small_day(7);
+    tw_simulator_target_version(sim, "/bin/false");
+    tw_simulator_run(sim, &verdict);
+    check(verdict.failed > 0, "the version upgraded to is not played by its program");
+    tw_simulator_free(sim);
 }
 
 static void test_upgrades(const char *server) {
@@ -580,6 +593,7 @@
     test_upgrades(argv[1]);
     test_without_earlier_version();
     test_process_that_ends();
+    test_target_that_ends();
     test_bad_lines();
     test_failed_lines();
     test_no_nodes();
