Cluster: which version a peer is of is answered in one module

Change: tw_cluster_all_read_chunks and tw_cluster_any_lacks_chunks stand beside count_earlier_peers, which the second uses.

--- a/src/cluster/peer_heartbeat.c
+++ b/src/cluster/peer_heartbeat.c
@@ -24,18 +24,6 @@
     return NULL;
 }
 
-bool tw_cluster_all_read_chunks(const tw_cluster *cluster) {
-    for (size_t i = 0; i < cluster->peer_count; i++)
-        if (cluster->peers[i].record_format < TW_RECORD_FORMAT_CHUNKED) return false;
-    return true;
-}
-
-bool tw_cluster_any_lacks_chunks(const tw_cluster *cluster) {
-    for (size_t i = 0; i < cluster->peer_count; i++)
-        if (cluster->peers[i].record_format == TW_RECORD_FORMAT_WHOLE) return true;
-    return false;
-}
-
 bool tw_cluster_is_isolated(const tw_cluster *cluster) {
     const double since = cluster->context->now - ISOLATED_LEASES * cluster->lease_s - 1;
     if (cluster->store_answered_at > since) return false;
--- a/src/cluster/peer_versions.c
+++ b/src/cluster/peer_versions.c
@@ -1,4 +1,4 @@
-/* Peers of an earlier version, while both versions serve.
+/* Which version each peer is of, as far as it has said so, and what follows while two serve.
  *
  * An earlier version takes over by rules that may not be safe any more. So while one of its nodes
  * may campaign, two followers of this version do so without the usual pause once their watches tell
@@ -22,6 +22,16 @@
     return count;
 }
 
+bool tw_cluster_all_read_chunks(const tw_cluster *cluster) {
+    for (size_t i = 0; i < cluster->peer_count; i++)
+        if (cluster->peers[i].record_format < TW_RECORD_FORMAT_CHUNKED) return false;
+    return true;
+}
+
+bool tw_cluster_any_lacks_chunks(const tw_cluster *cluster) {
+    return count_earlier_peers(cluster) > 0;
+}
+
 void tw_cluster_note_peer_format(tw_cluster *cluster, tw_peer *from, int record_format) {
     const bool was_earlier = is_of_earlier_version(from);
     const int earlier_before = count_earlier_peers(cluster);
