--- a/simulator/judge.c
+++ b/simulator/judge.c
@@ -41,30 +41,42 @@
     snprintf(broken->detail, sizeof broken->detail, "t=%.2f %s %s", world->now, rule, what);
 }
 
+static void format_break(const tw_simulator_world *world, tw_simulator_break *broken,
+                         const char *rule, const char *format, va_list arguments) {
+    char what[TW_SIMULATOR_MESSAGE];
+    vsnprintf(what, sizeof what, format, arguments);
+    write_break(world, broken, rule, what);
+}
+
+/* Keeps the first break of the earlier version alone, and the first other one. */
+static void note_break(tw_simulator_world *world, const tw_simulator_break *broken,
+                       bool by_earlier) {
+    if (by_earlier) {
+        if (!*world->by_earlier.rule) world->by_earlier = *broken;
+    } else if (!*world->rule) {
+        memcpy(world->rule, broken->rule, sizeof world->rule);
+        memcpy(world->detail, broken->detail, sizeof world->detail);
+        world->broken_at = broken->at;
+    }
+}
+
 void tw_simulator_rule_broken(tw_simulator_world *world, const char *rule, const char *format,
                               ...) {
-    char what[TW_SIMULATOR_MESSAGE];
     tw_simulator_break broken;
     va_list arguments;
     va_start(arguments, format);
-    vsnprintf(what, sizeof what, format, arguments);
+    format_break(world, &broken, rule, format, arguments);
     va_end(arguments);
-    write_break(world, &broken, rule, what);
-    if (world->earlier_alone) {
-        if (!*world->by_earlier.rule) world->by_earlier = broken;
-    } else if (!*world->rule) {
-        memcpy(world->rule, broken.rule, sizeof world->rule);
-        memcpy(world->detail, broken.detail, sizeof world->detail);
-        world->broken_at = broken.at;
-    }
+    note_break(world, &broken, world->earlier_alone);
 }
 
 void tw_simulator_judge_ended(tw_simulator_world *world, bool of_earlier_version, const char *node,
                               const char *failure) {
-    const bool earlier_alone = world->earlier_alone;
-    world->earlier_alone = earlier_alone && of_earlier_version;
-    tw_simulator_rule_broken(world, "ended", "%s: %s", node, failure);
-    world->earlier_alone = earlier_alone;
+    char what[TW_SIMULATOR_MESSAGE];
+    tw_simulator_break broken;
+    snprintf(what, sizeof what, "%s: %s", node, failure);
+    write_break(world, &broken, "ended", what);
+    note_break(world, &broken, world->earlier_alone && of_earlier_version);
 }
 
 /* Whether what a break by the earlier version left behind may still be on machines. */
@@ -119,17 +131,15 @@
 
 static void broken_by(tw_simulator_world *world, bool aftermath, const char *rule,
                       const char *format, ...) {
-    char what[TW_SIMULATOR_MESSAGE];
     tw_simulator_break broken;
     va_list arguments;
     va_start(arguments, format);
-    vsnprintf(what, sizeof what, format, arguments);
+    format_break(world, &broken, rule, format, arguments);
     va_end(arguments);
     if (!aftermath) {
-        tw_simulator_rule_broken(world, rule, "%s", what);
+        note_break(world, &broken, world->earlier_alone);
         return;
     }
-    write_break(world, &broken, rule, what);
     if (!world->aftermath_count++) world->aftermath = broken;
 }
 
