--- a/tools/explore/explore.c
+++ b/tools/explore/explore.c
@@ -1,8 +1,7 @@
 /* tw_explore: draws days from seeds, plays them on all cores, shrinks those that break a rule and
  * writes them as scenario files. Exit codes: 0 nothing broke, 1 something did, 2 it could not work,
  * 64 usage. */
-#include "fuzz/fuzz.h"
-#include <argp.h>
+#include "options.h"
 #include <errno.h>
 #include <signal.h>
 #include <stdbool.h>
@@ -13,25 +12,9 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { RULES_MAX = 32, QUEUE_MAX = 256, WAIT_MS = 200, USAGE = 64 };
-enum {
-    DAYS_MAX = 1000000000,
-    SECONDS_MAX = 100000000,
-    DIRECTORY_SIZE = 512,
-    DAY_SIZE = 32,
-    ANYBODY = 0777
-};
-enum { PROGRESS_TERMINAL_S = 1, PROGRESS_ELSE_S = 30, SHRINKS_DEFAULT = 4, DAYS_DEFAULT = 1000 };
-
-typedef struct {
-    uint32_t first, last;
-    unsigned jobs, shrinks; /* shrinks: how many days are shrunk for each rule */
-    double seconds;         /* 0: until all days are played */
-    const char *directory, *rule, *play;
-    uint32_t print;
-    bool until_first, each;
-    tw_fuzz_draw_function *draw; /* which kind of days */
-} explore_options;
+enum { RULES_MAX = 32, QUEUE_MAX = TW_EXPLORE_SHRINKS_MAX, WAIT_MS = 200 };
+enum { DIRECTORY_SIZE = 512, DAY_SIZE = 32, ANYBODY = 0777 };
+enum { PROGRESS_TERMINAL_S = 1, PROGRESS_ELSE_S = 30 };
 
 typedef struct {
     char name[32];
@@ -39,7 +22,7 @@
 } rule_count;
 
 typedef struct {
-    explore_options options;
+    tw_explore_options options;
     tw_fuzz_pool *pool;
     uint64_t next; /* seed to be played next */
     uint64_t played, broken;
@@ -71,121 +54,6 @@
     return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
 }
 
-/* ---- command line ---- */
-
-static const struct argp_option argp_options[] = {
-    {"seeds", 's', "FROM-TO", 0, "play the days of these seeds", 0},
-    {"days", 'd', "N", 0, "play N days of fresh seeds (1000)", 0},
-    {"jobs", 'j', "N", 0, "play so many days at once (one for each core)", 0},
-    {"out", 'o', "DIR", 0, "write shrunk days there (target/explore/breaks)", 0},
-    {"seconds", 't', "S", 0, "begin no further day after S seconds", 0},
-    {"print", 'p', "SEED", 0, "print the day of a seed and end", 0},
-    {"play", 'P', "FILE", 0, "play and judge a scenario file and end", 0},
-    {"shrinks", 'n', "N", 0, "shrink at most N days for each rule (4)", 0},
-    {"no-shrink", 'N', 0, 0, "shrink nothing", 0},
-    {"rule", 'r', "NAME", 0, "shrink only days that break this rule; all are counted", 0},
-    {"first", 'f', 0, 0, "begin no further day once one broke a rule", 0},
-    {"each", 'e', 0, 0, "a line for each day: seed, digest of what was told, broken rule", 0},
-    {"upgrade", 'u', 0, 0,
-     "nodes begin as ones of the earlier version, which TW_EARLIER_CORE plays, and are upgraded",
-     0},
-    {"roll", 'R', 0, 0, "as --upgrade, with the troubles amid the upgrade and gangs after it", 0},
-    {"mixed", 'm', 0, 0, "some nodes are of the earlier version all day long, no gangs", 0},
-    {0}};
-
-static uint32_t seed_of(struct argp_state *state, const char *text, char **rest) {
-    errno = 0;
-    const unsigned long long value = strtoull(text, rest, 10);
-    if (errno || *rest == text || value < 1 || value > TW_FUZZ_SEED_MAX)
-        argp_error(state, "not a seed from 1 to %lu: %s", (unsigned long)TW_FUZZ_SEED_MAX, text);
-    return (uint32_t)value;
-}
-
-static unsigned long number_of(struct argp_state *state, const char *text, unsigned long most) {
-    char *rest;
-    errno = 0;
-    const unsigned long value = strtoul(text, &rest, 10);
-    if (errno || *rest || rest == text || *text == '-' || value > most)
-        argp_error(state, "not a number up to %lu: %s", most, text);
-    return value;
-}
-
-static void parse_seeds(struct argp_state *state, const char *text, explore_options *chosen) {
-    char *rest;
-    chosen->first = chosen->last = seed_of(state, text, &rest);
-    if (*rest == '-') chosen->last = seed_of(state, rest + 1, &rest);
-    if (*rest || chosen->last < chosen->first) argp_error(state, "not a range of seeds: %s", text);
-}
-
-/* Seeds that were most likely never played: from the time of day. */
-static void fresh_seeds(unsigned long days, explore_options *chosen) {
-    struct timespec now;
-    clock_gettime(CLOCK_REALTIME, &now);
-    const uint64_t mixed =
-        ((uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000) * 2654435761u;
-    chosen->first = 1 + (uint32_t)(mixed % (TW_FUZZ_SEED_MAX - days));
-    chosen->last = chosen->first + (uint32_t)days - 1;
-}
-
-static error_t parse_option(int key, char *text, struct argp_state *state) {
-    explore_options *chosen = state->input;
-    char *rest;
-    switch (key) {
-    case 's':
-        parse_seeds(state, text, chosen);
-        break;
-    case 'd':
-        fresh_seeds(number_of(state, text, DAYS_MAX), chosen);
-        break;
-    case 'j':
-        chosen->jobs = (unsigned)number_of(state, text, 1024);
-        break;
-    case 'o':
-        chosen->directory = text;
-        break;
-    case 't':
-        chosen->seconds = (double)number_of(state, text, SECONDS_MAX);
-        break;
-    case 'n':
-        chosen->shrinks = (unsigned)number_of(state, text, QUEUE_MAX);
-        break;
-    case 'N':
-        chosen->shrinks = 0;
-        break;
-    case 'r':
-        chosen->rule = text;
-        break;
-    case 'P':
-        chosen->play = text;
-        break;
-    case 'f':
-        chosen->until_first = true;
-        break;
-    case 'e':
-        chosen->each = true;
-        break;
-    case 'u':
-        chosen->draw = tw_fuzz_draw_upgrade;
-        break;
-    case 'R':
-        chosen->draw = tw_fuzz_draw_roll;
-        break;
-    case 'm':
-        chosen->draw = tw_fuzz_draw_mixed;
-        break;
-    case 'p':
-        chosen->print = seed_of(state, text, &rest);
-        if (*rest) argp_error(state, "not a seed: %s", text);
-        break;
-    case ARGP_KEY_ARG:
-        argp_error(state, "nothing is expected here: %s", text);
-        break;
-    default:
-        return ARGP_ERR_UNKNOWN;
-    }
-    return 0;
-}
-
 /* ---- what is told ---- */
 
 /* Clears the line in which the progress is shown on a terminal. */
@@ -286,7 +154,7 @@
 
 /* Whether another day may be begun. */
 static bool may_begin(const exploration *run) {
-    const explore_options *chosen = &run->options;
+    const tw_explore_options *chosen = &run->options;
     if (run->next > chosen->last || (chosen->until_first && run->broken)) return false;
     return chosen->seconds <= 0 || steady_s() - run->began < chosen->seconds;
 }
@@ -355,21 +223,8 @@
 }
 
 int main(int argc, char **argv) {
-    const struct argp argp = {
-        argp_options,
-        parse_option,
-        0,
-        "Plays days that are drawn from seeds, and looks for one that breaks a rule.",
-        0,
-        0,
-        0};
-    exploration run = {.options = {.shrinks = SHRINKS_DEFAULT,
-                                   .directory = "target/explore/breaks",
-                                   .draw = tw_fuzz_draw}};
-    run.options.jobs = (unsigned)sysconf(_SC_NPROCESSORS_ONLN);
-    fresh_seeds(DAYS_DEFAULT, &run.options);
-    argp_err_exit_status = USAGE;
-    argp_parse(&argp, argc, argv, 0, 0, &run.options);
+    exploration run = {0};
+    tw_explore_parse_options(argc, argv, &run.options);
     tw_fuzz_draw_function *draw = run.options.draw;
     if (run.options.print) return print_day(run.options.print, draw);
     if (run.options.play) return play_file(run.options.play);
--- /dev/null
+++ b/tools/explore/options.c
@@ -0,0 +1,141 @@
+/* The command line of tw_explore. */
+#include "options.h"
+#include <argp.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
+
+enum { USAGE = 64 };
+enum { DAYS_MAX = 1000000000, SECONDS_MAX = 100000000, JOBS_MAX = 1024 };
+enum { SHRINKS_DEFAULT = 4, DAYS_DEFAULT = 1000 };
+
+static const struct argp_option argp_options[] = {
+    {"seeds", 's', "FROM-TO", 0, "play the days of these seeds", 0},
+    {"days", 'd', "N", 0, "play N days of fresh seeds (1000)", 0},
+    {"jobs", 'j', "N", 0, "play so many days at once (one for each core)", 0},
+    {"out", 'o', "DIR", 0, "write shrunk days there (target/explore/breaks)", 0},
+    {"seconds", 't', "S", 0, "begin no further day after S seconds", 0},
+    {"print", 'p', "SEED", 0, "print the day of a seed and end", 0},
+    {"play", 'P', "FILE", 0, "play and judge a scenario file and end", 0},
+    {"shrinks", 'n', "N", 0, "shrink at most N days for each rule (4)", 0},
+    {"no-shrink", 'N', 0, 0, "shrink nothing", 0},
+    {"rule", 'r', "NAME", 0, "shrink only days that break this rule; all are counted", 0},
+    {"first", 'f', 0, 0, "begin no further day once one broke a rule", 0},
+    {"each", 'e', 0, 0, "a line for each day: seed, digest of what was told, broken rule", 0},
+    {"upgrade", 'u', 0, 0,
+     "nodes begin as ones of the earlier version, which TW_EARLIER_CORE plays, and are upgraded",
+     0},
+    {"roll", 'R', 0, 0, "as --upgrade, with the troubles amid the upgrade and gangs after it", 0},
+    {"mixed", 'm', 0, 0, "some nodes are of the earlier version all day long, no gangs", 0},
+    {0}};
+
+static uint32_t seed_of(struct argp_state *state, const char *text, char **rest) {
+    errno = 0;
+    const unsigned long long value = strtoull(text, rest, 10);
+    if (errno || *rest == text || value < 1 || value > TW_FUZZ_SEED_MAX)
+        argp_error(state, "not a seed from 1 to %lu: %s", (unsigned long)TW_FUZZ_SEED_MAX, text);
+    return (uint32_t)value;
+}
+
+static unsigned long number_of(struct argp_state *state, const char *text, unsigned long most) {
+    char *rest;
+    errno = 0;
+    const unsigned long value = strtoul(text, &rest, 10);
+    if (errno || *rest || rest == text || *text == '-' || value > most)
+        argp_error(state, "not a number up to %lu: %s", most, text);
+    return value;
+}
+
+static void parse_seeds(struct argp_state *state, const char *text, tw_explore_options *chosen) {
+    char *rest;
+    chosen->first = chosen->last = seed_of(state, text, &rest);
+    if (*rest == '-') chosen->last = seed_of(state, rest + 1, &rest);
+    if (*rest || chosen->last < chosen->first) argp_error(state, "not a range of seeds: %s", text);
+}
+
+/* Seeds that were most likely never played: from the time of day. */
+static void fresh_seeds(unsigned long days, tw_explore_options *chosen) {
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    const uint64_t mixed =
+        ((uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000) * 2654435761u;
+    chosen->first = 1 + (uint32_t)(mixed % (TW_FUZZ_SEED_MAX - days));
+    chosen->last = chosen->first + (uint32_t)days - 1;
+}
+
+static error_t parse_option(int key, char *text, struct argp_state *state) {
+    tw_explore_options *chosen = state->input;
+    char *rest;
+    switch (key) {
+    case 's':
+        parse_seeds(state, text, chosen);
+        break;
+    case 'd':
+        fresh_seeds(number_of(state, text, DAYS_MAX), chosen);
+        break;
+    case 'j':
+        chosen->jobs = (unsigned)number_of(state, text, JOBS_MAX);
+        break;
+    case 'o':
+        chosen->directory = text;
+        break;
+    case 't':
+        chosen->seconds = (double)number_of(state, text, SECONDS_MAX);
+        break;
+    case 'n':
+        chosen->shrinks = (unsigned)number_of(state, text, TW_EXPLORE_SHRINKS_MAX);
+        break;
+    case 'N':
+        chosen->shrinks = 0;
+        break;
+    case 'r':
+        chosen->rule = text;
+        break;
+    case 'P':
+        chosen->play = text;
+        break;
+    case 'f':
+        chosen->until_first = true;
+        break;
+    case 'e':
+        chosen->each = true;
+        break;
+    case 'u':
+        chosen->draw = tw_fuzz_draw_upgrade;
+        break;
+    case 'R':
+        chosen->draw = tw_fuzz_draw_roll;
+        break;
+    case 'm':
+        chosen->draw = tw_fuzz_draw_mixed;
+        break;
+    case 'p':
+        chosen->print = seed_of(state, text, &rest);
+        if (*rest) argp_error(state, "not a seed: %s", text);
+        break;
+    case ARGP_KEY_ARG:
+        argp_error(state, "nothing is expected here: %s", text);
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+void tw_explore_parse_options(int argc, char **argv, tw_explore_options *options) {
+    const struct argp argp = {
+        argp_options,
+        parse_option,
+        0,
+        "Plays days that are drawn from seeds, and looks for one that breaks a rule.",
+        0,
+        0,
+        0};
+    *options = (tw_explore_options){
+        .shrinks = SHRINKS_DEFAULT, .directory = "target/explore/breaks", .draw = tw_fuzz_draw};
+    options->jobs = (unsigned)sysconf(_SC_NPROCESSORS_ONLN);
+    fresh_seeds(DAYS_DEFAULT, options);
+    argp_err_exit_status = USAGE;
+    argp_parse(&argp, argc, argv, 0, 0, options);
+}
