A node that finds its own leader key beside earlier peers replaces it, not removes it

The new leader ended in an outage of the state service and was back before its key had ended; an old node then took over though new ones lived, and started again what ran.

Cause: the restarted node reads its own name in the key, revokes that lease and reads again 0.05 s later. In between the key is absent, and whichever follower polls wins. Ruled out: sooner polls of old nodes, a key that ended by itself.

Fix: while a peer is known to be of an earlier version, the acquisition compares the revision that was read in the place of absence, so the key is never absent; the term begins once the replaced key's lease has been revoked. Fleets of one version go on as before.

A status of a call that was not answered has a name now, TW_HTTP_NO_RESPONSE.

--- a/src/cluster/cluster_int.h
+++ b/src/cluster/cluster_int.h
@@ -91,6 +91,8 @@
     bool leader_read_in_flight, election_in_flight;
     uint64_t watch_from_revision; /* to watch the leader's key from; 0: read it first */
     double lease_requested_at;
+    uint64_t replaced_revision; /* of this node's own key, which an election replaces; 0: none */
+    uint64_t replaced_lease_id; /* which that key hung on: it must end before the term begins */
     tw_rate_limiter election_limiter; /* this node's part of the requests that elections may take */
     int election_refusals;            /* of those, in a row */
 
--- a/src/cluster/election.c
+++ b/src/cluster/election.c
@@ -81,11 +81,11 @@
 
 /* A request of an election that has begun. It is made whatever the rate limiter holds; the debt is
  * paid back before the next reading of the key. */
-static void election_call(tw_cluster *cluster, tw_call_kind kind, const char *method,
-                          const char *path, char *body /* owned */, double timeout_s) {
+static tw_call *election_call(tw_cluster *cluster, tw_call_kind kind, const char *method,
+                              const char *path, char *body /* owned */, double timeout_s) {
     tw_rate_limiter_refund(&cluster->election_limiter, -1);
-    tw_call_send(cluster->context, kind, TW_TO_STATE, cluster->context->config->state, method, path,
-                 body, timeout_s);
+    return tw_call_send(cluster->context, kind, TW_TO_STATE, cluster->context->config->state,
+                        method, path, body, timeout_s);
 }
 
 /* ---- terms ---- */
@@ -174,9 +174,12 @@
                  hold + cluster->lease_s * 0.5 + WATCH_ANSWER_S);
 }
 
-static void start_election(tw_cluster *cluster) {
+/* replaced: this node's own key, which the acquisition is to replace; NULL: the key is absent. */
+static void start_election(tw_cluster *cluster, const tw_wire_entry *replaced) {
     char body[64];
     cluster->election_in_flight = true;
+    cluster->replaced_revision = replaced ? replaced->mod_revision : 0;
+    cluster->replaced_lease_id = replaced ? replaced->lease_id : 0;
     cluster->lease_requested_at = cluster->context->now;
     snprintf(body, sizeof body, "{\"lifeMs\":%d}", (int)(cluster->lease_s * MS_PER_S));
     election_call(cluster, TW_CALL_GRANT_LEASE, "POST", "/grants", strdup(body),
@@ -205,7 +208,7 @@
     if (!is_first || cluster->role != TW_ROLE_FOLLOWER || cluster->election_in_flight ||
         !shows_key_gone(body, len))
         return;
-    start_election(cluster);
+    start_election(cluster, NULL);
 }
 
 static void on_watch(tw_cluster *cluster, int status, const char *body, size_t len) {
@@ -227,26 +230,38 @@
 
 /* ---- elections ---- */
 
-static void revoke_lease(tw_cluster *cluster, uint64_t lease_id) {
+/* token: of the term that begins once the lease has ended; 0: none does. */
+static void revoke_lease(tw_cluster *cluster, uint64_t lease_id, uint64_t token) {
     char path[TW_PATH_SIZE];
     if (!lease_id) return;
     snprintf(path, sizeof path, "/grants/%llu", (unsigned long long)lease_id);
-    election_call(cluster, TW_CALL_REVOKE_LEASE, "DELETE", path, NULL, REVOKE_TIMEOUT_S);
+    tw_call *sent =
+        election_call(cluster, TW_CALL_REVOKE_LEASE, "DELETE", path, NULL, REVOKE_TIMEOUT_S);
+    sent->sequence = token;
+}
+
+/* The key has this node's own name while it does not lead: it was written by an earlier process of
+ * this node, or by an acquisition whose answer was lost. Nobody acts on it, so its lease is revoked
+ * at once. While a peer of an earlier version may take over, the key is not left absent until the
+ * next reading, but replaced. */
+static void on_own_key(tw_cluster *cluster, const tw_wire_entry *entry) {
+    *cluster->leader_name = 0;
+    cluster->watch_from_revision = 0;
+    cluster->next_leader_read_at = cluster->context->now + OWN_KEY_GONE_S;
+    tw_log_info("event=own_leader_key_found token=%llu replaced=%d",
+                (unsigned long long)entry->mod_revision, tw_cluster_any_lacks_chunks(cluster));
+    if (tw_cluster_any_lacks_chunks(cluster))
+        start_election(cluster, entry);
+    else
+        revoke_lease(cluster, entry->lease_id, 0);
 }
 
 /* The key names a leader, at its revision. */
 static void note_leader_key(tw_cluster *cluster, const tw_wire_entry *entry, const char *leader) {
     tw_cluster_observe_token(cluster, entry->mod_revision, leader);
-    /* The key has this node's own name while it does not lead: it was written by an earlier process
-     * of this node, or by an acquisition whose answer was lost. Nobody acts on it, so its lease is
-     * revoked at once. */
     if (cluster->role == TW_ROLE_FOLLOWER && !cluster->election_in_flight &&
-        !strcmp(leader, cluster->context->config->host_name)) {
-        revoke_lease(cluster, entry->lease_id);
-        *cluster->leader_name = 0;
-        cluster->watch_from_revision = 0;
-        cluster->next_leader_read_at = cluster->context->now + OWN_KEY_GONE_S;
-    }
+        !strcmp(leader, cluster->context->config->host_name))
+        on_own_key(cluster, entry);
 }
 
 static void on_leader_key(tw_cluster *cluster, int status, const char *body, size_t len) {
@@ -254,7 +269,7 @@
     if (status == TW_HTTP_NOT_FOUND) {
         *cluster->leader_name = 0;
         if (cluster->role == TW_ROLE_FOLLOWER && !cluster->election_in_flight)
-            start_election(cluster);
+            start_election(cluster, NULL);
         return;
     }
     tw_wire_entry entry;
@@ -278,23 +293,24 @@
     cluster->lease_id = lease_id;
     char data[128];
     snprintf(data, sizeof data, "{\"node\":\"%s\"}", cluster->context->config->host_name);
-    tw_wire_compare absent = {TW_LEADER_KEY, 0};
+    tw_wire_compare unchanged = {TW_LEADER_KEY, cluster->replaced_revision};
     tw_wire_write key = {TW_LEADER_KEY, data, lease_id};
     election_call(cluster, TW_CALL_ACQUIRE_LEADERSHIP, "POST", "/txn",
-                  tw_wire_txn_text(&absent, 1, &key, 1), cluster->lease_s * ELECTION_TIMEOUT);
+                  tw_wire_txn_text(&unchanged, 1, &key, 1), cluster->lease_s * ELECTION_TIMEOUT);
 }
 
-static void on_acquire(tw_cluster *cluster, int status, const char *body, size_t len) {
-    uint64_t revision;
+/* Whether a term that begins now would have authority for a while. */
+static bool is_in_time(const tw_cluster *cluster) {
+    return cluster->context->now < cluster->lease_requested_at + cluster->lease_s * ACQUIRED_LATEST;
+}
+
+/* The election is lost, or its outcome is unknown. may_hold_key: the key may be this node's. To
+ * revoke the lease undoes such an acquisition; while a peer of an earlier version may take over,
+ * the next reading shows it instead, and the key is replaced. */
+static void give_up_election(tw_cluster *cluster, bool may_hold_key) {
     cluster->election_in_flight = false;
-    if (status == TW_HTTP_OK && !tw_wire_revision_parse(&revision, body, len) &&
-        cluster->context->now < cluster->lease_requested_at + cluster->lease_s * ACQUIRED_LATEST) {
-        become_leader(cluster, revision);
-        return;
-    }
-    /* The election is lost, or its outcome is unknown: revoking the lease undoes an acquisition
-     * that went through. */
-    revoke_lease(cluster, cluster->lease_id);
+    if (!may_hold_key || !tw_cluster_any_lacks_chunks(cluster))
+        revoke_lease(cluster, cluster->lease_id, 0);
     cluster->lease_id = 0;
     cluster->watch_from_revision = 0;
     cluster->next_leader_read_at =
@@ -302,6 +318,32 @@
         cluster->lease_s * tw_context_random(cluster->context, LOST_LEAST, LOST_MOST);
 }
 
+static void on_acquire(tw_cluster *cluster, int status, const char *body, size_t len) {
+    uint64_t revision;
+    if (status != TW_HTTP_OK || tw_wire_revision_parse(&revision, body, len) ||
+        !is_in_time(cluster)) {
+        give_up_election(cluster, status == TW_HTTP_OK || status == TW_HTTP_NO_RESPONSE);
+    } else if (cluster->replaced_lease_id) {
+        /* The key no longer hangs on that lease, which an earlier process may still renew. */
+        revoke_lease(cluster, cluster->replaced_lease_id, revision);
+    } else {
+        cluster->election_in_flight = false;
+        become_leader(cluster, revision);
+    }
+}
+
+/* The lease of the key that was replaced has ended, or that is not known. */
+static void on_revoke(tw_cluster *cluster, const tw_call *sent, int status) {
+    const uint64_t token = sent->sequence;
+    if (!token) return;
+    if ((status != TW_HTTP_OK && status != TW_HTTP_NOT_FOUND) || !is_in_time(cluster)) {
+        give_up_election(cluster, true);
+        return;
+    }
+    cluster->election_in_flight = false;
+    become_leader(cluster, token);
+}
+
 /* ---- the leader's lease ---- */
 
 static void renew_lease(tw_cluster *cluster) {
@@ -358,6 +400,9 @@
     case TW_CALL_ACQUIRE_LEADERSHIP:
         on_acquire(cluster, status, body, len);
         break;
+    case TW_CALL_REVOKE_LEASE:
+        on_revoke(cluster, sent, status);
+        break;
     case TW_CALL_RENEW_LEASE:
         on_renew(cluster, sent, status);
         return;
--- a/src/cluster/peer_versions.c
+++ b/src/cluster/peer_versions.c
@@ -2,8 +2,9 @@
  *
  * An earlier version takes over by rules that may not be safe any more. So while one of its nodes
  * may campaign, two followers of this version do so without the usual pause once their watches tell
- * that the leader's key is gone, and mostly win. Without an open watch, as after an outage, nobody
- * has an advantage. Who leads, and for how long, follows from the leader's key alone. */
+ * that the leader's key is gone, and mostly win; and a key that names this node itself is replaced
+ * rather than removed (election.c). Without an open watch on a key that ends, nobody has an
+ * advantage. Who leads, and for how long, follows from the leader's key alone. */
 #include "cluster/cluster_int.h"
 
 /* Followers that campaign without a pause: with two of them it doesn't matter that one has just
--- a/src/context/status.h
+++ b/src/context/status.h
@@ -3,6 +3,7 @@
 #define TW_CONTEXT_STATUS_H
 
 enum {
+    TW_HTTP_NO_RESPONSE = 0, /* none came: whether the call was carried out is unknown */
     TW_HTTP_OK = 200,
     TW_HTTP_CREATED = 201,
     TW_HTTP_BAD_REQUEST = 400,
--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -150,7 +150,7 @@
     core->commands_in_flight -= machine->command_in_flight;
     machine->command_in_flight = false;
     if (machine->commands_wanted || machine->probe_wanted) queue_machine(core, machine);
-    if (status == 0) {
+    if (status == TW_HTTP_NO_RESPONSE) {
         note_failed_send(core, machine);
         return; /* the commands may still arrive: the fate of their launches stays unknown */
     }
--- a/src/core/heartbeat_forwarder.c
+++ b/src/core/heartbeat_forwarder.c
@@ -141,7 +141,7 @@
         tw_cluster_note_forwarded(core->cluster, sent->name, sent->sent_at);
         tw_reply(&core->context, sent->connection, TW_HTTP_OK, 0, copy_text(body, len));
         free(text);
-    } else if (!status) {
+    } else if (status == TW_HTTP_NO_RESPONSE) {
         core->forwarding_paused_until = core->context.now + FORWARD_TIMEOUT_S;
         forward_or_hold(core, sent->connection, sent->name, text, sent->until);
     } else {
--- a/src/core/request_forwarding.c
+++ b/src/core/request_forwarding.c
@@ -33,7 +33,7 @@
     }
     if (!call->connection) return;
     if (call->operation == TW_OPERATION_QUERY ||
-        (call->operation == TW_OPERATION_CANCEL && status == 0)) {
+        (call->operation == TW_OPERATION_CANCEL && status == TW_HTTP_NO_RESPONSE)) {
         tw_job_look_up(core, call->connection, call->name, call->operation);
         return;
     }
@@ -41,7 +41,7 @@
      * the first write of its key goes through. */
     tw_wire_job spec;
     const char *why;
-    if (call->operation == TW_OPERATION_SUBMIT && status == 0 && call->text &&
+    if (call->operation == TW_OPERATION_SUBMIT && status == TW_HTTP_NO_RESPONSE && call->text &&
         !tw_wire_job_parse(&spec, call->text, strlen(call->text), &why)) {
         tw_peer_admission_create(core, call->connection, &spec);
         tw_wire_job_free(&spec);
