A sole new leader places no more of a job than an earlier successor would adopt

The only node of this version led and ended, an old node succeeded it.

Cause: the old leader first hears a copy of a machine's earlier incarnation, then the later one, and takes what the record names there for ended. The same heartbeat lists the tasks. Ruled out: the team's limit, a taken task.

Fix: while a peer is of an earlier version and no other new one answers, a job that spreads gets at most half of its tasks, one with a single zone only one machine, unless all are on machines in their first incarnation, where none is taken for ended; these are preferred. Then whatever the successor has heard, it adopts what is listed. A job without tasks is never kept waiting, nothing is rented in vain, returned or stopped, and the rest follows when a second new node answers.

--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -195,6 +195,9 @@
  */
 bool tw_cluster_all_read_chunks(const tw_cluster *cluster);
 bool tw_cluster_any_lacks_chunks(const tw_cluster *cluster);
+/* Whether a peer is known to be of an earlier version, and no other one answers: should this node
+ * end now, a node of an earlier version leads next. */
+bool tw_cluster_only_earlier_may_succeed(const tw_cluster *cluster);
 /* Whether some node of that zone answers this one. */
 bool tw_cluster_zone_has_live_peer(const tw_cluster *cluster, const char *zone);
 /* Whether a zone that has nodes is another one than this node's, and none of its nodes answers, or
--- a/src/cluster/peer_versions.c
+++ b/src/cluster/peer_versions.c
@@ -59,6 +59,17 @@
            tw_cluster_peer_answers(cluster, peer);
 }
 
+bool tw_cluster_only_earlier_may_succeed(const tw_cluster *cluster) {
+    if (!count_earlier_peers(cluster)) return false;
+    for (size_t i = 0; i < cluster->peer_count; i++) {
+        const tw_peer *peer = &cluster->peers[i];
+        if (peer->record_format >= TW_RECORD_FORMAT_CHUNKED &&
+            tw_cluster_peer_answers(cluster, peer))
+            return false;
+    }
+    return true;
+}
+
 bool tw_cluster_campaigns_first(const tw_cluster *cluster) {
     if (tw_cluster_all_read_chunks(cluster)) return false;
     int preceding = 0;
--- a/src/core/autoscaler_plan.c
+++ b/src/core/autoscaler_plan.c
@@ -90,6 +90,13 @@
     return taken;
 }
 
+/* Whether a machine that is rented for the job could take a task of it: a new one is in its first
+ * incarnation. */
+static bool may_use_new_machine(const tw_core *core, const tw_job *job) {
+    const tw_machine_restriction restriction = tw_mixed_version_restriction(core, job);
+    return restriction == TW_MACHINES_ANY || restriction == TW_MACHINES_IN_FIRST_INCARNATION;
+}
+
 /* How many tasks of the job its team's limit and its record would allow to be placed now. */
 static int count_placeable_tasks(const tw_core *core, tw_job *job) {
     const tw_config_team *team = &core->context.config->teams[job->team];
@@ -128,6 +135,7 @@
  * which renting is better than waiting for room that is given back, of a gang all or none. */
 static int count_tasks_to_provide(tw_core *core, tw_bins *bins, tw_job *job,
                                   tw_expected_releases *releases) {
+    if (!may_use_new_machine(core, job)) return 0;
     const int count = count_placeable_tasks(core, job);
     int needed = 0;
     if (job->spec.service) return count;
--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -73,10 +73,14 @@
                        .deadline_at = tw_job_deadline(job),
                        .start_deadline_at = tw_job_start_deadline(job),
                        .estimate_s = tw_job_run_estimate_s(job),
-                       .zone_mask = allowed_zones(core, job)};
+                       .zone_mask = allowed_zones(core, job),
+                       .machines = tw_mixed_version_restriction(core, job),
+                       .prefers_first_incarnation =
+                           tw_cluster_only_earlier_may_succeed(core->cluster)};
 }
 
-bool tw_constraints_allow_machine_zone(const tw_demand *demand, const tw_machine *machine) {
+bool tw_demand_allows_machine(const tw_demand *demand, const tw_machine *machine) {
+    if (!tw_machine_restriction_allows(demand->machines, demand->job, machine)) return false;
     if (machine->zone_index >= 0) return !!(demand->zone_mask & (1U << machine->zone_index));
     return tw_constraints_allow_zone(demand->job, machine->zone);
 }
--- a/src/core/gang_reservation.c
+++ b/src/core/gang_reservation.c
@@ -93,7 +93,7 @@
         core->pass_steps++;
         if ((zone >= 0 && machine->zone_index != zone) ||
             !tw_constraints_allow_machine(core, job, machine) ||
-            !tw_constraints_allow_machine_zone(&demand, machine))
+            !tw_demand_allows_machine(&demand, machine))
             continue;
         rooms[count] = expected_room_on(core, job, machine);
         if (rooms[count].task_count) count++;
--- a/src/core/machine_choice.c
+++ b/src/core/machine_choice.c
@@ -4,25 +4,32 @@
 #include "core/scheduler_int.h"
 #include <stdbool.h>
 
+static bool is_better(const tw_choice *one, const tw_choice *other) {
+    if (one->is_preferred != other->is_preferred) return one->is_preferred;
+    if (one->meets_deadline != other->meets_deadline) return one->meets_deadline;
+    return one->points > other->points;
+}
+
 /* Replaces the machine chosen so far by the score's, if that one is better and its room is not kept
  * for others. */
 static void update_choice(const tw_core *core, const tw_demand *demand, const tw_score *score,
                           tw_choice *choice) {
     tw_machine *machine = core->candidates[score->candidate].machine;
-    if (!tw_constraints_allow_machine_zone(demand, machine)) return;
+    if (!tw_demand_allows_machine(demand, machine)) return;
     const bool meets_deadline = score->end_at <= demand->deadline_at;
-    const double points = meets_deadline ? score->points : -score->total_s;
-    if (meets_deadline < choice->meets_deadline ||
-        (meets_deadline == choice->meets_deadline && points <= choice->points))
-        return;
+    const tw_choice offered = {.machine = machine,
+                               .candidate = score->candidate,
+                               .is_preferred = !demand->prefers_first_incarnation ||
+                                               tw_machine_is_in_first_incarnation(machine),
+                               .meets_deadline = meets_deadline,
+                               .points = meets_deadline ? score->points : -score->total_s,
+                               .room_is_reserved = choice->room_is_reserved};
+    if (!is_better(&offered, choice)) return;
     if (!tw_reserve_allows(core, machine, demand->job)) {
         choice->room_is_reserved = true;
         return;
     }
-    choice->machine = machine;
-    choice->candidate = score->candidate;
-    choice->meets_deadline = meets_deadline;
-    choice->points = points;
+    *choice = offered;
 }
 
 /* Scores all candidates for a kind of task that this pass has not scored yet, and chooses among
@@ -37,7 +44,7 @@
 }
 
 tw_choice tw_scheduler_choose(tw_core *core, const tw_demand *demand) {
-    tw_choice choice = {.points = -INFINITY};
+    tw_choice choice = {.points = -INFINITY, .is_preferred = !demand->prefers_first_incarnation};
     tw_score_table *table = tw_scores_find(core, demand);
     if (!table) {
         choose_among_unscored(core, demand, &choice);
--- a/src/core/placement_pass.c
+++ b/src/core/placement_pass.c
@@ -65,7 +65,8 @@
     if (!choice.machine) {
         /* The failure says nothing about other tasks of this kind if it comes from machines that
          * only this job passes over, or from reserved room, which comes and goes. */
-        if (!choice.room_is_reserved && !job->failed_machine_count)
+        if (!choice.room_is_reserved && !job->failed_machine_count &&
+            demand.machines == TW_MACHINES_ANY)
             tw_placement_failures_add(core, &kind);
         return false;
     }
--- a/src/core/preemption.c
+++ b/src/core/preemption.c
@@ -147,7 +147,7 @@
 static bool machine_is_allowed(const tw_core *core, const tw_demand *demand,
                                const tw_machine *machine) {
     return tw_constraints_allow_machine(core, demand->job, machine) &&
-           tw_constraints_allow_machine_zone(demand, machine) &&
+           tw_demand_allows_machine(demand, machine) &&
            tw_constraints_leave_gpus(core, machine, demand->job, 1);
 }
 
--- a/src/core/recheck.c
+++ b/src/core/recheck.c
@@ -55,7 +55,7 @@
             !tw_machine_has_room(machine, &core->machine_types[machine->type_index], &job->spec) ||
             !tw_machine_is_usable(core, machine) ||
             !tw_constraints_allow_machine(core, job, machine) ||
-            !tw_constraints_allow_machine_zone(&demand, machine))
+            !tw_demand_allows_machine(&demand, machine))
             continue;
         const double total_s = tw_predict(core, &demand, machine).total_s;
         if (core->context.now + total_s <= demand.deadline_at)
--- a/src/core/scale_in.c
+++ b/src/core/scale_in.c
@@ -85,6 +85,8 @@
     if (!tw_bin_is_allowed(bin, &job->spec, job->type_mask) || !tw_bin_fits(bin, &job->spec))
         return false;
     if (is_bound_to_zone(&job->spec) && strcmp(bin->zone, placed->machine->zone) != 0) return false;
+    if (!tw_machine_restriction_allows(tw_mixed_version_restriction(core, job), job, bin->machine))
+        return false;
     return image_is_near(core, placed, bin->machine) &&
            tw_bin_leaves_gpus(core, bin, &job->spec, job->any_machine);
 }
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -122,6 +122,22 @@
  * for each GPU, over the samples of all job classes. */
 void tw_gpu_share_update(tw_core *core);
 
+/* mixed_version_placement.c */
+/* The machines that a job's next task may use, beside its own constraints, so that a leader of an
+ * earlier version would adopt what it finds running. */
+typedef enum {
+    TW_MACHINES_ANY,
+    TW_MACHINES_IN_FIRST_INCARNATION,
+    TW_MACHINES_IN_USE_BY_JOB, /* the one that has all of its tasks */
+    TW_MACHINES_NONE
+} tw_machine_restriction;
+/* Whether the machine has told, since it knows this leader's token, that it never began anew. */
+bool tw_machine_is_in_first_incarnation(const tw_machine *machine);
+tw_machine_restriction tw_mixed_version_restriction(const tw_core *core, const tw_job *job);
+/* Whether the restriction lets a task of the job use the machine. */
+bool tw_machine_restriction_allows(tw_machine_restriction restriction, const tw_job *job,
+                                   const tw_machine *machine);
+
 /* job_queue.c */
 /* The pending jobs, in the order in which they should be served. */
 typedef struct tw_job_queue tw_job_queue;
--- a/src/core/scheduler_int.h
+++ b/src/core/scheduler_int.h
@@ -11,10 +11,12 @@
 /* A task to be placed: what doesn't depend on the machine is worked out once for all machines. */
 typedef struct tw_demand {
     struct tw_job *job;
-    double deadline_at;       /* INFINITY: none */
-    double start_deadline_at; /* of a gang: its start objective; INFINITY: none */
-    double estimate_s;        /* run time on a machine of slowness 1 */
-    uint32_t zone_mask;       /* zones that it may go to, as bits over core->zone_names */
+    double deadline_at;              /* INFINITY: none */
+    double start_deadline_at;        /* of a gang: its start objective; INFINITY: none */
+    double estimate_s;               /* run time on a machine of slowness 1 */
+    uint32_t zone_mask;              /* zones that it may go to, as bits over core->zone_names */
+    tw_machine_restriction machines; /* those that it may go to while versions are mixed, */
+    bool prefers_first_incarnation;  /* and whether those in their first one come before others */
 } tw_demand;
 
 /* GoodServe's T = q + p * missing GB + slowness * estimate, for a task on a machine, where q is the
@@ -42,8 +44,8 @@
 /* constraints.c */
 /* The demand of the job's next task. */
 tw_demand tw_demand_of(const tw_core *core, struct tw_job *job);
-/* Whether the machine's zone is one that the demand allows. */
-bool tw_constraints_allow_machine_zone(const tw_demand *demand, const struct tw_machine *machine);
+/* Whether the demand allows the machine's zone, and the machine while versions are mixed. */
+bool tw_demand_allows_machine(const tw_demand *demand, const struct tw_machine *machine);
 /* Whether the job's tasks may go to a usable machine, whatever its zone and its free room. */
 bool tw_constraints_allow_machine(const tw_core *core, const struct tw_job *job,
                                   const struct tw_machine *machine);
@@ -120,6 +122,7 @@
     struct tw_machine *machine; /* NULL: none */
     double points;         /* tw_preference's; or where no machine meets the deadline, minus T */
     int candidate;         /* the machine's index in core->candidates */
+    bool is_preferred;     /* as far as the demand prefers a machine in its first incarnation */
     bool meets_deadline;   /* the task is expected to meet its deadline there */
     bool room_is_reserved; /* some machine was passed over because its room is kept for others */
 } tw_choice;
