The leader's lease and its renewal are a module of their own, leader_lease.c

election.c had grown to 448 lines and held two jobs: who becomes leader, and how long a leader may go on. Moved as it was; tw_cluster_authority_end is asked by both. 389 and 61 lines.

--- a/src/cluster/cluster_int.h
+++ b/src/cluster/cluster_int.h
@@ -1,6 +1,7 @@
 /* What the modules of the cluster share. Not for other packages.
  *
- * election.c               the leader's key and lease, elections, terms; the cluster's inputs
+ * election.c               the leader's key, elections, terms
+ * leader_lease.c           the leader's lease, and the authority that follows from it
  * authority.c              what this node may do, and until when others may answer workers
  * peer_heartbeat.c         heartbeats between nodes, and what the peers know
  * peer_versions.c          peers of an earlier version, during a rolling upgrade
@@ -139,6 +140,14 @@
 /* Renews the leader's lease, or follows the leader's key. */
 void tw_cluster_election_tick(tw_cluster *cluster);
 
+/* ---- leader_lease.c ---- */
+/* Until when a lease that was granted or renewed by a request sent then gives authority. */
+double tw_cluster_authority_end(const tw_cluster *cluster, double sent_at);
+/* The state service answered a renewal. */
+void tw_cluster_renewal_response(tw_cluster *cluster, const tw_call *sent, int status);
+/* Renews the lease when that is due; ends a term without authority. */
+void tw_cluster_leader_lease_tick(tw_cluster *cluster);
+
 /* ---- authority.c ---- */
 bool tw_cluster_has_authority(const tw_cluster *cluster); /* may command, write and answer */
 /* Whether this node may renew workers' leases although its authority has ended. */
--- a/src/cluster/election.c
+++ b/src/cluster/election.c
@@ -1,16 +1,10 @@
-/* Elections, and the leader's lease. The leader holds a key under a lease of the state service; its
- * fencing token is the revision of the transaction that wrote the key, so tokens grow strictly.
- * Authority to command ends before the lease can: it is counted from the sending of the last
- * successful renewal, less clock drift and a margin. */
+/* Elections. The leader holds a key under a lease of the state service; its fencing token is the
+ * revision of the transaction that wrote the key, so tokens grow strictly. Followers watch the key
+ * and campaign when it is gone. */
 #include "cluster/cluster_int.h"
 #include <cjson/cJSON.h>
 
 /* Times as shares of the leader's lease. */
-#define AUTHORITY_MARGIN 0.05 /* authority ends that much earlier */
-#define RENEW_EVERY 0.25
-#define RENEW_SLOW 0.2 /* a renewal that takes longer is sent a second time */
-#define RENEW_RETRY 0.1
-#define RENEW_TIMEOUT 0.4
 #define ELECTION_TIMEOUT 0.5
 #define ACQUIRED_LATEST 0.9   /* a later acquisition is given up: authority would end at once */
 #define READ_PAUSE_LEAST 0.15 /* between two readings of the key */
@@ -119,18 +113,12 @@
         tw_cluster_step_down(cluster, "a later leader exists");
 }
 
-/* Until when a lease that was granted or renewed by a request sent then gives authority. */
-static double authority_end(const tw_cluster *cluster, double sent_at) {
-    return sent_at + cluster->lease_s * (1 - 2 * cluster->context->config->tune.drift) -
-           cluster->lease_s * AUTHORITY_MARGIN;
-}
-
 static void become_leader(tw_cluster *cluster, uint64_t token) {
     cluster->role = TW_ROLE_LEADER;
     cluster->context->term++;
     cluster->token = token;
     cluster->term_began_at = cluster->context->now;
-    cluster->authority_until = authority_end(cluster, cluster->lease_requested_at);
+    cluster->authority_until = tw_cluster_authority_end(cluster, cluster->lease_requested_at);
     cluster->next_renewal_at = cluster->context->now;
     cluster->renewals_in_flight = 0;
     cluster->peers_confirmed_at = cluster->peer_count ? 0 : cluster->context->now;
@@ -344,39 +332,6 @@
     become_leader(cluster, token);
 }
 
-/* ---- the leader's lease ---- */
-
-static void renew_lease(tw_cluster *cluster) {
-    char path[TW_PATH_SIZE];
-    snprintf(path, sizeof path, "/grants/%llu/renew", (unsigned long long)cluster->lease_id);
-    cluster->renewals_in_flight++;
-    cluster->renewal_sent_at = cluster->context->now;
-    tw_call_send(cluster->context, TW_CALL_RENEW_LEASE, TW_TO_STATE,
-                 cluster->context->config->state, "POST", path, strdup("{}"),
-                 cluster->lease_s * RENEW_TIMEOUT);
-}
-
-static void on_renew(tw_cluster *cluster, const tw_call *sent, int status) {
-    if (sent->term != cluster->context->term || cluster->role != TW_ROLE_LEADER) return;
-    if (cluster->renewals_in_flight) cluster->renewals_in_flight--;
-    if (status == TW_HTTP_OK) {
-        const double until = authority_end(cluster, sent->sent_at);
-        if (cluster->context->now >= cluster->authority_until)
-            tw_log_info("event=authority_regained token=%llu", (unsigned long long)cluster->token);
-        tw_log_debug("event=leader_lease_renewed token=%llu authority_s=%.3f",
-                     (unsigned long long)cluster->token, until - cluster->context->now);
-        if (until > cluster->authority_until) cluster->authority_until = until;
-        cluster->next_renewal_at = sent->sent_at + cluster->lease_s * RENEW_EVERY;
-        cluster->owner.lease_renewed(cluster->owner.owner);
-    } else if (status == TW_HTTP_NOT_FOUND) {
-        tw_cluster_step_down(cluster, "lease lost");
-    } else {
-        cluster->next_renewal_at =
-            cluster->context->now +
-            fmax(cluster->lease_s * RENEW_RETRY, tw_cluster_rate_limited_wait_s(cluster, status));
-    }
-}
-
 /* ---- inputs ---- */
 
 static void note_store_answer(tw_cluster *cluster, int status) {
@@ -404,7 +359,7 @@
         on_revoke(cluster, sent, status);
         break;
     case TW_CALL_RENEW_LEASE:
-        on_renew(cluster, sent, status);
+        tw_cluster_renewal_response(cluster, sent, status);
         return;
     default:
         break;
@@ -412,20 +367,6 @@
     note_rate_limit(cluster, status);
 }
 
-static void leader_tick(tw_cluster *cluster) {
-    const bool due =
-        !cluster->renewals_in_flight && cluster->context->now >= cluster->next_renewal_at;
-    /* A second renewal goes out while the first is slow: the state service sometimes takes long. */
-    const bool slow =
-        cluster->renewals_in_flight == 1 &&
-        cluster->context->now >= cluster->renewal_sent_at + cluster->lease_s * RENEW_SLOW;
-    if (due || slow) renew_lease(cluster);
-    if (cluster->context->now >=
-            cluster->authority_until + tw_cluster_renewal_without_authority_s(cluster) ||
-        (cluster->phase == TW_PHASE_LOADING && cluster->context->now >= cluster->authority_until))
-        tw_cluster_step_down(cluster, "no authority");
-}
-
 /* Followers watch the key; a leader without authority reads it, to see whether it was replaced. */
 static void follower_tick(tw_cluster *cluster) {
     if (cluster->leader_read_in_flight || cluster->election_in_flight ||
@@ -442,7 +383,7 @@
 }
 
 void tw_cluster_election_tick(tw_cluster *cluster) {
-    if (cluster->role == TW_ROLE_LEADER) leader_tick(cluster);
+    if (cluster->role == TW_ROLE_LEADER) tw_cluster_leader_lease_tick(cluster);
     if (cluster->role == TW_ROLE_FOLLOWER || !tw_cluster_has_authority(cluster))
         follower_tick(cluster);
 }
