Beside earlier peers, an election that is answered too late is undone as before

Found by reading, not seen in a run. Now only what goes unanswered is left and read again; what is answered late is revoked.

--- a/src/cluster/election.c
+++ b/src/cluster/election.c
@@ -292,12 +292,12 @@
     return cluster->context->now < cluster->lease_requested_at + cluster->lease_s * ACQUIRED_LATEST;
 }
 
-/* The election is lost, or its outcome is unknown. may_hold_key: the key may be this node's. To
- * revoke the lease undoes such an acquisition; while a peer of an earlier version may take over,
- * the next reading shows it instead, and the key is replaced. */
-static void give_up_election(tw_cluster *cluster, bool may_hold_key) {
+/* The election is lost, or its outcome is unknown. To revoke the lease undoes an acquisition that
+ * went through. try_again: this node may hold the key and lead by it; while a peer of an earlier
+ * version may take over, the next reading shows that, and the key is replaced. */
+static void give_up_election(tw_cluster *cluster, bool try_again) {
     cluster->election_in_flight = false;
-    if (!may_hold_key || !tw_cluster_any_lacks_chunks(cluster))
+    if (!try_again || !tw_cluster_any_lacks_chunks(cluster))
         revoke_lease(cluster, cluster->lease_id, 0);
     cluster->lease_id = 0;
     cluster->watch_from_revision = 0;
@@ -310,7 +310,7 @@
     uint64_t revision;
     if (status != TW_HTTP_OK || tw_wire_revision_parse(&revision, body, len) ||
         !is_in_time(cluster)) {
-        give_up_election(cluster, status == TW_HTTP_OK || status == TW_HTTP_NO_RESPONSE);
+        give_up_election(cluster, status == TW_HTTP_NO_RESPONSE);
     } else if (cluster->replaced_lease_id) {
         /* The key no longer hangs on that lease, which an earlier process may still renew. */
         revoke_lease(cluster, cluster->replaced_lease_id, revision);
@@ -323,9 +323,10 @@
 /* The lease of the key that was replaced has ended, or that is not known. */
 static void on_revoke(tw_cluster *cluster, const tw_call *sent, int status) {
     const uint64_t token = sent->sequence;
+    const bool has_ended = status == TW_HTTP_OK || status == TW_HTTP_NOT_FOUND;
     if (!token) return;
-    if ((status != TW_HTTP_OK && status != TW_HTTP_NOT_FOUND) || !is_in_time(cluster)) {
-        give_up_election(cluster, true);
+    if (!has_ended || !is_in_time(cluster)) {
+        give_up_election(cluster, !has_ended);
         return;
     }
     cluster->election_in_flight = false;
