--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the review's cases, with the project's own ones that they use. It needs the build of
+# deploy/service.toml in target/ and no packages beside that build's.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B target -DCMAKE_BUILD_TYPE=Release >/dev/null
+cmake --build target -j8 --target tw_simulator tw_net tw_loopback >/dev/null
+mkdir -p target/review
+gcc -O2 -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Isrc -Isimulator -Itests/soak -Itests/loopback -Ireview/standin \
+  -o target/review/review_case review/standin/*.c \
+  tests/soak/calls.c tests/soak/faults.c tests/soak/links.c tests/soak/plan.c tests/soak/stand_ins.c tests/soak/workers.c \
+  target/simulator/libtw_simulator.a target/tests/loopback/libtw_loopback.a target/libtw_net.a target/libtw_core.a \
+  -lgsl -lgslcblas -lcjson -lyaml -lev -lhttp_parser -lstdc++ -lm
--- /dev/null
+++ b/review/standin/review.h
@@ -0,0 +1,46 @@
+/* The world of a review case: real controllers on loopback, and the stand-ins of tests/soak and
+ * simulator/ around them. A case file says which machines there are, when which jobs are submitted
+ * and cancelled, and when which fault strikes. */
+#ifndef TW_REVIEW_H
+#define TW_REVIEW_H
+#include "soak.h"
+
+#define TW_REVIEW_MAX_ACTIONS 64
+
+/* A user's request at a given time. */
+typedef struct {
+    double at_s;
+    int kind;    /* TW_SIMULATOR_SUBMIT or TW_SIMULATOR_CANCEL */
+    char id[32]; /* of the job */
+    char *body;  /* of a submission */
+    double run_s;
+    bool varies; /* the tasks' run times vary around run_s */
+    bool begun;
+} tw_review_action;
+
+typedef struct {
+    tw_soak soak;
+    double end_s;
+    char kept[32]; /* id of the job whose running work must not be lost */
+    bool lost;     /* it was lost */
+    /* the machine that ran a task of it at the last tick, and its session; NULL: none */
+    const tw_simulator_worker *kept_machine;
+    uint64_t kept_session;
+    bool with_trouble; /* TROUBLE is not 0 */
+    FILE *record;
+    tw_review_action actions[TW_REVIEW_MAX_ACTIONS];
+    int action_count;
+} tw_review;
+
+extern tw_review review;
+
+/* Reads the case file. Returns false and prints the line if it can't be read. */
+bool tw_review_read_case(const char *path);
+/* Writes one line with the time to the record. */
+void tw_review_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
+/* Submits, polls and cancels what is due. */
+void tw_review_users_tick(void);
+/* Gives tasks that have just started a run time of their own, if their job says so. */
+void tw_review_vary_run_times(void);
+
+#endif
