--- a/review/standin/case_file.c
+++ b/review/standin/case_file.c
@@ -4,6 +4,7 @@
  *   machine TYPE ZONE                       a machine that is up from the start
  *   type NAME CORES GPUS MEMORY COUNT       a machine type, and how many of it can be rented
  *   end SECONDS                             length of the run
+ *   first_tick N                            the workers' ticks are greater than N
  *   kept ID                                 running work of this job must not be lost
  *   submit AT RUN_S VARIES ID BODY          a submission; BODY is its JSON
  *   cancel AT ID
@@ -19,6 +20,7 @@
 /* Places of two words of a fault. */
 enum { DIRECTION = 6, HELD };
 #define STARTUP_S 50
+#define DECIMAL 10
 
 /* Splits the line at its spaces into at most `max` words, the last of which is the rest of the
  * line. Returns their number. */
@@ -102,6 +104,8 @@
         return true;
     }
     if (!strcmp(words[0], "end") && count == 2) review.end_s = number(words[1]);
+    if (!strcmp(words[0], "first_tick") && count == 2)
+        review.first_tick = strtoull(words[1], NULL, DECIMAL);
     if (!strcmp(words[0], "kept") && count == 2)
         snprintf(review.kept, sizeof review.kept, "%s", words[1]);
     return count == 2;
--- a/review/standin/review.h
+++ b/review/standin/review.h
@@ -21,8 +21,9 @@
 typedef struct {
     tw_soak soak;
     double end_s;
-    char kept[32]; /* id of the job whose running work must not be lost */
-    bool lost;     /* it was lost */
+    uint64_t first_tick; /* of each worker, see workers.c */
+    char kept[32];       /* id of the job whose running work must not be lost */
+    bool lost;           /* it was lost */
     /* the machine that ran a task of it at the last tick, and its session; NULL: none */
     const tw_simulator_worker *kept_machine;
     uint64_t kept_session;
@@ -40,6 +41,8 @@
 void tw_review_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
 /* Submits, polls and cancels what is due. */
 void tw_review_users_tick(void);
+/* Returns the number of tasks that have started. */
+int tw_review_started_tasks(void);
 /* Gives tasks that have just started a run time of their own, if their job says so. */
 void tw_review_vary_run_times(void);
 
--- a/review/standin/review_case.c
+++ b/review/standin/review_case.c
@@ -231,6 +231,8 @@
     }
     if (world->now < review.end_s) return;
     if (review.lost) tw_soak_finish(soak, "FAIL", "running work of an accepted job was lost");
+    if (!tw_review_started_tasks())
+        tw_soak_finish(soak, "FAIL", "nothing_ran: no task was started");
     tw_soak_finish(soak, "ok", "no rule was broken");
 }
 
--- a/review/standin/users.c
+++ b/review/standin/users.c
@@ -133,3 +133,10 @@
         }
     }
 }
+
+int tw_review_started_tasks(void) {
+    int count = 0;
+    for (int i = 0; i < review.soak.world.job_count; i++)
+        count += review.soak.world.jobs[i]->started;
+    return count;
+}
