--- a/review/standin/users.c
+++ b/review/standin/users.c
@@ -108,7 +108,7 @@
         send_request(user, TW_SIMULATOR_SUBMIT);
     else if (user->cancels && !job->reported_end)
         send_request(user, TW_SIMULATOR_CANCEL);
-    else if (!job->reported_end)
+    else
         send_request(user, TW_SIMULATOR_POLL);
 }
 
