--- a/review/build.sh
+++ b/review/build.sh
@@ -7,12 +7,7 @@
 cmake --build target -j8 --target tw_simulator tw_net tw_loopback >/dev/null
 mkdir -p target/review
 flags=(-O2 -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Isrc -Isimulator -Itests/soak -Itests/loopback -Ireview/standin)
-# The workers' reports pass through review/standin/worker_ticks.c.
-for name in stand_ins workers; do
-  gcc "${flags[@]}" -Dtw_simulator_worker_next_heartbeat=tw_review_next_heartbeat \
-    -Dtw_simulator_worker_handle_request=tw_review_handle_request -c -o "target/review/$name.o" "tests/soak/$name.c"
-done
-gcc "${flags[@]}" -o target/review/review_case review/standin/*.c target/review/stand_ins.o target/review/workers.o \
-  tests/soak/calls.c tests/soak/faults.c tests/soak/links.c tests/soak/plan.c \
+gcc "${flags[@]}" -o target/review/review_case review/standin/*.c \
+  tests/soak/{calls,faults,links,plan,stand_ins,workers}.c \
   target/simulator/libtw_simulator.a target/tests/loopback/libtw_loopback.a target/libtw_net.a target/libtw_core.a \
   -lgsl -lgslcblas -lcjson -lyaml -lev -lhttp_parser -lstdc++ -lm
