--- a/review/build.sh
+++ b/review/build.sh
@@ -11,3 +11,16 @@
   tests/soak/{calls,faults,links,plan,stand_ins,workers}.c \
   target/simulator/libtw_simulator.a target/tests/loopback/libtw_loopback.a target/libtw_net.a target/libtw_core.a \
   -lgsl -lgslcblas -lcjson -lyaml -lev -lhttp_parser -lstdc++ -lm
+
+# The version in production, for the case of an upgrade. A copy without the history can't build it; that case then
+# can't run.
+commit=$(sed -n 's/^production = "\([0-9a-f]*\)"$/\1/p' deploy/service.toml)
+old=target/review/production
+if git cat-file -e "$commit^{commit}" 2>/dev/null; then
+  mkdir -p "$old/tree"
+  git archive "$commit" -- . ':!journal' | tar -x -C "$old/tree"
+  cmake -S "$old/tree" -B "$old/build" -DCMAKE_BUILD_TYPE=Release >/dev/null
+  cmake --build "$old/build" -j8 --target traywall >/dev/null
+else
+  echo "review: the version in production is not in the history at hand; case 2 can't run" >&2
+fi
--- a/review/standin/case_file.c
+++ b/review/standin/case_file.c
@@ -8,7 +8,10 @@
  *   submit AT RUN_S VARIES ID BODY          a submission; BODY is its JSON
  *   cancel AT ID
  *   hold AT SECONDS                         what controllers send to machines is held that long
- *   fault AT KIND SECONDS NODE OTHER DIRECTION HELD SHARE    as in tests/soak */
+ *   hang AT SECONDS MACHINE                 a machine hangs, counted from 0
+ *   copies AT SESSION                       kept copies of that session's reports arrive
+ * (held_heartbeats) old NODE                                this controller is of the version in
+ * production fault AT KIND SECONDS NODE OTHER DIRECTION HELD SHARE    as in tests/soak */
 #include "review.h"
 #include <stdlib.h>
 #include <string.h>
@@ -65,7 +68,9 @@
     action->kind = kind;
     action->at_s = number(words[1]);
     snprintf(action->id, sizeof action->id, "%s", words[submits ? 4 : 2]);
-    if (kind == TW_REVIEW_HOLD) action->run_s = number(words[2]);
+    if (kind == TW_REVIEW_HOLD || kind == TW_REVIEW_HANG) action->run_s = number(words[2]);
+    if (kind == TW_REVIEW_HANG || kind == TW_REVIEW_COPIES)
+        action->number = integer(words[kind == TW_REVIEW_HANG ? 3 : 2]);
     if (!submits) return true;
     action->run_s = number(words[2]);
     action->varies = integer(words[3]) != 0;
@@ -99,11 +104,15 @@
         return read_action(words, TW_SIMULATOR_SUBMIT);
     if (!strcmp(words[0], "cancel") && count == 3) return read_action(words, TW_SIMULATOR_CANCEL);
     if (!strcmp(words[0], "hold") && count == 3) return read_action(words, TW_REVIEW_HOLD);
+    if (!strcmp(words[0], "hang") && count == 4) return read_action(words, TW_REVIEW_HANG);
+    if (!strcmp(words[0], "copies") && count == 3) return read_action(words, TW_REVIEW_COPIES);
     if (!strcmp(words[0], "fault") && count == MAX_WORDS) return read_fault(words);
     if (!strcmp(words[0], "machine") && count == 3) {
         tw_simulator_add_machine(&review.soak.world, integer(words[1]), words[2], 0, 0);
         return true;
     }
+    if (!strcmp(words[0], "old") && count == 2)
+        review.old_node[integer(words[1]) % TW_LOOPBACK_MAX_NODES] = true;
     if (!strcmp(words[0], "end") && count == 2) review.end_s = number(words[1]);
     if (!strcmp(words[0], "kept") && count == 2)
         snprintf(review.kept, sizeof review.kept, "%s", words[1]);
--- a/review/standin/review_case.c
+++ b/review/standin/review_case.c
@@ -172,6 +172,7 @@
             "[settings.cloud]\nrps = 2.0\nlist_lag_s = 6.0\n"
             "[settings.limits]\ncpu_share = 0.16\nmem_mb = 56.0\nsockets = 800\n",
             WRITE_RPS, VALUE_KB, TXN_OPS);
+    soak->nodes.program = review.programs[review.old_node[node]];
     return fclose(file) == 0 && tw_loopback_start_node(&soak->nodes, node, path);
 }
 
@@ -278,6 +279,7 @@
     soak->last_tick_at = soak->world.now = now;
     tw_soak_faults_tick(soak);
     tw_soak_workers_tick(soak);
+    tw_review_keep_copies();
     tw_review_vary_run_times();
     tw_soak_stand_ins_tick(soak);
     tw_review_users_tick();
@@ -340,11 +342,14 @@
     prctl(PR_SET_PDEATHSIG, SIGTERM);
     signal(SIGPIPE, SIG_IGN);
     review.with_trouble = !trouble || strcmp(trouble, "0") != 0;
-    soak->nodes.program = argv[1];
+    review.programs[0] = argv[1];
+    review.programs[1] = getenv("PRODUCTION");
     soak->directory = soak->nodes.log_directory = argv[3];
     review.record = fopen(argv[4], "w");
     init_world();
     if (!review.record || !tw_review_read_case(argv[2])) return EXIT_NOT_RUN;
+    for (int node = 0; node < NODES; node++)
+        if (review.old_node[node] && !review.programs[1]) return EXIT_NOT_RUN;
     init_loop();
     if (!tw_soak_listen_stand_ins(soak)) tw_soak_finish(soak, "invalid", "can't listen");
     for (int node = 0; node < NODES; node++)
--- a/review/standin/users.c
+++ b/review/standin/users.c
@@ -100,21 +100,6 @@
     }
 }
 
-/* Holds the packets from all controllers to all machines, and delivers them at the end. */
-static void begin_hold(const tw_review_action *action) {
-    tw_soak *soak = &review.soak;
-    tw_review_note("network: from controllers to machines held for %g s", action->run_s);
-    for (int node = 0; node < soak->plan.nodes; node++) {
-        const tw_soak_cut cut = {.node = node,
-                                 .other = TW_SOAK_WORKERS,
-                                 .zone = -1,
-                                 .from = true,
-                                 .held = 1,
-                                 .until = soak->world.now + action->run_s};
-        tw_soak_add_cut(soak, &cut);
-    }
-}
-
 static void advance_user(review_user *user) {
     const tw_simulator_job *job = job_of(user);
     if (user->busy || review.soak.world.now < user->next_at) return;
@@ -134,10 +119,10 @@
         action->begun = true;
         if (action->kind == TW_SIMULATOR_SUBMIT)
             begin_submission(action);
-        else if (action->kind == TW_REVIEW_HOLD)
-            begin_hold(action);
-        else
+        else if (action->kind == TW_SIMULATOR_CANCEL)
             begin_cancellation(action);
+        else
+            tw_review_disrupt(action);
     }
     for (int i = 0; i < user_count; i++) advance_user(&users[i]);
 }
