--- a/review/standin/review_case.c
+++ b/review/standin/review_case.c
@@ -222,6 +222,14 @@
     if (review.kept_machine) review.kept_session = review.kept_machine->incarnation;
 }
 
+/* Checks the rules of kit/more/hunt/LATER.md for jobs that wait or get no answers. */
+static void check_liveness(void) {
+    static double next_at;
+    if (review.soak.world.now < next_at) return;
+    next_at = review.soak.world.now + 1;
+    tw_simulator_judge_liveness(&review.soak.world);
+}
+
 static void finish_if_over(void) {
     tw_soak *soak = &review.soak;
     const tw_simulator_world *world = &soak->world;
@@ -253,6 +261,7 @@
     tw_review_users_tick();
     note_fleet();
     check_kept();
+    check_liveness();
     if (tw_loopback_reap_node(&soak->nodes, &status) >= 0)
         tw_soak_finish(soak, "FAIL", "a controller ended by itself");
     finish_if_over();
--- a/review/standin/users.c
+++ b/review/standin/users.c
@@ -7,6 +7,7 @@
 #define SUBMIT_TIMEOUT_S 5.0
 #define POLL_TIMEOUT_S 2.0
 #define RETRY_S 1.0
+#define GIVES_UP_S 60.0 /* after which a submission is not repeated */
 #define POLL_S 5.0
 #define SHORTEST_RUN 0.25
 #define LONGEST_RUN 1.75
@@ -17,6 +18,7 @@
     bool varies; /* see tw_review_action */
     bool cancels;
     bool busy; /* a request is in flight */
+    int submissions;
     double next_at;
 } review_user;
 
@@ -48,6 +50,14 @@
     free(request);
 }
 
+/* Returns the controller for a request. Submissions go to those that don't lead first, as most of
+ * them do behind a load balancer. */
+static int choose_node(review_user *user, int kind) {
+    tw_soak *soak = &review.soak;
+    if (kind != TW_SIMULATOR_SUBMIT) return tw_soak_draw_index(soak, soak->plan.nodes);
+    return (tw_soak_find_leader(soak) + 1 + user->submissions++) % soak->plan.nodes;
+}
+
 static void send_request(review_user *user, int kind) {
     tw_soak *soak = &review.soak;
     const tw_simulator_job *job = job_of(user);
@@ -61,9 +71,9 @@
     user->busy = true;
     user->next_at = soak->world.now + (polls ? POLL_S : RETRY_S);
     char *text = submits ? tw_wire_job_text(&job->spec) : NULL;
-    tw_soak_call_node(soak, tw_soak_draw_index(soak, soak->plan.nodes), TW_SOAK_API_PORT,
-                      polls ? "GET" : "POST", path, text ? text : "",
-                      polls ? POLL_TIMEOUT_S : SUBMIT_TIMEOUT_S, handle_answer, request);
+    tw_soak_call_node(soak, choose_node(user, kind), TW_SOAK_API_PORT, polls ? "GET" : "POST", path,
+                      text ? text : "", polls ? POLL_TIMEOUT_S : SUBMIT_TIMEOUT_S, handle_answer,
+                      request);
     free(text);
 }
 
@@ -93,6 +103,7 @@
 static void advance_user(review_user *user) {
     const tw_simulator_job *job = job_of(user);
     if (user->busy || review.soak.world.now < user->next_at) return;
+    if (!job->accepted && review.soak.world.now > job->first_submitted_at + GIVES_UP_S) return;
     if (!job->accepted)
         send_request(user, TW_SIMULATOR_SUBMIT);
     else if (user->cancels && !job->reported_end)
