A cancellation waits for every task that may still start, however it was launched

Cause: launch_safety asked only for direct launches of this leader without a response. A launch in an answer to a heartbeat, one of an earlier leader, and a task that still fetches its image were taken for safe, since the argument bounded by cancel_s how long a task may run, and said nothing about starts. The simulator's judge had the same gap.

Evidence: the judge now counts each start after a confirmation.

Fix: a launched task may start until its machine has listed it in another state than fetching, or its attempt is terminated (may_start). No way of launching is named any more. Such tasks are stopped as soon as the cancellation is asked for, so a machine that is heard settles them within a round trip; a task listed as running is no longer waited for, even if its direct launch got no response.

Nodes of the version in production confirm earlier; starts that follow count only after cancel_s then, as before.

--- a/simulator/fault.c
+++ b/simulator/fault.c
@@ -181,6 +181,11 @@
     if (worker) worker->unresponsive_until = sim->world.now + number_at(words, 2);
 }
 
+static void hold_messages(tw_simulator *sim, const tw_simulator_words *words) {
+    tw_simulator_worker *worker = find_machine(sim, words);
+    if (worker) worker->messages_held_until = sim->world.now + number_at(words, 2);
+}
+
 static void refuse_commands(tw_simulator *sim, const tw_simulator_words *words) {
     tw_simulator_worker *worker = find_machine(sim, words);
     if (worker) worker->refuses_commands_until = sim->world.now + number_at(words, 2);
@@ -295,6 +300,7 @@
     {"latetxn", 2, 1, delay_next_transaction},
     {"hang", 3, 2, hang_machine},
     {"unresponsive", 3, 2, make_unresponsive},
+    {"holdmessages", 3, 2, hold_messages},
     {"refusecommands", 3, 2, refuse_commands},
     {"take", 2, 0, remove_machine},
     {"notice", 3, 2, announce_preemption},
--- a/simulator/gang.c
+++ b/simulator/gang.c
@@ -97,6 +97,7 @@
     task->end_at = fails ? world->now + FAILURE_DELAY_S : NEVER;
     if (!fails) task->job->started++;
     worker->has_unreported_change = true;
+    tw_simulator_judge_cancelled_start(world, task);
 }
 
 static void start_gang(tw_simulator_world *world, tw_simulator_job *job, tw_simulator_gang *gang) {
--- a/simulator/judge.c
+++ b/simulator/judge.c
@@ -256,6 +256,17 @@
     return job->reported_cancel_at > 0 && world->now > job->reported_cancel_at + world->cancel_s;
 }
 
+/* After a confirmed cancellation no task of the job may start. If the earlier version may have
+ * confirmed it, only starts after the time limit of the cancellation count: that version confirms a
+ * cancellation while an answer with a launch may still arrive. */
+void tw_simulator_judge_cancelled_start(tw_simulator_world *world, const tw_simulator_task *task) {
+    const tw_simulator_job *job = task->job;
+    if (job->reported_cancel_at <= 0) return;
+    if (job->cancelled_under_earlier_version && !cancellation_is_overdue(world, job)) return;
+    tw_simulator_report_violation(world, "ran_cancelled", "%s/%d starts after its cancellation",
+                                  task->job_id, task->index);
+}
+
 void tw_simulator_judge_task_start(tw_simulator_world *world, const tw_simulator_worker *worker,
                                    const tw_simulator_task *task) {
     const task_start start = {.used = measure_usage(world, worker, task, true),
@@ -263,9 +274,7 @@
                               .is_inherited = is_inherited_task(world, task)};
     check_duplicate_task(world, worker, task);
     check_placement(world, worker, task, &start);
-    if (cancellation_is_overdue(world, task->job))
-        tw_simulator_report_violation(world, "ran_cancelled", "%s/%d starts after its cancellation",
-                                      task->job_id, task->index);
+    tw_simulator_judge_cancelled_start(world, task);
     check_team_limits(world, task->job->spec.team, &start);
 }
 
@@ -322,8 +331,11 @@
                                           job->spec.id, i);
     if (!job->reported_end) job->reported_end_at = world->now;
     job->reported_end = stage;
-    if (stage == TW_JOB_CANCELLED && job->reported_cancel_at <= 0)
+    if (stage == TW_JOB_CANCELLED && job->reported_cancel_at <= 0) {
         job->reported_cancel_at = world->now;
+        job->cancelled_under_earlier_version =
+            world->earlier_version_led_at >= job->cancel_requested_at;
+    }
 }
 
 /* Reports a violation if an answer calls a job done but counts fewer or more completed tasks than
--- a/simulator/network.c
+++ b/simulator/network.c
@@ -30,6 +30,13 @@
     return sim->faults.cut_until - sim->world.now + TW_SIMULATOR_LATENCY_S;
 }
 
+double tw_simulator_travel_to_worker_s(const tw_simulator *sim, int node,
+                                       const tw_simulator_worker *worker) {
+    const double seconds = tw_simulator_travel_s(sim, sim->world.node_zone[node], worker->zone);
+    const double held_s = fmax(0, worker->messages_held_until - sim->world.now);
+    return seconds < 0 ? seconds : seconds + held_s;
+}
+
 bool tw_simulator_state_reaches_node(const tw_simulator *sim, int node) {
     const tw_simulator_node *node_state = &sim->nodes[node];
     double now = sim->world.now;
@@ -289,7 +296,7 @@
     int to = tw_simulator_parse_int(effect->addr + strlen("10.1.0.")) - 1;
     if (to < 0 || to >= world->worker_count) return;
     const tw_simulator_worker *worker = world->workers[to];
-    double seconds = tw_simulator_travel_s(sim, world->node_zone[node], worker->zone);
+    double seconds = tw_simulator_travel_to_worker_s(sim, node, worker);
     if (world->now < worker->unresponsive_until) sim->fault_counts[TW_SIMULATOR_UNRESPONSIVE]++;
     if (seconds < 0 || world->now < worker->unresponsive_until ||
         world->now < sim->nodes[node].workers_unreachable_until)
--- a/simulator/simulator_int.h
+++ b/simulator/simulator_int.h
@@ -220,6 +220,10 @@
 bool tw_simulator_zone_is_isolated(const tw_simulator *sim, const char *zone);
 /* Returns the travel time of a message between two zones, or a negative number if it is lost. */
 double tw_simulator_travel_s(const tw_simulator *sim, const char *from, const char *to);
+/* Returns the travel time of a message from a node to a worker, or a negative number if it is lost.
+ */
+double tw_simulator_travel_to_worker_s(const tw_simulator *sim, int node,
+                                       const tw_simulator_worker *worker);
 /* Sends a call of a node. tw_simulator_node_response receives the answer or the timeout. */
 void tw_simulator_send_call(tw_simulator *sim, int node, tw_effect *effect);
 /* Schedules the answer to a node's call. Takes ownership of `body`. The core ignores all but the
--- a/simulator/worker_heartbeat.c
+++ b/simulator/worker_heartbeat.c
@@ -51,8 +51,7 @@
                                         const tw_simulator_connection *connection,
                                         const tw_effect *effect) {
     const tw_simulator_worker *worker = sim->world.workers[connection->target];
-    double seconds =
-        tw_simulator_travel_s(sim, sim->world.node_zone[connection->node], worker->zone);
+    double seconds = tw_simulator_travel_to_worker_s(sim, connection->node, worker);
     if (seconds < 0 || sim->world.now < worker->unresponsive_until ||
         sim->world.now + seconds - connection->sent_at >= ANSWER_TIMEOUT_S)
         return;
--- a/simulator/world.h
+++ b/simulator/world.h
@@ -108,6 +108,8 @@
     int fails;    /* whether every task fails */
     /* reported_end: the final state that a user received (TW_JOB_*), 0 while there is none */
     int submitted, accepted, reported_end;
+    /* whether a node of the earlier version may have confirmed the cancellation */
+    bool cancelled_under_earlier_version;
     double first_submitted_at, accepted_at, begun_at, reported_end_at, reported_cancel_at,
         cancel_requested_at;
     uint8_t *done; /* whether each task is done, by task index */
@@ -172,7 +174,8 @@
     bool has_unreported_change; /* the next heartbeat reports a change */
     double next_heartbeat, last_heartbeat;
     double hung_until, slowdown, preempted_at;
-    double unresponsive_until; /* until then, answers to heartbeats and direct commands are lost */
+    double unresponsive_until;  /* until then, answers to heartbeats and direct commands are lost */
+    double messages_held_until; /* until then, these messages are held, and delivered afterwards */
     double refuses_commands_until; /* until then, connections for direct commands are refused */
     double heartbeats_lost_until;  /* until then, the worker's heartbeats are lost */
     bool faulty;                   /* whether every task fails */
@@ -407,6 +410,8 @@
 /* Checks the rules for a task whose image has been fetched and that starts now. */
 void tw_simulator_judge_task_start(tw_simulator_world *world, const tw_simulator_worker *worker,
                                    const tw_simulator_task *task);
+/* Checks that the job of a task that starts now is not cancelled. */
+void tw_simulator_judge_cancelled_start(tw_simulator_world *world, const tw_simulator_task *task);
 /* Reports a violation for each task that still runs although its job's cancellation is overdue.
  * Call it after each step of the workers. */
 void tw_simulator_judge_cancelled_tasks(tw_simulator_world *world);
--- a/src/core/cancellation.c
+++ b/src/core/cancellation.c
@@ -1,7 +1,9 @@
 /* Cancellations. Before a cancellation is confirmed, it must be known to all nodes that may answer
  * the job's machines: such a node renews their leases without the leader, and must stop the job's
- * tasks in its answers. It can't stop a task that a launch in flight starts later, so no launch may
- * be in flight.
+ * tasks in its answers. Once it is confirmed, no task of the job may start any more. A task that
+ * was launched may start until its machine has reported that it runs or has ended, whichever leader
+ * launched it, and whether by a direct command or in an answer to a heartbeat: the launch may still
+ * arrive, or the task may wait for its image.
  *
  * Invariants:
  *   - after the first request no task of the job is launched, so that the number of obstacles to
@@ -14,7 +16,7 @@
 typedef enum {
     OBSTACLE_NONE,
     OBSTACLE_PREDECESSOR, /* an earlier leader may still renew a machine's lease */
-    OBSTACLE_LAUNCH,      /* a direct launch may still start a task */
+    OBSTACLE_LAUNCH,      /* a task that was launched may still start */
     OBSTACLE_PEER         /* a node that may renew leases doesn't know of the cancellation */
 } obstacle_kind;
 
@@ -33,16 +35,29 @@
 
 /* ---- confirmation check ---- */
 
-/* Returns whether a direct launch may still start the task. A launch takes effect whenever it
- * arrives: the machine's incarnation, which the launch names, lasts as long as another node renews
- * the lease. */
-static tw_cancellation_safety launch_safety(const tw_core *core, const tw_placement *task) {
-    if (!task->direct_launches) return TW_CANCELLATION_SAFE;
-    /* Once the response is overdue, the outcome of the launch is unknown until the machine sends a
-     * heartbeat: a command in flight is then a later one, or a probe. */
-    const bool may_be_answered = task->machine->command_in_flight &&
-                                 core->context.now < task->direct_launch_at + TW_DIRECT_TIMEOUT_S;
-    return may_be_answered ? TW_CANCELLATION_PENDING : TW_CANCELLATION_UNREACHABLE;
+/* Returns whether the task was launched and may start from now on. A task that waits for its gang
+ * starts only with the gang's last task, for which this function returns true until then. */
+static bool may_start(const tw_placement *task) {
+    if (!tw_attempt_was_launched(task)) return false;
+    return !task->reported || task->state == TW_TASK_FETCHING;
+}
+
+/* Returns whether a response that is due may show whether the task can still start: that to its
+ * direct launch, or that to the command which stops it. Once such a response is overdue, the
+ * outcome is unknown until the machine sends a heartbeat; a request in flight is then a later one.
+ */
+static bool response_is_due(const tw_core *core, const tw_placement *task) {
+    const tw_machine *machine = task->machine;
+    const double sent_after = core->context.now - TW_DIRECT_TIMEOUT_S;
+    if (machine->command_in_flight && task->direct_launches && task->direct_launch_at > sent_after)
+        return true;
+    return tw_machine_takes_commands(core, machine) && task->stopped_at > sent_after;
+}
+
+/* Returns whether the task can't start any more, or whether that may be known shortly. */
+static tw_cancellation_safety start_safety(const tw_core *core, const tw_placement *task) {
+    if (!may_start(task)) return TW_CANCELLATION_SAFE;
+    return response_is_due(core, task) ? TW_CANCELLATION_PENDING : TW_CANCELLATION_UNREACHABLE;
 }
 
 /* Returns whether an earlier leader may renew the machine's lease for longer than the time limit of
@@ -71,7 +86,7 @@
         if (!tw_attempt_was_launched(task)) continue;
         if (predecessor_may_renew(core, machine))
             return (cancellation_check){TW_CANCELLATION_UNREACHABLE, OBSTACLE_PREDECESSOR, machine};
-        check = keep_least_safe(check, launch_safety(core, task), OBSTACLE_LAUNCH, machine);
+        check = keep_least_safe(check, start_safety(core, task), OBSTACLE_LAUNCH, machine);
         check = keep_least_safe(check,
                                 tw_cluster_cancellation_safety(core->cluster, machine->zone,
                                                                job->cancellation_sequence, true),
@@ -82,6 +97,16 @@
 
 /* ---- requests ---- */
 
+/* Stops the tasks that may still start, so that their machines report that they have ended. Where a
+ * direct launch has no response, the machine is sent a launch and a stop, and refuses the delayed
+ * launch afterwards. */
+static void stop_tasks_that_may_start(tw_core *core, tw_job *job) {
+    tw_placement *task, *next;
+    DL_FOREACH_SAFE2(job->placements, task, next, job_next) {
+        if (may_start(task) && !task->stopping) tw_placement_stop(core, task, 0, false);
+    }
+}
+
 /* Rejects the request of a user whose cancellation can't be confirmed now. The cancellation is
  * still pending and is confirmed as soon as that is safe. */
 static void defer_cancellation(tw_core *core, uint64_t connection, const tw_job *job,
@@ -108,6 +133,7 @@
         tw_job_note_cancelled(core, job);
         job->cancellation_sequence = tw_cluster_next_cancellation(core->cluster);
     }
+    stop_tasks_that_may_start(core, job);
     const cancellation_check check = check_cancellation(core, job);
     if (check.safety == TW_CANCELLATION_UNREACHABLE) {
         defer_cancellation(core, connection, job, &check);
@@ -117,18 +143,9 @@
     if (check.safety == TW_CANCELLATION_SAFE) tw_job_finish(core, job, TW_JOB_CANCELLED);
 }
 
-/* Stops the tasks whose direct launches have an unknown outcome. Their machines are sent a launch
- * and a stop command, and refuse a delayed direct launch afterwards. */
-static void settle_launches(tw_core *core, tw_job *job) {
-    tw_placement *task, *next;
-    DL_FOREACH_SAFE2(job->placements, task, next, job_next) {
-        if (task->direct_launches && !task->stopping) tw_placement_stop(core, task, 0, false);
-    }
-}
-
 void tw_job_cancellation_tick(tw_core *core, tw_job *job) {
     if (!job->cancelling || job->state != TW_JOB_PENDING) return;
-    settle_launches(core, job);
+    stop_tasks_that_may_start(core, job);
     if (!tw_cluster_may(core->cluster, TW_PERMISSION_WRITE) || !tw_cluster_is_active(core->cluster))
         return;
     const cancellation_check check = check_cancellation(core, job);
--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -61,6 +61,13 @@
     }
 }
 
+bool tw_machine_takes_commands(const tw_core *core, const tw_machine *machine) {
+    const double recent_contact_s = TW_RECENT_CONTACT_HEARTBEATS * core->context.config->report_s;
+    return machine->state == TW_MACHINE_UP && machine->confirmed && *machine->endpoint &&
+           !machine->return_wanted && core->context.now >= machine->commands_paused_until &&
+           core->context.now - machine->last_contact_at < recent_contact_s;
+}
+
 /* Sends the machine its direct commands or a probe. A probe is an empty list of commands: it
  * presents this term's token to the machine, whose response lists its tasks. Commands are sent only
  * to a machine with a recent heartbeat; another machine might execute them late. */
@@ -69,20 +76,15 @@
         (!machine->commands_requested && !machine->probe_requested))
         return;
     const bool is_probe = machine->probe_requested;
-    const double silent_s = core->context.now - machine->last_contact_at;
-    const double recent_contact_s = TW_RECENT_CONTACT_HEARTBEATS * core->context.config->report_s;
+    const bool takes_commands = tw_machine_takes_commands(core, machine);
     machine->commands_requested = machine->probe_requested = false;
-    if (machine->return_wanted || !*machine->endpoint) return;
-    if (!is_probe &&
-        (machine->state != TW_MACHINE_UP || !machine->confirmed || silent_s > recent_contact_s))
-        return;
+    if (machine->return_wanted || !*machine->endpoint || (!is_probe && !takes_commands)) return;
     if (!machine->incarnation) { /* commands require the incarnation, which is not known yet */
         send_to_machine(core, machine, "GET", "/inspect", NULL);
         return;
     }
     tw_command_list commands = tw_command_list_new(core);
-    if (machine->confirmed && silent_s < recent_contact_s)
-        tw_commands_add_due(core, machine, &commands, 0);
+    if (takes_commands) tw_commands_add_due(core, machine, &commands, 0);
     if (!commands.count && !is_probe) return;
     char *body = tw_commands_direct_text(core, machine, &commands);
     if (!body) return;
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -62,9 +62,9 @@
  * retry. */
 void tw_cancellation_reject(tw_core *core, uint64_t connection, const char *id, double retry_s,
                             const char *why);
-/* Continues a cancellation that could not be confirmed yet: settles the job's direct launches and
- * confirms the cancellation as soon as that is safe. Rejects the users who wait for it if it can't
- * be confirmed for now. */
+/* Continues a cancellation that could not be confirmed yet: stops the tasks that may still start
+ * and confirms the cancellation as soon as that is safe. Rejects the users who wait for it if it
+ * can't be confirmed for now. */
 void tw_job_cancellation_tick(tw_core *core, tw_job *job);
 /* Stores the ids of cancelled jobs that may still run in ids, at most max_ids of them. Returns the
  * number of all such jobs. */
--- a/src/core/workers.h
+++ b/src/core/workers.h
@@ -123,6 +123,11 @@
 bool tw_worker_heartbeat_apply(tw_core *core, tw_machine *machine,
                                const tw_wire_heartbeat *heartbeat, tw_command_list *commands);
 
+/* ---- direct_commands.c ---- */
+
+/* Returns whether direct commands for the machine are sent as soon as they are due. */
+bool tw_machine_takes_commands(const tw_core *core, const tw_machine *machine);
+
 /* ---- command_messages.c ---- */
 
 /* Each of these functions returns the text of a message with commands and the fencing token; the
