Zones for a job's next task come from counts, not from a walk over its placements

Each leader acquires its key, stands still in its first pass, loses the key, and the next one does the same; jobs of others wait beside empty machines and a running service loses its replicas.

Cause: tw_constraints_allow_zone walked all placements of the job, for each task that is placed and for each zone, if the job has samePlace or apart: 1.6e9 steps in one input for 40,000 tasks. The same walk is made for each task that a heartbeat lists without a placement.

Fix: each job counts its placements by zone; a machine whose zone becomes known moves its tasks' counts. Only for zones beyond the 16 with an index the placements are still walked, and counted as steps.

--- a/src/core/attempt_termination.c
+++ b/src/core/attempt_termination.c
@@ -168,6 +168,7 @@
     tw_placement_account(core, placed, -1);
     placed->counted = false;
     DL_DELETE2(job->placements, placed, job_prev, job_next);
+    job->placed_in_zone[tw_machine_zone_class(placed->machine)]--;
     job->placed_count--;
     core->scheduling_due = true;
 }
--- a/src/core/autoscaler_gang.c
+++ b/src/core/autoscaler_gang.c
@@ -52,7 +52,7 @@
     for (int zone = 0; zone < core->zone_count; zone++) {
         const char *name = core->zone_names[zone];
         const tw_offer_filter filter = {.required_zone = name};
-        if (!tw_constraints_allow_zone(job, name)) continue;
+        if (!tw_constraints_allow_zone(core, job, name)) continue;
         const int count = count_tasks_in_zone(core, bins, job, name, task_count);
         const tw_capacity_offer *offer =
             tw_offer_find_cheapest(core, &job->spec, job->type_mask, &filter);
--- a/src/core/constraints.c
+++ b/src/core/constraints.c
@@ -5,19 +5,35 @@
 #include "core/scheduler_int.h"
 #include <stdbool.h>
 
-bool tw_constraints_allow_zone(const tw_job *job, const char *zone) {
-    if (*job->spec.zone && strcmp(job->spec.zone, zone) != 0) return false;
-    if (!job->spec.single_zone && !job->spec.spread) return true;
-    const int max_in_zone = (job->task_count + 1) / 2;
+/* Returns how many of the job's tasks are on machines whose zone is known by name only and is that
+ * zone. */
+static int count_unindexed_in_zone(tw_core *core, const tw_job *job, const char *zone) {
     int count = 0;
     const tw_placement *placed;
+    if (!job->placed_in_zone[TW_ZONE_UNINDEXED]) return 0;
     DL_FOREACH2(job->placements, placed, job_next) {
-        const bool unknown = !*placed->machine->zone; /* the machine may be in any zone */
-        const bool in_zone = unknown || !strcmp(placed->machine->zone, zone);
-        if (job->spec.single_zone && (unknown || !in_zone)) return false;
-        count += in_zone;
+        core->pass_steps++;
+        count += tw_machine_zone_class(placed->machine) == TW_ZONE_UNINDEXED &&
+                 !strcmp(placed->machine->zone, zone);
     }
-    return !job->spec.spread || count < max_in_zone;
+    return count;
+}
+
+/* Returns how many of the job's tasks are on machines that are known to be in the zone. */
+static int count_in_zone(tw_core *core, const tw_job *job, const char *zone) {
+    for (int index = 0; index < core->zone_count; index++)
+        if (!strcmp(core->zone_names[index], zone)) return job->placed_in_zone[index];
+    return count_unindexed_in_zone(core, job, zone);
+}
+
+bool tw_constraints_allow_zone(tw_core *core, const tw_job *job, const char *zone) {
+    if (*job->spec.zone && strcmp(job->spec.zone, zone) != 0) return false;
+    if ((!job->spec.single_zone && !job->spec.spread) || !job->placed_count) return true;
+    const int max_in_zone = (job->task_count + 1) / 2;
+    const int count = count_in_zone(core, job, zone);
+    if (job->spec.single_zone && count < job->placed_count) return false;
+    /* A machine of an unknown zone may be in this one. */
+    return !job->spec.spread || count + job->placed_in_zone[TW_ZONE_UNKNOWN] < max_in_zone;
 }
 
 bool tw_quota_allows_tasks(const tw_core *core, const tw_job *job, int tasks) {
@@ -66,14 +82,14 @@
 }
 
 /* Returns the zones, as a bit mask, in which the job's next task may run. */
-static uint32_t allowed_zones(const tw_core *core, const tw_job *job) {
+static uint32_t allowed_zones(tw_core *core, const tw_job *job) {
     uint32_t zones = 0;
     for (int zone = 0; zone < core->zone_count; zone++)
-        if (tw_constraints_allow_zone(job, core->zone_names[zone])) zones |= 1U << zone;
+        if (tw_constraints_allow_zone(core, job, core->zone_names[zone])) zones |= 1U << zone;
     return zones;
 }
 
-tw_demand tw_demand_of(const tw_core *core, tw_job *job) {
+tw_demand tw_demand_of(tw_core *core, tw_job *job) {
     return (tw_demand){.job = job,
                        .deadline_at = tw_job_deadline(job),
                        .start_deadline_at = tw_job_start_deadline(job),
@@ -84,10 +100,10 @@
                            tw_cluster_only_earlier_version_may_take_over(core->cluster)};
 }
 
-bool tw_demand_allows_machine(const tw_demand *demand, const tw_machine *machine) {
+bool tw_demand_allows_machine(tw_core *core, const tw_demand *demand, const tw_machine *machine) {
     if (!tw_machine_restriction_allows(demand->restriction, demand->job, machine)) return false;
     if (machine->zone_index >= 0) return !!(demand->zone_mask & (1U << machine->zone_index));
-    return tw_constraints_allow_zone(demand->job, machine->zone);
+    return tw_constraints_allow_zone(core, demand->job, machine->zone);
 }
 
 bool tw_constraints_allow_machine(const tw_core *core, const tw_job *job,
--- a/src/core/gang_reservation.c
+++ b/src/core/gang_reservation.c
@@ -100,7 +100,7 @@
         core->pass_steps++;
         if ((zone >= 0 && machine->zone_index != zone) ||
             !tw_constraints_allow_machine(core, job, machine) ||
-            !tw_demand_allows_machine(&demand, machine))
+            !tw_demand_allows_machine(core, &demand, machine))
             continue;
         capacities[count] = expected_capacity_on(core, job, machine);
         if (capacities[count].task_count) count++;
--- a/src/core/gang_zones.c
+++ b/src/core/gang_zones.c
@@ -61,7 +61,7 @@
     const tw_job *job = demand->job;
     core->pass_steps++;
     if (!tw_constraints_allow_machine(core, job, machine) ||
-        !tw_demand_allows_machine(demand, machine))
+        !tw_demand_allows_machine(core, demand, machine))
         return;
     const int free_count = count_free_tasks(core, machine, job, tasks);
     zone->free_count += free_count;
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -20,6 +20,8 @@
 #include <stdbool.h>
 #include <uthash.h>
 
+/* Maximum number of zones with an index. Further zones are known by name only. */
+#define TW_MAX_ZONES 16
 /* Maximum number of machines with failed tasks that a job remembers. */
 #define TW_JOB_MAX_FAILED_MACHINES 4
 
@@ -62,6 +64,13 @@
     TW_ASSIGNMENT_DONE    /* needs no further attempt; in a gang, one may still run */
 } tw_assignment;
 
+/* Classes of machines by what is known of their zone, after the zones with an index. */
+enum {
+    TW_ZONE_UNKNOWN = TW_MAX_ZONES, /* the machine may be in any zone */
+    TW_ZONE_UNINDEXED,              /* the zone is known by name only */
+    TW_ZONE_CLASSES
+};
+
 typedef struct tw_job {
     char id[TW_WIRE_ID_SIZE];
     bool has_spec;     /* the specification is known: spec and the fields derived from it */
@@ -87,6 +96,8 @@
     int first_unplaced;   /* every task with a lower index is placed or done */
     uint64_t next_attempt;
     tw_placement *placements; /* placements of its tasks that may run */
+    /* lengths of the parts of that list by zone: its index, or TW_ZONE_UNKNOWN and so on */
+    int placed_in_zone[TW_ZONE_CLASSES];
     int placement_refs; /* number of placements that refer to the job, including those whose task
                          * the machine only has to forget */
     tw_gang gang;       /* state of the current attempt if the job is a gang */
--- a/src/core/machine.c
+++ b/src/core/machine.c
@@ -28,18 +28,38 @@
     return machine;
 }
 
+int tw_machine_zone_class(const tw_machine *machine) {
+    if (machine->zone_index >= 0) return machine->zone_index;
+    return *machine->zone ? TW_ZONE_UNINDEXED : TW_ZONE_UNKNOWN;
+}
+
+/* Returns the index of the zone, which gets one if there are indices left; otherwise -1. */
+static int zone_index_of(tw_core *core, const char *zone) {
+    int index = 0;
+    if (!*zone) return -1;
+    while (index < core->zone_count && strcmp(core->zone_names[index], zone) != 0) index++;
+    if (index == TW_MAX_ZONES) return -1;
+    if (index == core->zone_count)
+        snprintf(core->zone_names[core->zone_count++], TW_NAME_SIZE, "%s", zone);
+    return index;
+}
+
+/* Adds change to the jobs' counts of the tasks in the machine's zone. */
+static void count_in_zone(const tw_machine *machine, int change) {
+    const int zone = tw_machine_zone_class(machine);
+    const tw_placement *placed;
+    DL_FOREACH(machine->placements, placed) {
+        if (placed->counted) placed->job->placed_in_zone[zone] += change;
+    }
+}
+
 /* Zones have an index so that passes over all machines need not compare names. */
 void tw_machine_set_zone(tw_core *core, tw_machine *machine, const char *zone) {
     if (machine->zone_index >= 0 && !strcmp(machine->zone, zone)) return;
+    count_in_zone(machine, -1);
     snprintf(machine->zone, sizeof machine->zone, "%s", zone);
-    machine->zone_index = -1;
-    if (!*zone) return;
-    int index = 0;
-    while (index < core->zone_count && strcmp(core->zone_names[index], machine->zone) != 0) index++;
-    if (index == TW_MAX_ZONES) return;
-    if (index == core->zone_count)
-        snprintf(core->zone_names[core->zone_count++], TW_NAME_SIZE, "%s", machine->zone);
-    machine->zone_index = index;
+    machine->zone_index = zone_index_of(core, machine->zone);
+    count_in_zone(machine, 1);
 }
 
 bool tw_machine_is_occupied(const tw_machine *machine) {
--- a/src/core/machine.h
+++ b/src/core/machine.h
@@ -154,6 +154,8 @@
 void tw_machine_forget(tw_core *core, tw_machine *machine, const char *why);
 /* Sets the machine's zone and its zone_index. An empty name stands for an unknown zone. */
 void tw_machine_set_zone(tw_core *core, tw_machine *machine, const char *zone);
+/* Returns the index of the machine's zone, TW_ZONE_UNKNOWN or TW_ZONE_UNINDEXED. */
+int tw_machine_zone_class(const tw_machine *machine);
 /* Returns the index of the named machine type in core->machine_types, or -1 if it is unknown. */
 int tw_machine_type_index(const tw_core *core, const char *name);
 /* Returns whether this node has received no heartbeat of the machine, and no delegate can have
--- a/src/core/machine_choice.c
+++ b/src/core/machine_choice.c
@@ -13,10 +13,10 @@
 
 /* Replaces the current choice by the scored machine if that machine is better and its capacity
  * is not reserved for other jobs. */
-static void update_choice(const tw_core *core, const tw_demand *demand, const tw_score *score,
+static void update_choice(tw_core *core, const tw_demand *demand, const tw_score *score,
                           tw_choice *choice) {
     tw_machine *machine = core->candidates[score->candidate_index].machine;
-    if (!tw_demand_allows_machine(demand, machine)) return;
+    if (!tw_demand_allows_machine(core, demand, machine)) return;
     const bool meets_deadline = score->end_at <= demand->deadline_at;
     const tw_choice considered = {.machine = machine,
                                   .candidate_index = score->candidate_index,
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -43,6 +43,7 @@
     if (image) placed->image_state = image->ready_at <= 0 ? TW_IMAGE_CACHED : TW_IMAGE_FETCHING;
     placed->counted = true;
     DL_APPEND2(job->placements, placed, job_prev, job_next);
+    job->placed_in_zone[tw_machine_zone_class(machine)]++;
     DL_APPEND(machine->placements, placed);
     job->task_states[index] = TW_ASSIGNMENT_PLACED;
     job->placed_count++;
--- a/src/core/preemption.c
+++ b/src/core/preemption.c
@@ -149,10 +149,9 @@
 }
 
 /* Returns whether the demand's task may run on the machine once enough capacity is free. */
-static bool machine_is_allowed(const tw_core *core, const tw_demand *demand,
-                               const tw_machine *machine) {
+static bool machine_is_allowed(tw_core *core, const tw_demand *demand, const tw_machine *machine) {
     return tw_constraints_allow_machine(core, demand->job, machine) &&
-           tw_demand_allows_machine(demand, machine) &&
+           tw_demand_allows_machine(core, demand, machine) &&
            tw_constraints_leave_gpus_usable(core, machine, demand->job, 1);
 }
 
--- a/src/core/recheck.c
+++ b/src/core/recheck.c
@@ -60,7 +60,7 @@
                                      &job->spec) ||
             !tw_machine_is_usable(core, machine) ||
             !tw_constraints_allow_machine(core, job, machine) ||
-            !tw_demand_allows_machine(&demand, machine))
+            !tw_demand_allows_machine(core, &demand, machine))
             continue;
         const double total_s = tw_predict_duration(core, &demand, machine).total_s;
         if (core->context.now + total_s <= demand.deadline_at)
--- a/src/core/scale_in.c
+++ b/src/core/scale_in.c
@@ -153,33 +153,35 @@
 
 /* Returns whether a task of the job may run on the machine when it is empty. empty_bin: see
  * bin_of_empty_machine. */
-static bool may_use_machine(const tw_job *job, const tw_machine *machine, const tw_bin *empty_bin) {
+static bool may_use_machine(tw_core *core, const tw_job *job, const tw_machine *machine,
+                            const tw_bin *empty_bin) {
     return tw_bin_is_allowed(empty_bin, &job->spec, job->type_mask) &&
-           tw_bin_fits(empty_bin, &job->spec) && tw_constraints_allow_zone(job, machine->zone) &&
+           tw_bin_fits(empty_bin, &job->spec) &&
+           tw_constraints_allow_zone(core, job, machine->zone) &&
            (job->spec.gpus > 0 || empty_bin->free_capacity.gpus <= 0 || job->may_use_gpu_machines);
 }
 
 /* Returns whether a pending job may use the machine when it is empty. Such a machine is not
  * decommissioned, because no other could replace it while the cloud refuses rentals. */
-static bool job_waits_for_machine(const tw_core *core, const tw_machine *machine) {
+static bool job_waits_for_machine(tw_core *core, const tw_machine *machine) {
     const tw_bin empty_bin = bin_of_empty_machine(core, machine);
     const tw_job *job;
     DL_FOREACH(core->active_jobs, job) {
         if (!tw_job_is_pending(core, job) || !tw_quota_allows_tasks(core, job, 1)) continue;
-        if (may_use_machine(job, machine, &empty_bin)) return true;
+        if (may_use_machine(core, job, machine, &empty_bin)) return true;
     }
     return false;
 }
 
 /* Returns whether a gang needs the machine for its next attempt, including while tasks of the
  * previous attempt are being stopped and during the pause after an error. */
-static bool gang_needs_machine(const tw_core *core, const tw_machine *machine) {
+static bool gang_needs_machine(tw_core *core, const tw_machine *machine) {
     const tw_bin empty_bin = bin_of_empty_machine(core, machine);
     const tw_job *job;
     DL_FOREACH(core->active_jobs, job) {
         if (!tw_job_has_unplaced_tasks(job) || !job->spec.gang) continue;
         if (!job->placed_count && !tw_quota_allows_tasks(core, job, 1)) continue;
-        if (may_use_machine(job, machine, &empty_bin)) return true;
+        if (may_use_machine(core, job, machine, &empty_bin)) return true;
     }
     return false;
 }
@@ -292,7 +294,7 @@
 }
 
 /* Returns the next machine to decommission, or NULL if none of the examined ones is suitable. */
-static tw_machine *choose_machine_to_decommission(const tw_core *core, tw_bins *bins) {
+static tw_machine *choose_machine_to_decommission(tw_core *core, tw_bins *bins) {
     for (int i = 0; i < MAX_CANDIDATES_PER_PASS; i++) {
         tw_machine *best = find_machine_with_largest_gain(core);
         if (!best) return NULL;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -129,7 +129,7 @@
 /* ---- constraints.c ---- */
 /* Returns whether the job's zone, spread and single-zone constraints allow one more task in
  * the named zone, given the tasks that are already placed. */
-bool tw_constraints_allow_zone(const tw_job *job, const char *zone);
+bool tw_constraints_allow_zone(tw_core *core, const tw_job *job, const char *zone);
 /* Returns whether the limit of the job's team allows this number of additional tasks of the
  * job to run. */
 bool tw_quota_allows_tasks(const tw_core *core, const tw_job *job, int tasks);
--- a/src/core/scheduler_int.h
+++ b/src/core/scheduler_int.h
@@ -56,9 +56,10 @@
 
 /* ---- constraints.c ---- */
 /* Returns the demand of the job's next task. */
-tw_demand tw_demand_of(const tw_core *core, struct tw_job *job);
+tw_demand tw_demand_of(tw_core *core, struct tw_job *job);
 /* Returns whether the demand's zones and its mixed-version restriction allow the machine. */
-bool tw_demand_allows_machine(const tw_demand *demand, const struct tw_machine *machine);
+bool tw_demand_allows_machine(tw_core *core, const tw_demand *demand,
+                              const struct tw_machine *machine);
 /* Returns whether the job's tasks may run on a usable machine, regardless of its zone and its
  * free capacity. */
 bool tw_constraints_allow_machine(const tw_core *core, const struct tw_job *job,
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -23,9 +23,6 @@
 #include <gsl/gsl_rng.h>
 #include <stdbool.h>
 
-/* Maximum number of zones with an index. Further zones are known by name only. */
-#define TW_MAX_ZONES 16
-
 struct tw_core {
     /* ---- context ----
      * Settings, time, random numbers, effects and calls in flight; counters for the log. */
--- a/src/core/task_reconciliation.c
+++ b/src/core/task_reconciliation.c
@@ -212,10 +212,11 @@
 }
 
 /* Returns whether the task may continue on its machine, so that it needs no new attempt. */
-static bool may_continue_in_place(const tw_core *core, const tw_job *job, const tw_machine *machine,
+static bool may_continue_in_place(tw_core *core, const tw_job *job, const tw_machine *machine,
                                   const tw_wire_task *reported) {
     return job->task_states[reported->index] == TW_ASSIGNMENT_NONE &&
-           tw_constraints_allow_zone(job, machine->zone) && tw_quota_allows_tasks(core, job, 1);
+           tw_constraints_allow_zone(core, job, machine->zone) &&
+           tw_quota_allows_tasks(core, job, 1);
 }
 
 /* Creates a placement for a task that continues on its machine. */
