Heartbeats of any number of tasks are taken, and cost time in proportion to it

Cause: the server refused every request body over 64 KiB.

Fix: the limit is the path's. Heartbeats, and what peers send, may take 15% of the memory; all others stay at 64 KiB. Along the way what would stall the loop: a long heartbeat is parsed task by task (as a whole it takes some 400 bytes a task); its tasks are found by an index once the orders of the lists differ (each search walked the machine's list); the response to direct launches no longer formats a name for each pair of launch and placement. A worker with a long heartbeat is sent to the leader instead of being forwarded by a second node; any length is cached within the cache's memory.

--- a/simulator/judge.c
+++ b/simulator/judge.c
@@ -151,8 +151,19 @@
     if (!world->inherited_violation_count++) world->inherited_violation = violation;
 }
 
+/* Returns whether only this entry of the task is listed on any machine. Decided for long lists
+ * only.
+ */
+static bool is_only_entry(const tw_simulator_worker *worker, const tw_simulator_task *task) {
+    const tw_simulator_job *job = task->job;
+    return worker->task_count > TW_SIMULATOR_LONG_TASK_LIST && job->listed_counts &&
+           task->index >= 0 && task->index < job->spec.task_count &&
+           job->listed_counts[task->index] == 1;
+}
+
 static void check_duplicate_task(tw_simulator_world *world, const tw_simulator_worker *worker,
                                  const tw_simulator_task *task) {
+    if (is_only_entry(worker, task)) return;
     for (int i = 0; i < world->worker_count; i++) {
         const tw_simulator_worker *other_worker = world->workers[i];
         for (int k = 0; k < other_worker->task_count && !other_worker->removed; k++) {
@@ -267,17 +278,42 @@
                                   task->job_id, task->index);
 }
 
-void tw_simulator_judge_task_start(tw_simulator_world *world, const tw_simulator_worker *worker,
+static bool team_has_limits(const tw_simulator_world *world, const char *team) {
+    for (int i = 0; i < world->team_count; i++)
+        if (!strcmp(world->teams[i].name, team))
+            return world->teams[i].cpus_max > 0 || world->teams[i].gpus_max > 0;
+    return false;
+}
+
+/* Returns whether the amounts and tasks in use can't make the start a violation. Decided for long
+ * lists only. */
+static bool is_usage_irrelevant(const tw_simulator_world *world, const tw_simulator_worker *worker,
+                                const tw_simulator_job *job) {
+    return worker->task_count > TW_SIMULATOR_LONG_TASK_LIST && !job->spec.spread &&
+           !(job->spec.single_zone && job->launched_in_several_zones) &&
+           !team_has_limits(world, job->spec.team);
+}
+
+static void judge_place_and_limits(tw_simulator_world *world, const tw_simulator_worker *worker,
                                    const tw_simulator_task *task) {
     const task_start start = {.used = measure_usage(world, worker, task, true),
                               .used_without_inherited = measure_usage(world, worker, task, false),
                               .is_inherited = is_inherited_task(world, task)};
-    check_duplicate_task(world, worker, task);
     check_placement(world, worker, task, &start);
-    tw_simulator_judge_cancelled_start(world, task);
     check_team_limits(world, task->job->spec.team, &start);
 }
 
+void tw_simulator_judge_task_start(tw_simulator_world *world, const tw_simulator_worker *worker,
+                                   const tw_simulator_task *task) {
+    check_duplicate_task(world, worker, task);
+    tw_simulator_judge_cancelled_start(world, task);
+    if (!is_usage_irrelevant(world, worker, task->job))
+        judge_place_and_limits(world, worker, task);
+    else if (!is_allowed_place(worker, &task->job->spec))
+        tw_simulator_report_violation(world, "wrong_place", "%s/%d may not run on %s", task->job_id,
+                                      task->index, worker->id);
+}
+
 void tw_simulator_judge_cancelled_tasks(tw_simulator_world *world) {
     for (int i = 0; i < world->worker_count; i++) {
         const tw_simulator_worker *worker = world->workers[i];
--- a/simulator/world.c
+++ b/simulator/world.c
@@ -77,6 +77,8 @@
         free(world->jobs[i]->saved);
         free(world->jobs[i]->earlier_attempts);
         free(world->jobs[i]->gangs);
+        free(world->jobs[i]->listed_counts);
+        free(world->jobs[i]->positions);
         free(world->jobs[i]);
     }
     free(world->jobs);
--- a/simulator/world.h
+++ b/simulator/world.h
@@ -133,6 +133,12 @@
     /* The latest attempt of each task that was launched under a fencing token up to the world's
      * `earlier_token`, by task index; NULL if there was none. */
     uint64_t *earlier_attempts;
+    /* By task index: how many entries machines list, and the position of the latest one in its
+     * machine's list. NULL before the first launch. Used for machines with long lists only. */
+    uint16_t *listed_counts;
+    int *positions;
+    char launch_zone[TW_SIMULATOR_NAME_SIZE]; /* zone of the first launch */
+    bool launched_in_several_zones;
     int index; /* index in the world's `jobs` */
     UT_hash_handle hh;
 } tw_simulator_job;
@@ -151,7 +157,8 @@
     /* whether the task violated the rule ran_cancelled while only nodes of the earlier version had
      * been leader */
     bool ran_cancelled;
-    bool is_repeated; /* whether the machine had executed the same launch command before */
+    bool is_accounted; /* whether its machine's sums contain its resources */
+    bool is_repeated;  /* whether the machine had executed the same launch command before */
 } tw_simulator_task;
 
 /* A launch command that a machine has executed. */
@@ -182,6 +189,9 @@
     double delay_next_heartbeat_s; /* delay of the next heartbeat */
     tw_simulator_task *tasks;
     int task_count, task_capacity;
+    /* tasks that have not exited, and the largest such number so far */
+    int active_tasks, most_active_tasks;
+    double used_cpus, used_gpus, used_memory; /* of the tasks that have not exited */
     /* launch commands that the machine executed under fencing tokens up to the world's
      * `earlier_token` */
     tw_simulator_launch *launches;
@@ -200,6 +210,10 @@
     char *answer;
 } tw_simulator_rental;
 
+/* Length from which a machine's list of tasks is long: what a search of the whole list would find
+ * is then taken from counts. */
+#define TW_SIMULATOR_LONG_TASK_LIST 1000
+
 /* Streams of random numbers. */
 enum {
     TW_SIMULATOR_DRAW_TRAVEL,
--- a/src/controller/main.c
+++ b/src/controller/main.c
@@ -10,6 +10,7 @@
 #include <ev.h>
 #include <gsl/gsl_histogram.h>
 #include <malloc.h>
+#include <math.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -39,6 +40,9 @@
  * heartbeat interval. */
 #define EVICTABLE_HEARTBEATS 0.25
 #define MAX_RESPONSE_BYTES ((size_t)2 << 20)
+/* Maximum size of a heartbeat as a share of the configured memory. */
+#define MAX_HEARTBEAT_MEMORY_SHARE 0.15
+#define BYTES_PER_MIB (1024 * 1024)
 #define TRIM_BYTES (1 << 20)
 #define HASH_FACTOR 131u
 
@@ -199,6 +203,15 @@
     return port == TW_PORT_PEER || !strcmp(path, "/hello");
 }
 
+/* Workers' heartbeats, which peers forward, list all tasks of a machine and may be longer than
+ * other requests. */
+static size_t max_request_bytes(void *context, int port, const char *path) {
+    const controller *process = context;
+    const double max_bytes = MAX_HEARTBEAT_MEMORY_SHARE * process->config.mem_mb * BYTES_PER_MIB;
+    const bool is_heartbeat = port == TW_PORT_PEER || !strcmp(path, "/hello");
+    return is_heartbeat ? (size_t)fmax(TW_NET_MAX_BODY, max_bytes) : TW_NET_MAX_BODY;
+}
+
 /* Limits malloc to one arena and makes it return freed memory to the system early, because the
  * process has a small memory limit. */
 static void limit_heap(void) {
@@ -212,6 +225,7 @@
                                   .max_client = (int)(config->sockets * CLIENT_SHARE),
                                   .idle_s = IDLE_LEASES * config->lease_s,
                                   .is_priority_caller = is_priority_request,
+                                  .max_request = max_request_bytes,
                                   .evictable_after_s = EVICTABLE_HEARTBEATS * config->report_s,
                                   .priority_idle_s = PRIORITY_IDLE_LEASES * config->lease_s,
                                   .max_response = MAX_RESPONSE_BYTES};
--- a/src/core/attempt_termination.c
+++ b/src/core/attempt_termination.c
@@ -197,6 +197,7 @@
         return;
     }
     DL_DELETE(placed->machine->placements, placed);
+    core->freed_placement_count++;
     free(placed);
     tw_job_remove_placement_ref(core, job);
 }
--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -21,6 +21,7 @@
 /* Maximum number of probes of a machine that doesn't respond or whose responses don't confirm it.
  */
 #define MAX_PROBES 4
+#define DECIMAL 10
 
 static void queue_machine(tw_core *core, tw_machine *machine) {
     if (machine->in_command_queue) return;
@@ -131,18 +132,21 @@
     }
 }
 
-/* Records that the machine has responded to a direct launch of the task. refused: the machine did
- * not execute it. */
-static void settle_launch(const tw_machine *machine, const char *task, uint64_t attempt,
-                          bool refused) {
-    tw_placement *placed;
-    char name[TW_NAME_SIZE];
-    DL_FOREACH(machine->placements, placed) {
-        snprintf(name, sizeof name, "%s/%d", placed->job->id, placed->index);
-        if (placed->attempt != attempt || strcmp(name, task) != 0) continue;
-        tw_launch_note_response(placed, refused);
-        return;
+/* Records that the machine has responded to the direct launches of the call. refused: the machine
+ * did not execute them. */
+static void settle_launches(const tw_machine *machine, const tw_call *call, bool refused) {
+    tw_placement_index index = tw_placement_index_new(machine);
+    for (int i = 0; i < call->count; i++) {
+        const char *slash = strrchr(call->names[i], '/');
+        tw_wire_task launched = {.attempt = call->tokens[i]};
+        if (!slash) continue;
+        launched.index = (int)strtol(slash + 1, NULL, DECIMAL);
+        snprintf(launched.job, sizeof launched.job, "%.*s", (int)(slash - call->names[i]),
+                 call->names[i]);
+        tw_placement *placed = tw_placement_index_find(&index, &launched);
+        if (placed) tw_launch_note_response(placed, refused);
     }
+    tw_placement_index_free(&index);
 }
 
 /* Handles a missing response to direct commands or a probe: pauses requests to the machine, and
@@ -168,8 +172,7 @@
         note_failed_send(core, machine);
         return; /* the commands may still arrive: the outcome of their launches stays unknown */
     }
-    for (int i = 0; i < call->count; i++)
-        settle_launch(machine, call->names[i], call->tokens[i], status != TW_HTTP_OK);
+    if (call->count) settle_launches(machine, call, status != TW_HTTP_OK);
     tw_wire_heartbeat heartbeat;
     if ((status != TW_HTTP_OK && status != TW_HTTP_CONFLICT) ||
         tw_wire_heartbeat_parse(&heartbeat, body, length))
--- a/src/core/heartbeat_forwarder.c
+++ b/src/core/heartbeat_forwarder.c
@@ -6,7 +6,7 @@
  * A worker whose heartbeat is rejected tries the other nodes; if its zone is cut off from them,
  * each attempt takes 5 s, and its lease expires. A heartbeat is held for well under the 4 s for
  * which its worker waits for the answer. */
-#include "core/core_int.h"
+#include "core/workers.h"
 #include <stdbool.h>
 
 /* Timeout of a forwarded heartbeat, in seconds. It leaves this node time to become a delegate. */
@@ -109,8 +109,18 @@
     return copy;
 }
 
+/* Redirects the worker of a long heartbeat to the leader, if the leader answers. Returns false,
+ * without an answer, if it was not redirected. */
+static bool redirect_long_heartbeat(tw_core *core, uint64_t connection, const char *worker,
+                                    size_t length) {
+    return length > TW_LONG_HEARTBEAT_BYTES &&
+           tw_cluster_leader_answers(core->cluster, FORWARD_TIMEOUT_S) &&
+           tw_cluster_redirect_to_leader(core->cluster, connection, worker);
+}
+
 void tw_heartbeat_forward(tw_core *core, uint64_t connection, const tw_wire_heartbeat *heartbeat,
                           const char *body, size_t len) {
+    if (redirect_long_heartbeat(core, connection, heartbeat->worker, len)) return;
     if (!strcmp(heartbeat->zone, core->context.config->location)) {
         if (tw_cluster_redirect_for_failover(core->cluster, connection, heartbeat->worker,
                                              heartbeat->zone))
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -100,6 +100,7 @@
     double next_heartbeat_sweep_at;
     /* scratch: mark of the placements that the heartbeat being processed lists */
     uint64_t heartbeat_mark;
+    uint64_t freed_placement_count; /* over the life of this process */
     double next_machine_scan_at;
     /* start of the period over which unresponsive machines are counted */
     double unresponsive_counted_since;
--- a/src/core/worker_heartbeat.c
+++ b/src/core/worker_heartbeat.c
@@ -12,25 +12,42 @@
 /* Maximum age of the last answer, in leases, at which a new incarnation shows that answers don't
  * reach the worker: its lease expired although a heartbeat was answered so recently. */
 #define RECENT_ANSWER_LEASES 0.5
+/* Number of placements that may be examined for each task of a heartbeat before they are indexed.
+ */
+#define MAX_SEARCH_STEPS_PER_TASK 8
 
-static bool is_placement_of(const tw_placement *placed, const tw_wire_task *reported) {
-    return placed->attempt == reported->attempt && placed->index == reported->index &&
-           !strcmp(placed->job->id, reported->job);
-}
+/* Search for the placements of the tasks that a heartbeat lists. */
+typedef struct {
+    const tw_machine *machine;
+    tw_placement *last_found; /* placement of the task before; NULL: none */
+    tw_placement_index index; /* built when the orders of the lists differ by much */
+    uint64_t freed_count;     /* core->freed_placement_count when the index was built */
+    int steps;                /* placements examined before the index was built */
+} placement_search;
 
-/* Returns the machine's placement of the reported task, or NULL if there is none. The search begins
- * at start, because a heartbeat lists tasks in nearly the same order as the machine's list. If
- * start is NULL, it begins at the head of the list. */
-static tw_placement *find_placement(const tw_machine *machine, const tw_wire_task *reported,
-                                    tw_placement *start) {
+/* Returns the machine's placement of the reported task, or NULL if there is none. A heartbeat lists
+ * tasks in nearly the same order as the machine's list, so the search begins after the task before.
+ */
+static tw_placement *find_placement(placement_search *search, const tw_wire_task *reported) {
     tw_placement *placed;
-    for (placed = start; placed; placed = placed->next)
-        if (is_placement_of(placed, reported)) return placed;
-    for (placed = machine->placements; placed != start; placed = placed->next)
-        if (is_placement_of(placed, reported)) return placed;
+    if (search->index.slots) return tw_placement_index_find(&search->index, reported);
+    for (placed = search->last_found; placed; placed = placed->next, search->steps++)
+        if (tw_placement_is_of(placed, reported)) return placed;
+    for (placed = search->machine->placements; placed != search->last_found;
+         placed = placed->next, search->steps++)
+        if (tw_placement_is_of(placed, reported)) return placed;
     return NULL;
 }
 
+/* Builds the index if the search takes many steps, and builds it anew if a placement was freed. */
+static void limit_search_steps(const tw_core *core, placement_search *search, int task_count) {
+    if (search->index.slots && search->freed_count == core->freed_placement_count) return;
+    if (search->steps <= MAX_SEARCH_STEPS_PER_TASK * task_count) return;
+    tw_placement_index_free(&search->index);
+    search->index = tw_placement_index_new(search->machine);
+    search->freed_count = core->freed_placement_count;
+}
+
 /* Counts a machine that this node's answers don't seem to reach, and returns whether the machine is
  * likely to be the cause. If there are many such machines, the cause is this node or the network.
  */
@@ -150,18 +167,20 @@
 static void reconcile_tasks(tw_core *core, tw_machine *machine, const tw_wire_heartbeat *heartbeat,
                             tw_command_list *commands) {
     tw_placement *placed, *next;
-    tw_placement *last_found = NULL;
+    placement_search search = {.machine = machine};
     core->heartbeat_mark++;
     for (int i = 0; i < heartbeat->task_count; i++) {
-        placed = find_placement(machine, &heartbeat->tasks[i], last_found);
+        limit_search_steps(core, &search, heartbeat->task_count);
+        placed = find_placement(&search, &heartbeat->tasks[i]);
         if (placed) {
             placed->mark = core->heartbeat_mark;
-            last_found = placed;
+            search.last_found = placed;
             tw_reconcile_task(core, placed, heartbeat, &heartbeat->tasks[i]);
         } else {
             tw_reconcile_unknown_task(core, machine, heartbeat, &heartbeat->tasks[i], commands);
         }
     }
+    tw_placement_index_free(&search.index);
     DL_FOREACH_SAFE(machine->placements, placed, next) {
         if (placed->mark == core->heartbeat_mark) continue;
         if (!placed->launch_sent && !placed->inherited) continue;
@@ -251,13 +270,14 @@
     return machine && machine->return_in_flight;
 }
 
-/* Redirects or answers a heartbeat at a node that may renew leases. */
+/* Answers a heartbeat at a node that may renew leases, or, if may_redirect is set, redirects its
+ * worker. */
 static void receive_as_leader(tw_core *core, uint64_t connection,
-                              const tw_wire_heartbeat *heartbeat, bool from_peer) {
+                              const tw_wire_heartbeat *heartbeat, bool may_redirect) {
     /* A worker of another zone is redirected to a node in its own zone, which can answer it even
      * while that zone is cut off from this node's zone. */
     const bool is_of_own_zone = !strcmp(heartbeat->zone, core->context.config->location);
-    if (!from_peer &&
+    if (may_redirect &&
         (is_of_own_zone ? tw_cluster_redirect_for_failover(core->cluster, connection,
                                                            heartbeat->worker, heartbeat->zone)
                         : tw_cluster_redirect_home(core->cluster, connection, heartbeat->worker,
@@ -301,7 +321,8 @@
         heartbeat->fencing_token > tw_cluster_token(core->cluster))
         tw_cluster_step_down(core->cluster, "a worker saw a later token");
     if (tw_cluster_may(core->cluster, TW_PERMISSION_RENEW)) {
-        receive_as_leader(core, connection, heartbeat, from_peer);
+        receive_as_leader(core, connection, heartbeat,
+                          !from_peer && length <= TW_LONG_HEARTBEAT_BYTES);
     } else if (from_peer) {
         core->counters.rejected[TW_REJECTED_NO_PERMISSION]++;
         tw_reply_error(&core->context, connection, TW_HTTP_UNAVAILABLE, 1, "not the leader");
--- a/src/core/workers.h
+++ b/src/core/workers.h
@@ -4,6 +4,7 @@
  * machine.c              index of machines by name, type and zone
  * image.c                images cached or being fetched on a machine
  * placement.c            tasks on machines, and the resources that they use
+ * placement_index.c      placements of a machine by task, for long heartbeats
  * attempt_termination.c  decision that an attempt can no longer run
  * worker_heartbeat.c     processing of a heartbeat and the answer to it
  * task_reconciliation.c  reconciliation of one task with a heartbeat
@@ -27,6 +28,9 @@
 #define TW_RECENT_CONTACT_HEARTBEATS 2.5
 /* Age of a heartbeat, in seconds, from which its worker discards the answer to it. */
 #define TW_ANSWER_LIFETIME_S 4.0
+/* Size of a heartbeat, in bytes, from which its worker reports to the leader itself: forwarding
+ * would cost a second node as much time and memory as the leader. */
+#define TW_LONG_HEARTBEAT_BYTES 65536
 /* Timeout of a request with direct commands, in seconds. */
 #define TW_DIRECT_TIMEOUT_S 1.5
 /* Number of consecutive lost launches from which a machine counts as unresponsive. */
@@ -82,6 +86,22 @@
  * them (sign -1). */
 void tw_placement_account(tw_core *core, tw_placement *placed, double sign);
 
+/* ---- placement_index.c ---- */
+
+typedef struct {
+    struct tw_placement **slots; /* NULL: the index was not built */
+    size_t mask;                 /* number of slots minus 1 */
+} tw_placement_index;
+
+/* Returns whether the placement stands for the reported task and attempt. */
+bool tw_placement_is_of(const tw_placement *placed, const tw_wire_task *reported);
+/* Builds an index of the machine's placements. The caller frees it. */
+tw_placement_index tw_placement_index_new(const tw_machine *machine);
+/* Returns the placement of the reported task, or NULL if the index has none. */
+tw_placement *tw_placement_index_find(const tw_placement_index *index,
+                                      const tw_wire_task *reported);
+void tw_placement_index_free(tw_placement_index *index);
+
 /* ---- machine_statistics.c ---- */
 
 /* Updates the average queue delay or fetch rate of the machine from a task that a heartbeat has
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -11,7 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define TW_NET_MAX_BODY 65536 /* largest request body that the protocol allows, in bytes */
+#define TW_NET_MAX_BODY 65536 /* usual limit of a request's body, in bytes */
 
 typedef struct tw_net tw_net;
 
@@ -38,6 +38,9 @@
      * evictable_after_s; if there is none, the new connection is refused. NULL: no connection has
      * priority. */
     bool (*is_priority_caller)(int port, const char *path);
+    /* Returns the largest body of a request to this path, in bytes. A request with a larger one is
+     * refused as malformed. NULL: TW_NET_MAX_BODY for all requests. */
+    size_t (*max_request)(void *owner, int port, const char *path);
     double evictable_after_s;
     double priority_idle_s; /* idle_s of connections with priority */
     size_t max_response;    /* largest body of a response, in bytes */
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -40,6 +40,7 @@
     tw_buffer body;
     tw_buffer input;      /* received bytes after the pending request, not parsed yet */
     tw_buffer output;     /* response bytes; `consumed` of them are written to the socket */
+    size_t max_body;      /* largest body of the current request, in bytes */
     bool request_pending; /* a complete request has been received and not answered */
     bool oversized;       /* the path or body of the current request exceeds its limit */
     bool keep_alive;
@@ -219,17 +220,26 @@
     return 0;
 }
 
+/* Returns the largest body that the current request, whose path is known, may have. */
+static size_t find_max_body(server_connection *connection) {
+    const tw_net *net = connection->net;
+    if (!net->limits.max_request || connection->oversized) return TW_NET_MAX_BODY;
+    return net->limits.max_request(net->context, connection->port,
+                                   tw_buffer_text(&connection->path));
+}
+
 /* Reserves memory for the whole body if the headers give its length. */
 static int on_headers_complete(http_parser *parser) {
     server_connection *connection = parser->data;
-    if (parser->content_length <= TW_NET_MAX_BODY)
+    connection->max_body = find_max_body(connection);
+    if (parser->content_length <= connection->max_body)
         tw_buffer_reserve(&connection->body, (size_t)parser->content_length);
     return 0;
 }
 
 static int on_body(http_parser *parser, const char *bytes, size_t length) {
     server_connection *connection = parser->data;
-    if (connection->body.length + length > TW_NET_MAX_BODY) {
+    if (connection->body.length + length > connection->max_body) {
         connection->oversized = true;
         return 1; /* stop parsing */
     }
--- a/src/wire/heartbeat_cache.c
+++ b/src/wire/heartbeat_cache.c
@@ -16,9 +16,6 @@
 #include <string.h>
 #include <uthash.h>
 
-/* Maximum size of a cached text. The heartbeat of a machine that runs many short tasks lists
- * hundreds of them. */
-#define MAX_CACHED_TEXT_BYTES 131072
 /* Texts up to this size are cached for every machine, without counting against max_long_bytes. */
 #define MAX_SHORT_TEXT_BYTES 8192
 
@@ -87,7 +84,7 @@
     static const tw_json_field field = {.type = TW_JSON_UINT64, .max = TW_JSON_MAX_NUMBER};
     const size_t name_length = sizeof sequence_name - 1;
     const char *found = length ? memmem(text, length, sequence_name, name_length) : NULL;
-    if (!found || *text != '{' || length > MAX_CACHED_TEXT_BYTES) return false;
+    if (!found || *text != '{') return false;
     const size_t head_end = (size_t)(found - text) + name_length;
     if (memchr(text + 1, '{', head_end - 1) || memchr(text, '\\', head_end)) return false;
     if (head_end == length || !isdigit((unsigned char)text[head_end])) return false;
--- a/src/wire/workers.c
+++ b/src/wire/workers.c
@@ -1,12 +1,17 @@
 /* Messages between workers and nodes: heartbeats, commands, redirects. */
+#define _GNU_SOURCE /* memmem */
 #include "wire/json.h"
 #include "wire/wire.h"
+#include <ctype.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define NO_COMMANDS_TEXT_SIZE 64
+/* Heartbeats from this size on are parsed task by task. */
+#define MIN_LONG_HEARTBEAT_BYTES 65536
+#define INITIAL_TASK_CAPACITY 1024
 
 /* ---- heartbeats ---- */
 
@@ -95,8 +100,80 @@
     return result;
 }
 
+/* Returns the position after `"pieces":[`, which begins the list of tasks, or NULL if the list
+ * can't be found without parsing the text. No object begins between the first brace and that
+ * position, so the name is that of a field of the heartbeat. */
+static const char *find_task_list(const char *text, size_t length) {
+    static const char name[] = "\"pieces\":[";
+    const char *found = length ? memmem(text, length, name, sizeof name - 1) : NULL;
+    if (!found || *text != '{' || memchr(text + 1, '{', (size_t)(found - text) - 1)) return NULL;
+    return found + sizeof name - 1;
+}
+
+static const char *skip_spaces(const char *at, const char *end) {
+    while (at < end && isspace((unsigned char)*at)) at++;
+    return at;
+}
+
+/* Reads the tasks of the list that begins at text, one by one, since the parsed list would use many
+ * times the memory of its text. Returns the end of the list, or NULL if it is malformed. */
+static const char *read_tasks(tw_wire_heartbeat *heartbeat, const char *text, const char *end) {
+    int capacity = 0;
+    const char *at = skip_spaces(text, end);
+    if (at < end && *at == ']') return at;
+    while (at < end) {
+        if (heartbeat->task_count == capacity) {
+            capacity = capacity ? 2 * capacity : INITIAL_TASK_CAPACITY;
+            heartbeat->tasks = realloc(heartbeat->tasks, (size_t)capacity * sizeof(tw_wire_task));
+            if (!heartbeat->tasks) abort();
+        }
+        tw_wire_task *task = &heartbeat->tasks[heartbeat->task_count++];
+        memset(task, 0, sizeof *task);
+        cJSON *item = cJSON_ParseWithLengthOpts(at, (size_t)(end - at), &at, 0);
+        const tw_wire_error result = item ? read_task(item, task, 0) : TW_WIRE_MALFORMED;
+        cJSON_Delete(item);
+        if (result) return NULL;
+        at = skip_spaces(at, end);
+        if (at == end || (*at != ',' && *at != ']')) return NULL;
+        if (*at == ']') return at;
+        at++;
+    }
+    return NULL;
+}
+
+/* Parses the text without the tasks from list_start to list_end. */
+static tw_wire_error read_without_tasks(tw_wire_heartbeat *heartbeat, const char *text,
+                                        size_t length, const char *list_start,
+                                        const char *list_end) {
+    const size_t head_length = (size_t)(list_start - text);
+    const size_t tail_length = length - (size_t)(list_end - text);
+    char *shortened = tw_json_alloc(head_length + tail_length + 1);
+    memcpy(shortened, text, head_length);
+    memcpy(shortened + head_length, list_end, tail_length);
+    cJSON *object = tw_json_parse(shortened, head_length + tail_length);
+    free(shortened);
+    const tw_wire_error result =
+        object ? tw_json_read_fields(object, heartbeat_fields,
+                                     TW_JSON_FIELD_COUNT(heartbeat_fields), heartbeat, NULL)
+               : TW_WIRE_MALFORMED;
+    cJSON_Delete(object);
+    return result;
+}
+
+static tw_wire_error parse_long_heartbeat(tw_wire_heartbeat *heartbeat, const char *text,
+                                          size_t length, const char *list_start) {
+    const char *list_end = read_tasks(heartbeat, list_start, text + length);
+    const tw_wire_error result =
+        list_end ? read_without_tasks(heartbeat, text, length, list_start, list_end)
+                 : TW_WIRE_MALFORMED;
+    if (result) tw_wire_heartbeat_free(heartbeat);
+    return result;
+}
+
 tw_wire_error tw_wire_heartbeat_parse(tw_wire_heartbeat *heartbeat, const char *text, size_t len) {
     memset(heartbeat, 0, sizeof *heartbeat);
+    const char *list_start = len > MIN_LONG_HEARTBEAT_BYTES ? find_task_list(text, len) : NULL;
+    if (list_start) return parse_long_heartbeat(heartbeat, text, len, list_start);
     cJSON *object = tw_json_parse(text, len);
     tw_wire_error result = object ? read_heartbeat(heartbeat, object) : TW_WIRE_MALFORMED;
     cJSON_Delete(object);
--- a/tests/runner/net_test.c
+++ b/tests/runner/net_test.c
@@ -192,11 +192,19 @@
         ev_run(loop, EVRUN_NOWAIT);
 }
 
+/* One path takes larger bodies than the others. */
+static size_t max_request(void *owner, int port, const char *path) {
+    (void)owner;
+    (void)port;
+    return strcmp(path, "/hello") ? TW_NET_MAX_BODY : 2 * (size_t)LONG_LENGTH;
+}
+
 static void start_server(int max_connections) {
     const tw_net_limits limits = {.max_server = max_connections,
                                   .max_client = MAX_CLIENTS,
                                   .idle_s = CALL_S,
                                   .is_priority_caller = is_priority_caller,
+                                  .max_request = max_request,
                                   .priority_idle_s = CALL_S,
                                   .max_response = LARGEST_RESPONSE};
     const tw_net_handler handler = {on_request, on_response};
@@ -316,6 +324,14 @@
     check(send_text(other, body), "the rest of an oversized body is sent");
     check(read_answer(other) == 1, "an oversized request is refused");
     check(strcmp(last_request.path, "/over") != 0, "an oversized request is not handed over");
+    int worker = connect_to_server();
+    snprintf(head, sizeof head, "POST /hello HTTP/1.1\r\nContent-Length: %d\r\n\r\n",
+             2 * LONG_LENGTH);
+    check(send_text(worker, head) && send_text(worker, body) && send_text(worker, body),
+          "a request to a path with a larger limit is sent");
+    check(read_answer(worker) == 1 && last_request.body_length == 2 * LONG_LENGTH,
+          "a request within its path's limit is handed over whole");
+    close(worker);
     close(user);
     close(other);
     tw_net_free(net);
