A done task is forgotten once its own exit is written, not once the whole record is

Cause: add_forgets waited until no version of the job's record was unwritten. Each heartbeat with further exits changes the record before its answer is made, so that for a busy array there always is one.

Fix: a placement that has exited keeps the version of the record that first has its exit, and is forgotten when that is durable, which is all that not_done needs.

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -28,8 +28,8 @@
     struct tw_machine *machine;
     int index; /* index of the task in its job */
     uint64_t attempt;
-    /* First version of the job's record that contains the placement. The task is launched once this
-     * version is durable. */
+    /* First version of the job's record that contains the placement or, once the task has exited,
+     * that exit. The task is launched, or the exited task forgotten, once it is durable. */
     uint64_t version;
     bool inherited; /* made by an earlier leader, or found on the machine */
     bool counted;   /* the attempt is not terminated, and the placement is in the job's list */
--- a/src/core/task_reconciliation.c
+++ b/src/core/task_reconciliation.c
@@ -105,6 +105,7 @@
         tw_job_finish(core, job, TW_JOB_DONE);
     else
         tw_job_mark_changed(core, job, false);
+    placed->version = tw_store_version(job->record);
 }
 
 static void note_task_started(tw_core *core, tw_placement *placed) {
--- a/src/core/worker_commands.c
+++ b/src/core/worker_commands.c
@@ -190,7 +190,8 @@
         if (placed->state != TW_TASK_EXITED || !placed->reported) continue;
         /* If the worker executes a launch a second time, it starts a task that it has forgotten. */
         if (tw_launch_may_repeat(core, placed)) continue;
-        if (placed->cause == TW_CAUSE_DONE && !tw_store_is_settled(placed->job->record) &&
+        if (placed->cause == TW_CAUSE_DONE &&
+            !tw_store_is_durable(placed->job->record, placed->version) &&
             placed->job->durable_state == TW_JOB_PENDING)
             continue; /* the stored record doesn't contain the completion of the task yet */
         add_command(commands, TW_COMMAND_FORGET, placed);
