An answer to a heartbeat has up to 8,000 commands, in lines of 500

Callers saw: a gang of many tasks on one machine never starts; its first tasks exit with alone while the last ones are still to be launched, and the gang starts over.

Cause: an answer had at most 500 commands to keep it under 64 KiB, and a machine sends at most two heartbeats a second. 40,000 tasks took 40 s, where gang_wait_s is 35 s. The protocol bounds the lines of a response, not the response.

Fix: up to 8,000 commands an answer, with a line break after each 500. Direct messages are requests and stay at 500; the rest follows with the response. A delegate's stops have the same limit.

--- a/src/core/delegate_reply.c
+++ b/src/core/delegate_reply.c
@@ -3,13 +3,9 @@
 #include "core/heartbeat_forwarder.h"
 #include "core/workers.h"
 
-/* Maximum number of stop commands in one answer, which keeps it under the protocol's limit of
- * 64 KiB. The other commands are sent with the next answer. */
-#define MAX_STOPS 500
-
 static void answer_worker(tw_core *core, uint64_t connection, const tw_wire_heartbeat *heartbeat) {
-    tw_command_list commands = tw_command_list_new(core);
-    for (int i = 0; i < heartbeat->task_count && commands.count < MAX_STOPS; i++) {
+    tw_command_list commands = tw_command_list_for_answer(core);
+    for (int i = 0; i < heartbeat->task_count; i++) {
         const tw_wire_task *task = &heartbeat->tasks[i];
         if (task->state == TW_TASK_EXITED) continue;
         if (!tw_cluster_delegate_must_stop_job(core->cluster, task->job)) continue;
--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -84,12 +84,13 @@
         send_to_machine(core, machine, "GET", "/inspect", NULL);
         return;
     }
-    tw_command_list commands = tw_command_list_new(core);
+    tw_command_list commands = tw_command_list_for_direct_message(core);
     if (takes_commands) tw_commands_add_due(core, machine, &commands, 0);
     if (!commands.count && !is_probe) return;
     char *body = tw_commands_direct_text(core, machine, &commands);
     if (!body) return;
     note_launches(send_to_machine(core, machine, "POST", "/orders", body), &commands);
+    machine->commands_requested = tw_command_list_is_full(&commands);
 }
 
 /* Queues the machines for which direct commands or a probe are requested, and requests probes of
--- a/src/core/worker_commands.c
+++ b/src/core/worker_commands.c
@@ -11,9 +11,12 @@
 #include "core/workers.h"
 #include <stdbool.h>
 
-/* Maximum number of commands in one answer, which keeps it under the protocol's limit of 64 KiB.
- * The other commands are sent with the next answer. */
-#define MAX_COMMANDS 500
+/* Maximum number of direct commands in one message, which keeps it under the protocol's limit of 64
+ * KiB for requests. */
+#define MAX_DIRECT_COMMANDS 500
+/* Maximum number of commands in one answer to a heartbeat. It is so large because a machine sends
+ * at most two heartbeats a second, and all tasks of a gang must be launched within gang_wait_s. */
+#define MAX_ANSWER_COMMANDS 8000
 /* Maximum number of attempts on one machine whose direct launch may still be executed. The machine
  * has to list all of them, and its heartbeat must stay far under 64 KiB. Further launches are sent
  * only in answers to heartbeats, which are never executed late. */
@@ -25,14 +28,26 @@
     from->memory_gb -= spec->memory_gb;
 }
 
-tw_command_list tw_command_list_new(tw_core *core) {
+static tw_command_list new_list(tw_core *core, int max_count) {
     if (!core->command_scratch)
-        core->command_scratch = tw_alloc(MAX_COMMANDS * sizeof *core->command_scratch);
-    return (tw_command_list){core->command_scratch, 0};
+        core->command_scratch = tw_alloc(MAX_ANSWER_COMMANDS * sizeof *core->command_scratch);
+    return (tw_command_list){core->command_scratch, 0, max_count};
+}
+
+tw_command_list tw_command_list_for_answer(tw_core *core) {
+    return new_list(core, MAX_ANSWER_COMMANDS);
+}
+
+tw_command_list tw_command_list_for_direct_message(tw_core *core) {
+    return new_list(core, MAX_DIRECT_COMMANDS);
+}
+
+bool tw_command_list_is_full(const tw_command_list *commands) {
+    return commands->count >= commands->max_count;
 }
 
 static void append_command(tw_command_list *commands, tw_wire_command command, const char *job) {
-    if (commands->count >= MAX_COMMANDS) return;
+    if (tw_command_list_is_full(commands)) return;
     snprintf(command.job, sizeof command.job, "%s", job);
     commands->list[commands->count++] = command;
 }
@@ -165,7 +180,7 @@
 static void add_launches(tw_core *core, tw_machine *machine, tw_command_list *commands,
                          uint64_t sequence, tw_capacity available) {
     tw_placement *placed;
-    int launches_left = sequence ? MAX_COMMANDS : count_direct_launches_left(core, machine);
+    int launches_left = sequence ? commands->max_count : count_direct_launches_left(core, machine);
     subtract_launched(machine, &available);
     DL_FOREACH(machine->placements, placed) {
         if (launches_left <= 0) break;
@@ -175,7 +190,7 @@
             if (!task_fits(&available, &placed->job->spec)) continue;
             subtract_capacity(&available, &placed->job->spec);
         }
-        if (commands->count >= MAX_COMMANDS) break;
+        if (tw_command_list_is_full(commands)) break;
         if (!is_only_attempt(core, placed)) continue;
         add_command(commands, TW_COMMAND_LAUNCH, placed);
         log_launch(placed, sequence);
--- a/src/core/worker_heartbeat.c
+++ b/src/core/worker_heartbeat.c
@@ -211,7 +211,7 @@
 }
 
 /* An answer without commands only renews the worker's lease. */
-static const tw_command_list empty_command_list = {NULL, 0};
+static const tw_command_list empty_command_list = {NULL, 0, 0};
 
 static void reply_commands(tw_core *core, uint64_t connection, const tw_command_list *commands) {
     char *text = tw_commands_reply_text(core, commands);
@@ -250,7 +250,7 @@
 
 static void answer_heartbeat(tw_core *core, uint64_t connection, tw_machine *machine,
                              const tw_wire_heartbeat *heartbeat) {
-    tw_command_list commands = tw_command_list_new(core);
+    tw_command_list commands = tw_command_list_for_answer(core);
     if (!tw_worker_heartbeat_apply(core, machine, heartbeat, &commands)) {
         answer_older_heartbeat(core, connection, machine, heartbeat);
         return;
--- a/src/core/workers.h
+++ b/src/core/workers.h
@@ -41,6 +41,7 @@
 typedef struct {
     tw_wire_command *list;
     int count;
+    int max_count;
 } tw_command_list;
 
 /* ---- image.c ---- */
@@ -165,9 +166,12 @@
 
 /* ---- worker_commands.c ---- */
 
-/* Returns an empty list that uses the core's scratch buffer. The list that an earlier call returned
- * becomes invalid. */
-tw_command_list tw_command_list_new(tw_core *core);
+/* Return an empty list that uses the core's scratch buffer, for the answer to a heartbeat or for a
+ * direct message. The list that an earlier call returned becomes invalid. */
+tw_command_list tw_command_list_for_answer(tw_core *core);
+tw_command_list tw_command_list_for_direct_message(tw_core *core);
+/* Returns whether no more commands fit into the message. */
+bool tw_command_list_is_full(const tw_command_list *commands);
 /* Adds a stop or forget command for a task that a heartbeat reports. If the list is full, the
  * command is dropped: it is due again with the next heartbeat. */
 void tw_command_list_add(tw_command_list *commands, tw_wire_command_kind kind,
--- a/src/wire/workers.c
+++ b/src/wire/workers.c
@@ -12,6 +12,8 @@
 /* Heartbeats from this size on are parsed task by task. */
 #define MIN_LONG_HEARTBEAT_BYTES 65536
 #define INITIAL_TASK_CAPACITY 1024
+/* The protocol limits a line of a response to 64 KiB. */
+#define MAX_COMMANDS_PER_LINE 500
 
 /* ---- heartbeats ---- */
 
@@ -220,23 +222,54 @@
     return copy;
 }
 
-char *tw_wire_commands_text(uint64_t fencing_token, uint64_t incarnation,
-                            const tw_wire_command *commands, size_t n) {
-    if (!n && !incarnation) return no_commands_text(fencing_token);
-    cJSON *object = cJSON_CreateObject();
-    cJSON_AddItemToObjectCS(object, "baton", cJSON_CreateNumber((double)fencing_token));
-    if (incarnation)
-        cJSON_AddItemToObjectCS(object, "shift", cJSON_CreateNumber((double)incarnation));
-    cJSON *array = cJSON_AddArrayToObject(object, "orders");
-    for (size_t i = 0; i < n; i++) {
+static cJSON *commands_json(const tw_wire_command *commands, size_t count) {
+    cJSON *array = cJSON_CreateArray();
+    for (size_t i = 0; i < count; i++) {
         cJSON *item = cJSON_CreateObject();
         tw_json_write_fields(item, command_fields, TW_JSON_FIELD_COUNT(command_fields),
                              &commands[i]);
         cJSON_AddItemToArray(array, item);
     }
+    return array;
+}
+
+/* Returns the message with the commands as one line. */
+static char *line_of_commands(uint64_t fencing_token, uint64_t incarnation,
+                              const tw_wire_command *commands, size_t count) {
+    cJSON *object = cJSON_CreateObject();
+    cJSON_AddItemToObjectCS(object, "baton", cJSON_CreateNumber((double)fencing_token));
+    if (incarnation)
+        cJSON_AddItemToObjectCS(object, "shift", cJSON_CreateNumber((double)incarnation));
+    cJSON_AddItemToObjectCS(object, "orders", commands_json(commands, count));
     return tw_json_print_and_delete(object);
 }
 
+/* Appends the commands as a line of their own to the text, which is the message up to the last
+ * command and ends with the brackets of the list and the message. */
+static char *append_line(char *text, const tw_wire_command *commands, size_t count) {
+    static const char end[] = "]}";
+    char *line = tw_json_print_and_delete(commands_json(commands, count));
+    const size_t length = strlen(text) - (sizeof end - 1);
+    char *result = realloc(text, length + strlen(line) + sizeof ",\n}");
+    if (!result) abort();
+    /* The line's own brackets are left out in front, and close the list at its end. */
+    sprintf(result + length, ",\n%s}", line + 1);
+    free(line);
+    return result;
+}
+
+char *tw_wire_commands_text(uint64_t fencing_token, uint64_t incarnation,
+                            const tw_wire_command *commands, size_t n) {
+    if (!n && !incarnation) return no_commands_text(fencing_token);
+    const size_t first_count = n < MAX_COMMANDS_PER_LINE ? n : MAX_COMMANDS_PER_LINE;
+    char *text = line_of_commands(fencing_token, incarnation, commands, first_count);
+    for (size_t i = first_count; i < n; i += MAX_COMMANDS_PER_LINE) {
+        const size_t count = n - i < MAX_COMMANDS_PER_LINE ? n - i : MAX_COMMANDS_PER_LINE;
+        text = append_line(text, commands + i, count);
+    }
+    return text;
+}
+
 char *tw_wire_redirect_text(const char *name) {
     cJSON *object = cJSON_CreateObject();
     if (name && *name) cJSON_AddItemToObjectCS(object, "foreman", cJSON_CreateString(name));
--- a/tests/unit/heartbeat_cache_test.c
+++ b/tests/unit/heartbeat_cache_test.c
@@ -3,8 +3,10 @@
  * again, and compares the results with the parser's. The texts differ little, so that a cache that
  * compares them carelessly confuses them. */
 #include "wire/wire.h"
+#include <cjson/cJSON.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define BEGIN                                                                                      \
@@ -186,7 +188,7 @@
     return wrong;
 }
 
-enum { HUGE_TASKS = 5000 };
+enum { HUGE_TASKS = 5000, MAX_LINE = 65536, COMMANDS = 8000 };
 
 /* Checks that a heartbeat of more than 64 KiB, which is parsed task by task, is read like a short
  * one: all tasks, the fields behind them, and no malformed list. Returns the number of failures. */
@@ -217,8 +219,30 @@
     return wrong;
 }
 
+/* Checks that an answer with many commands contains all of them and has no line over 64 KiB.
+ * Returns the number of failures. */
+static int check_many_commands(void) {
+    static tw_wire_command commands[COMMANDS];
+    for (int i = 0; i < COMMANDS; i++) {
+        commands[i] = (tw_wire_command){.kind = TW_COMMAND_LAUNCH, .index = i, .attempt = 1};
+        snprintf(commands[i].job, sizeof commands[i].job, "run-000001");
+    }
+    char *text = tw_wire_commands_text(3, 0, commands, COMMANDS);
+    int wrong = 0;
+    for (const char *line = text; *line; line += strcspn(line, "\n"), line += *line == '\n')
+        wrong += strcspn(line, "\n") > MAX_LINE;
+    cJSON *object = cJSON_Parse(text);
+    const cJSON *list = cJSON_GetObjectItem(object, "orders");
+    wrong += cJSON_GetArraySize(list) != COMMANDS || !cJSON_GetObjectItem(object, "baton");
+    if (wrong) printf("FAIL heartbeat_cache: %d errors in an answer with many commands\n", wrong);
+    cJSON_Delete(object);
+    free(text);
+    return wrong;
+}
+
 int main(void) {
-    int wrong = check_many_workers() + check_long_heartbeats() + check_huge_heartbeat();
+    int wrong = check_many_workers() + check_long_heartbeats() + check_huge_heartbeat() +
+                check_many_commands();
     for (size_t i = 0; i < text_count; i++) {
         for (size_t j = 0; j < text_count; j++) {
             tw_wire_heartbeat_cache *cache = tw_wire_heartbeat_cache_new(MAX_LONG_BYTES);
