A pass chooses at most 300 machines for a gang, and counts what fits without a loop per task

Cause: a gang is placed whole in one pass. Each of its tasks cost a choice among all candidates, and the counts of what fits on a machine and in a zone took a step for each task and machine, in each pass in which the gang waits: 100,000 tasks on 600 machines are 6e7 of them, in one input.

Fix: a gang of more than 300 tasks gets several tasks with each choice, as far as the machine takes them; smaller gangs, arrays and services are placed as before. What fits is computed from the amounts, and by bisection where a machine's GPUs must keep their share.

--- a/src/core/autoscaler.h
+++ b/src/core/autoscaler.h
@@ -114,6 +114,9 @@
  * are kept for GPUs, so the result is true. */
 bool tw_bin_leaves_gpus(const tw_core *core, const tw_bin *bin, const tw_wire_job *spec,
                         bool may_use_gpu_machines);
+/* Returns how many tasks of the specification fit into the bin, at most limit. */
+int tw_bin_count_tasks(const tw_core *core, const tw_bin *bin, const tw_wire_job *spec,
+                       bool may_use_gpu_machines, int limit);
 /* Subtracts a task's resources from the bin's free capacity. */
 void tw_bin_add_task(tw_bin *bin, const tw_wire_job *spec);
 /* Adds a task's resources back to the bin's free capacity. */
--- a/src/core/autoscaler_gang.c
+++ b/src/core/autoscaler_gang.c
@@ -31,15 +31,12 @@
                                int max_count) {
     int count = 0;
     for (int i = 0; i < bins->count && count < max_count; i++) {
-        tw_bin bin = bins->items[i];
+        const tw_bin *bin = &bins->items[i];
         core->pass_steps++;
-        if (strcmp(bin.zone, zone) != 0 || !tw_bin_is_allowed(&bin, &job->spec, job->type_mask))
+        if (strcmp(bin->zone, zone) != 0 || !tw_bin_is_allowed(bin, &job->spec, job->type_mask))
             continue;
-        while (count < max_count && tw_bin_fits(&bin, &job->spec) &&
-               tw_bin_leaves_gpus(core, &bin, &job->spec, job->may_use_gpu_machines)) {
-            tw_bin_add_task(&bin, &job->spec);
-            count++;
-        }
+        count +=
+            tw_bin_count_tasks(core, bin, &job->spec, job->may_use_gpu_machines, max_count - count);
     }
     return count;
 }
--- a/src/core/bin_packing.c
+++ b/src/core/bin_packing.c
@@ -30,17 +30,40 @@
            tw_constraints_capacity_leaves_gpus_usable(core, type, &available, spec, 1);
 }
 
+/* Returns whether the bin's machine accepts only one task at a time. */
+static bool is_on_probation(const tw_bin *bin) {
+    return bin->machine && bin->machine->on_probation;
+}
+
+int tw_bin_count_tasks(const tw_core *core, const tw_bin *bin, const tw_wire_job *spec,
+                       bool may_use_gpu_machines, int limit) {
+    if (limit <= 0 || !tw_bin_fits(bin, spec)) return 0;
+    const double in_capacity = tw_capacity_task_count(&bin->free_capacity, spec);
+    int most = in_capacity < limit ? (int)fmax(1, in_capacity) : limit;
+    if (is_on_probation(bin)) most = 1;
+    /* Each task leaves less for the machine's GPUs: fits tasks leave enough, most + 1 do not fit.
+     */
+    int fits = 0;
+    while (fits < most) {
+        const int middle = fits + (most - fits + 1) / 2;
+        tw_bin filled = *bin;
+        filled.free_capacity.cores -= (middle - 1) * spec->cores;
+        filled.free_capacity.gpus -= (middle - 1) * spec->gpus;
+        filled.free_capacity.memory_gb -= (middle - 1) * spec->memory_gb;
+        if (tw_bin_leaves_gpus(core, &filled, spec, may_use_gpu_machines))
+            fits = middle;
+        else
+            most = middle - 1;
+    }
+    return fits;
+}
+
 void tw_bins_mark_incomplete_gang(tw_bins *bins, const tw_wire_job *spec) {
     for (int i = 0; i < bins->count; i++)
         for (int task = 0; task < bins->items[i].packed_count; task++)
             tw_capacity_add_task(&bins->items[i].held_for_incomplete_gangs, spec);
 }
 
-/* Returns whether the bin's machine accepts only one task at a time. */
-static bool is_on_probation(const tw_bin *bin) {
-    return bin->machine && bin->machine->on_probation;
-}
-
 void tw_bin_add_task(tw_bin *bin, const tw_wire_job *spec) {
     tw_capacity_subtract_task(&bin->free_capacity, spec);
     if (is_on_probation(bin)) bin->blocked_by_probation = true;
--- a/src/core/gang_reservation.c
+++ b/src/core/gang_reservation.c
@@ -71,11 +71,8 @@
         tw_bin_remove_task(&bin, &placed->job->spec);
         result.available_at = fmax(result.available_at, end);
     }
-    while (result.task_count < job->task_count && tw_bin_fits(&bin, &job->spec) &&
-           tw_bin_leaves_gpus(core, &bin, &job->spec, job->may_use_gpu_machines)) {
-        tw_bin_add_task(&bin, &job->spec);
-        result.task_count++;
-    }
+    result.task_count =
+        tw_bin_count_tasks(core, &bin, &job->spec, job->may_use_gpu_machines, job->task_count);
     return result;
 }
 
--- a/src/core/gang_zones.c
+++ b/src/core/gang_zones.c
@@ -26,9 +26,18 @@
                             int limit) {
     const tw_wire_machine_type *type = &core->machine_types[machine->type_index].listed;
     const tw_capacity capacity = tw_machine_free_capacity(machine, type);
-    int count = count_tasks_in_capacity(&capacity, &job->spec, limit);
-    while (count > 0 && !tw_constraints_leave_gpus_usable(core, machine, job, count)) count--;
-    return count;
+    int most = count_tasks_in_capacity(&capacity, &job->spec, limit);
+    if (tw_constraints_leave_gpus_usable(core, machine, job, most)) return most;
+    /* The more tasks are placed, the less is left for GPUs: fits tasks do fit, most do not. */
+    int fits = 0;
+    while (most - fits > 1) {
+        const int middle = fits + (most - fits) / 2;
+        if (tw_constraints_leave_gpus_usable(core, machine, job, middle))
+            fits = middle;
+        else
+            most = middle;
+    }
+    return fits;
 }
 
 /* Returns whether stopping other tasks may free capacity for the job on the machine. On a machine
--- a/src/core/placement_pass.c
+++ b/src/core/placement_pass.c
@@ -12,7 +12,10 @@
 #include <stdbool.h>
 
 #define MAX_TASKS_PER_PASS 300 /* the next pass places the others */
-#define PASS_INTERVAL_S 0.1    /* minimum time between the starts of two passes */
+/* Maximum number of choices of a machine for the tasks of one gang, which has to be placed in one
+ * pass. A larger gang gets several tasks with each choice. */
+#define MAX_CHOICES_PER_GANG 300
+#define PASS_INTERVAL_S 0.1 /* minimum time between the starts of two passes */
 
 /* Returns the index of the job's next unplaced task, or -1 if there is none. */
 static int find_next_unplaced(tw_job *job) {
@@ -39,64 +42,107 @@
 }
 
 /* Chooses a machine for the demand's task, preempting tasks on it if necessary. Sets *choice
- * to the result; its machine is NULL if no machine has capacity for the task. */
-static void find_machine(tw_core *core, const tw_demand *demand, tw_choice *choice) {
+ * to the result; its machine is NULL if no machine has capacity for the task. Returns whether the
+ * machine's capacity was free. */
+static bool find_machine(tw_core *core, const tw_demand *demand, tw_choice *choice) {
     const tw_job *job = demand->job;
     *choice = tw_scheduler_choose_machine(core, demand);
+    bool was_free = choice->machine != NULL;
     /* The count also increases if no task is placed in the end; this only causes a score to be
      * recomputed. */
     if (choice->machine)
         core->candidates[choice->candidate_index].placement_count++;
     else
         choice->machine = tw_scheduler_preempt(core, demand, false, &choice->capacity_is_reserved);
-    if (!choice->machine || choice->meets_deadline) return;
-    if (!job->spec.service || job->spec.priority != TW_PRIORITY_PROD) return;
+    if (!choice->machine || choice->meets_deadline) return was_free;
+    if (!job->spec.service || job->spec.priority != TW_PRIORITY_PROD) return was_free;
     /* The service would miss its start objective on this machine. Preempting a batch task on
      * another machine is preferable. */
     tw_machine *other = tw_scheduler_preempt(core, demand, true, &choice->capacity_is_reserved);
-    if (other) choice->machine = other;
+    if (!other) return was_free;
+    choice->machine = other;
+    return false;
 }
 
-/* Places one task in one of the zones (a bit mask). Returns false if there is no capacity or
- * the team is at its limit. */
-static bool place_task(tw_core *core, tw_job *job, int index, uint64_t attempt, uint32_t zones) {
+/* Places a task on the machine. Returns whether it was placed. */
+static bool place_on_machine(tw_core *core, const tw_demand *demand, int index, uint64_t attempt,
+                             tw_machine *machine) {
+    tw_reserve_record_placement(core, machine, demand->job);
+    const tw_placement *placed = tw_placement_new(core, demand->job, index, machine, attempt);
+    if (!placed) return false;
+    log_placement(core, demand, placed);
+    return true;
+}
+
+/* Returns whether one more task of the job may be placed on the machine in its free capacity, after
+ * a task of it was placed there in this pass. */
+static bool machine_takes_another(tw_core *core, tw_job *job, const tw_machine *machine) {
+    return tw_quota_allows_tasks(core, job, 1) && tw_gang_reservation_allows_team(core, job) &&
+           tw_machine_has_capacity(machine, &core->machine_types[machine->type_index],
+                                   &job->spec) &&
+           tw_constraints_allow_machine(core, job, machine) &&
+           tw_constraints_leave_gpus_usable(core, machine, job, 1) &&
+           tw_constraints_allow_zone(core, job, machine->zone) &&
+           tw_reserve_allows(core, machine, job);
+}
+
+/* Tasks of a job to be placed. */
+typedef struct {
+    uint64_t common_attempt; /* attempt of all tasks; 0: each gets one of its own */
+    uint32_t zones;          /* zones in which they may be placed, as a bit mask */
+    int tasks_per_choice;    /* maximum number of tasks for which a machine is chosen at once */
+} placement_request;
+
+static uint64_t next_attempt_of(const tw_job *job, const placement_request *request) {
+    return request->common_attempt ? request->common_attempt : job->next_attempt;
+}
+
+/* Chooses a machine for the job's next unplaced task, with that index, and places the task there,
+ * followed by further ones as far as the request and the machine allow, at most limit in all.
+ * Returns the number of tasks placed; 0 if there is no capacity or the team is at its limit. */
+static int place_on_best_machine(tw_core *core, tw_job *job, int index,
+                                 const placement_request *request, int limit) {
     if (!tw_quota_allows_tasks(core, job, 1) || !tw_gang_reservation_allows_team(core, job))
-        return false;
+        return 0;
     tw_demand demand = tw_demand_of(core, job);
-    demand.zone_mask &= zones;
+    demand.zone_mask &= request->zones;
     const tw_placement_failure kind = tw_placement_failure_of(&demand);
-    if (tw_placement_failures_has(core, &kind)) return false;
+    if (tw_placement_failures_has(core, &kind)) return 0;
     tw_choice choice;
-    find_machine(core, &demand, &choice);
+    const bool was_free = find_machine(core, &demand, &choice);
     if (!choice.machine) {
         /* A failure does not apply to other tasks of this kind if it is due to machines that only
          * this job avoids, or to reserved capacity, which changes during the pass. */
         if (!choice.capacity_is_reserved && !job->failed_machine_count &&
             demand.restriction == TW_MACHINES_ANY)
             tw_placement_failures_add(core, &kind);
-        return false;
+        return 0;
     }
     if (job->spec.gpus > 0) tw_placement_failures_clear_cpu_only(core);
-    tw_reserve_record_placement(core, choice.machine, job);
-    const tw_placement *placed = tw_placement_new(core, job, index, choice.machine, attempt);
-    if (!placed) return false;
-    log_placement(core, &demand, placed);
-    return true;
+    /* Capacity that preemption frees is promised to one task. */
+    const int count = was_free ? request->tasks_per_choice : 1;
+    int placed = 0;
+    do {
+        if (!place_on_machine(core, &demand, index, next_attempt_of(job, request), choice.machine))
+            break;
+        placed++;
+    } while (placed < count && placed < limit && (index = find_next_unplaced(job)) >= 0 &&
+             machine_takes_another(core, job, choice.machine));
+    return placed;
 }
 
-/* Places up to limit tasks of the job in the zones (a bit mask). All tasks get common_attempt
- * as their attempt, or each gets an attempt of its own if common_attempt is 0. Returns the
- * number of tasks placed. */
-static int place_tasks(tw_core *core, tw_job *job, int limit, uint64_t common_attempt,
-                       uint32_t zones) {
+/* Places up to limit tasks of the job. Returns the number of tasks placed. */
+static int place_tasks(tw_core *core, tw_job *job, int limit, const placement_request *request) {
     const int max_running = tw_record_max_running(core, job);
     int placed = 0;
     int index;
     while (placed < limit && job->placed_count < max_running &&
            (index = find_next_unplaced(job)) >= 0) {
-        const uint64_t attempt = common_attempt ? common_attempt : job->next_attempt;
-        if (!place_task(core, job, index, attempt, zones)) break;
-        placed++;
+        const int room = max_running - job->placed_count;
+        const int rest = limit - placed < room ? limit - placed : room;
+        const int count = place_on_best_machine(core, job, index, request, rest);
+        if (!count) break;
+        placed += count;
     }
     return placed;
 }
@@ -131,9 +177,12 @@
     const uint64_t next_attempt = job->next_attempt;
     const uint64_t attempt = job->placed_count ? job->gang.attempt : next_attempt;
     if (!tw_gang_is_pending(job) || !tw_quota_allows_tasks(core, job, count)) return 0;
-    uint32_t zones = tw_gang_candidate_zones(core, job, count);
-    while (zones) {
-        if (place_tasks(core, job, count, attempt, zones) == count) {
+    placement_request request = {.common_attempt = attempt,
+                                 .zones = tw_gang_candidate_zones(core, job, count),
+                                 .tasks_per_choice =
+                                     (count + MAX_CHOICES_PER_GANG - 1) / MAX_CHOICES_PER_GANG};
+    while (request.zones) {
+        if (place_tasks(core, job, count, &request) == count) {
             tw_gang_note_placed(core, job);
             return count;
         }
@@ -142,15 +191,16 @@
         const int zone = zone_of_first_placement(job);
         undo_placements(core, job, next_attempt);
         if (!job->spec.single_zone || zone < 0) return 0;
-        zones &= ~(1U << zone);
+        request.zones &= ~(1U << zone);
     }
     return 0;
 }
 
 /* Places up to limit tasks of the job, or a complete gang. Returns the number of tasks placed. */
 static int place_job(tw_core *core, tw_job *job, int limit) {
+    const placement_request request = {.zones = UINT32_MAX, .tasks_per_choice = 1};
     const int count =
-        job->spec.gang ? place_gang(core, job) : place_tasks(core, job, limit, 0, UINT32_MAX);
+        job->spec.gang ? place_gang(core, job) : place_tasks(core, job, limit, &request);
     if (!count) return 0;
     tw_job_mark_changed(core, job, job->spec.priority >= TW_PRIORITY_PROD);
     tw_placement *placed;
