Victims on a machine are sorted once, and a gang's machines examined once per change

Cause: each victim was selected by a walk over all tasks of the machine, with another walk for each task of a gang, and one over the whole gang for each of its tasks where it saves checkpoints: the cube of a machine's tasks in one input, when one urgent task needs the room of many small ones. The orderly stop of a gang asked the same for each of its tasks in a tick.

Fix: the tasks that may be stopped are listed and sorted once for each machine, the others of a gang right behind its cheapest one, since they cost nothing more. The order in which tasks are selected is the same. Whether a gang's machines take commands is kept until one of them changes.

--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -154,6 +154,7 @@
  * requests another probe up to MAX_PROBES times if the machine has never sent a heartbeat. */
 static void note_failed_send(tw_core *core, tw_machine *machine) {
     machine->failed_sends++;
+    core->machine_reach_version++;
     const double pause_heartbeats =
         machine->last_contact_at ? fmin(1 + machine->failed_sends, MAX_PAUSE_HEARTBEATS) : 1;
     machine->commands_paused_until =
--- a/src/core/gang.c
+++ b/src/core/gang.c
@@ -172,10 +172,9 @@
 
 /* ---- stop ---- */
 
-bool tw_gang_can_save(const tw_core *core, const tw_job *job) {
+/* Returns whether all machines of the gang have sent a recent heartbeat and take commands. */
+static bool machines_take_commands(const tw_core *core, const tw_job *job) {
     const tw_placement *task;
-    if (job->spec.checkpoint_s <= 0 || count_missing_tasks(job) > 0) return false;
-    if (job->gang.state != TW_GANG_RUNNING && job->gang.state != TW_GANG_STOPPING) return false;
     DL_FOREACH2(job->placements, task, job_next) {
         const tw_machine *machine = task->machine;
         if (!machine->confirmed || machine->lease_expired || machine->return_wanted ||
@@ -187,6 +186,20 @@
     return true;
 }
 
+bool tw_gang_can_save(const tw_core *core, tw_job *job) {
+    tw_gang *gang = &job->gang;
+    if (job->spec.checkpoint_s <= 0 || count_missing_tasks(job) > 0) return false;
+    if (gang->state != TW_GANG_RUNNING && gang->state != TW_GANG_STOPPING) return false;
+    /* Asked for each task of the gang, so the machines are examined once per change. */
+    if (gang->reach_checked_at != core->context.now ||
+        gang->reach_version != core->machine_reach_version) {
+        gang->can_reach_machines = machines_take_commands(core, job);
+        gang->reach_checked_at = core->context.now;
+        gang->reach_version = core->machine_reach_version;
+    }
+    return gang->can_reach_machines;
+}
+
 void tw_gang_stop(tw_core *core, tw_job *job, double grace_s) {
     tw_gang *gang = &job->gang;
     if (!is_active_gang(job)) return;
--- a/src/core/gang.h
+++ b/src/core/gang.h
@@ -38,6 +38,10 @@
     /* Machines on which a task of this attempt terminated; not owned. */
     struct tw_machine *vacated_machines[TW_GANG_MAX_REPLACEMENTS];
     int vacated_machine_count;
+    /* Whether commands reached all its machines at that time, in that version of their state. */
+    bool can_reach_machines;
+    double reach_checked_at;
+    uint64_t reach_version;
 } tw_gang;
 
 /* Updates the gang after all its tasks were placed under one attempt, or all missing tasks were
@@ -59,7 +63,7 @@
 void tw_gang_stop(tw_core *core, tw_job *job, double grace_s);
 /* Returns whether a stop with a grace period would reach every task in time and save the gang's
  * progress. */
-bool tw_gang_can_save(const tw_core *core, const tw_job *job);
+bool tw_gang_can_save(const tw_core *core, tw_job *job);
 /* Returns whether the gang waits for its placement, or for the replacement of a task. */
 bool tw_gang_is_pending(const tw_job *job);
 /* Returns whether a task of the current attempt terminated on that machine. No task of the attempt
--- a/src/core/machine_upkeep.c
+++ b/src/core/machine_upkeep.c
@@ -36,6 +36,7 @@
 static void request_return(tw_core *core, tw_machine *machine, const char *why) {
     if (machine->return_wanted) return;
     machine->return_wanted = machine->cordoned = true;
+    core->machine_reach_version++;
     core->returns_due = true;
     tw_log_info("event=machine_return_requested worker=%s why=%s rented_s=%.0f", machine->name, why,
                 core->context.now - machine->known_since);
@@ -47,7 +48,7 @@
  * delay ends when the remaining notice is just long enough to stop the gang and save. */
 static bool must_delay_gang_stop(const tw_core *core, const tw_placement *placed,
                                  double notice_left_s) {
-    const tw_job *job = placed->job;
+    tw_job *job = placed->job;
     return job->spec.gang && job->spec.checkpoint_s > 0 && job->gang.state == TW_GANG_RUNNING &&
            !tw_gang_can_save(core, job) &&
            notice_left_s > job->spec.save_s + core->context.config->gang_peer_s;
@@ -112,6 +113,7 @@
     tw_cluster_note_lease_expiry(core->cluster);
     log_lease_expiry(core, machine);
     machine->lease_expired = true;
+    core->machine_reach_version++;
     DL_FOREACH_SAFE(machine->placements, placed, next) {
         tw_attempt_terminate_on(core, placed, TW_EVIDENCE_LEASE_EXPIRED);
     }
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -47,6 +47,7 @@
     DL_APPEND(machine->placements, placed);
     job->task_states[index] = TW_ASSIGNMENT_PLACED;
     job->placed_count++;
+    core->machine_reach_version++;
     job->placement_refs++;
     if (attempt >= job->next_attempt) job->next_attempt = attempt + 1;
     tw_placement_account(core, placed, 1);
--- a/src/core/preemption.c
+++ b/src/core/preemption.c
@@ -3,10 +3,7 @@
  * The cost of stopping a task is its unsaved run time in task seconds; for a task of a gang,
  * the sum over all its tasks, which stop with it. Fixed costs are added for the victim's
  * priority, for a deadline that the victim would then miss, and for a machine on which the new
- * task would still miss its deadline.
- *
- * Invariant: tasks are marked as victims (VICTIM_MARK) only while one machine is examined, so
- * no mark remains when tw_scheduler_preempt returns. */
+ * task would still miss its deadline. */
 #include "core/scheduler_int.h"
 #include <stdbool.h>
 
@@ -15,12 +12,11 @@
 #define COST_OF_MISSED_DEADLINE_S 60 /* if the new task misses its deadline anyway */
 /* Run time that a restarted victim needs, as a multiple of its estimate. */
 #define RESTART_RUN_FACTOR 1.3
-#define VICTIM_MARK UINT64_MAX /* marks a task selected to be stopped */
 
 /* Returns whether stopping the task would lose unsaved work of a running gang. If not all
  * tasks of the gang can be commanded to save, the gang is not preempted until they can. */
 static bool would_lose_gang_progress(const tw_core *core, const tw_placement *placed) {
-    const tw_job *job = placed->job;
+    tw_job *job = placed->job;
     return job->spec.gang && job->spec.checkpoint_s > 0 && job->gang.state == TW_GANG_RUNNING &&
            placed->running_since > 0 &&
            (placed->inherited || core->context.now - placed->running_since > job->spec.save_s) &&
@@ -36,7 +32,7 @@
 
 /* Returns the run time, in seconds, that a task loses if it is stopped. */
 static double unsaved_run_s(const tw_core *core, const tw_placement *placed) {
-    const tw_job *job = placed->job;
+    tw_job *job = placed->job;
     const double ran_s = placed->running_since > 0 ? core->context.now - placed->running_since : 0;
     if (job->spec.checkpoint_s <= 0) return ran_s;
     /* A gang whose tasks cannot all be commanded to save restarts from its last checkpoint. */
@@ -66,40 +62,6 @@
     return tw_capacity_fits(&available, &job->spec, SUM_TOLERANCE);
 }
 
-/* Returns whether another task of the same gang on the machine is already a victim. In that
- * case stopping this one costs nothing more. */
-static bool gang_is_victim(const tw_machine *machine, const tw_placement *placed) {
-    const tw_placement *other;
-    if (!placed->job->spec.gang) return false;
-    DL_FOREACH(machine->placements, other) {
-        if (other->mark == VICTIM_MARK && other->job == placed->job) return true;
-    }
-    return false;
-}
-
-/* Returns the task on the machine that costs least to stop, other than those already marked as
- * victims, and sets *least_cost_s to its cost. NULL: there is none. While the new task still lacks
- * GPUs, only tasks that use GPUs are considered. */
-static tw_placement *find_cheapest_victim(const tw_core *core, const tw_machine *machine,
-                                          const tw_job *job, const tw_capacity *available,
-                                          double *least_cost_s) {
-    tw_placement *best = NULL;
-    tw_placement *placed;
-    *least_cost_s = INFINITY;
-    DL_FOREACH(machine->placements, placed) {
-        if (!tw_preemption_allowed(core, job, placed) || placed->mark == VICTIM_MARK) continue;
-        if (job->spec.gpus > 0 && placed->job->spec.gpus <= 0 &&
-            available->gpus + TW_CAPACITY_ROUNDING < job->spec.gpus)
-            continue;
-        const double cost_s = gang_is_victim(machine, placed) ? 0 : preemption_cost_s(core, placed);
-        if (cost_s < *least_cost_s) {
-            *least_cost_s = cost_s;
-            best = placed;
-        }
-    }
-    return best;
-}
-
 /* Stops the victim for the job. */
 static void stop_victim(tw_core *core, tw_placement *victim, const tw_job *job) {
     const tw_wire_job *spec = &victim->job->spec;
@@ -120,34 +82,138 @@
     double least_cost_s;
 } preemption_limit;
 
-/* Marks the cheapest tasks as victims until the job's task fits, and sets *cost_s to their
- * cost. limit: stop when the cost reaches the limit; NULL: there is no limit, and the victims
- * are stopped. Returns whether the task fits. The caller clears the marks. */
-static bool select_victims(tw_core *core, const tw_job *job, tw_machine *machine,
-                           const preemption_limit *limit, double *cost_s) {
-    const tw_wire_machine_type *type = &core->machine_types[machine->type_index].listed;
-    tw_capacity available = tw_machine_capacity_after_vacating(machine, type);
-    *cost_s = 0;
-    while (!tw_capacity_fits(&available, &job->spec, TW_CAPACITY_ROUNDING)) {
-        double least_cost_s;
-        tw_placement *victim = find_cheapest_victim(core, machine, job, &available, &least_cost_s);
-        if (!victim) return false;
-        victim->mark = VICTIM_MARK;
-        *cost_s += least_cost_s;
-        if (limit && *cost_s + limit->penalty_s >= limit->least_cost_s) return false;
-        tw_capacity_add_task(&available, &victim->job->spec);
-        if (!limit) stop_victim(core, victim, job);
+/* A task on the machine that may be stopped. */
+typedef struct {
+    tw_placement *placed;
+    double cost_s; /* of stopping it, if no other task of its gang is stopped */
+    int position;  /* in the machine's list */
+    int group;     /* position of the cheapest task of its gang on the machine; its own otherwise */
+    double group_cost_s; /* cost of that task */
+    bool is_victim;
+} victim_candidate;
+
+typedef struct {
+    victim_candidate *items;
+    int count;
+} victim_candidates;
+
+/* Comparison function for qsort: orders the tasks of each job by cost. */
+static int compare_by_job(const void *left, const void *right) {
+    const victim_candidate *a = left, *b = right;
+    if (a->placed->job != b->placed->job)
+        return (uintptr_t)a->placed->job < (uintptr_t)b->placed->job ? -1 : 1;
+    if (a->cost_s != b->cost_s) return a->cost_s < b->cost_s ? -1 : 1;
+    return a->position - b->position;
+}
+
+/* Comparison function for qsort: orders by cost. The tasks of a gang follow its cheapest one, since
+ * stopping them costs nothing more. */
+static int compare_by_cost(const void *left, const void *right) {
+    const victim_candidate *a = left, *b = right;
+    if (a->group_cost_s != b->group_cost_s) return a->group_cost_s < b->group_cost_s ? -1 : 1;
+    if (a->group != b->group) return a->group - b->group;
+    if ((a->position == a->group) != (b->position == b->group))
+        return a->position == a->group ? -1 : 1;
+    return a->position - b->position;
+}
+
+/* Sets the groups of the candidates, and sorts them into the order in which they are stopped. */
+static void sort_victims(victim_candidates *candidates) {
+    victim_candidate *items = candidates->items;
+    qsort(items, (size_t)candidates->count, sizeof *items, compare_by_job);
+    for (int i = 0; i < candidates->count; i++) {
+        const bool follows = i && items[i].placed->job->spec.gang &&
+                             items[i].placed->job == items[i - 1].placed->job;
+        items[i].group = follows ? items[i - 1].group : items[i].position;
+        items[i].group_cost_s = follows ? items[i - 1].group_cost_s : items[i].cost_s;
     }
-    return true;
+    qsort(items, (size_t)candidates->count, sizeof *items, compare_by_cost);
 }
 
-static void clear_victim_marks(tw_machine *machine) {
+/* Returns the tasks on the machine that may be preempted for the job, in the order in which they
+ * are stopped. The caller frees the items. */
+static victim_candidates list_victims(tw_core *core, const tw_job *job, tw_machine *machine) {
+    victim_candidates candidates = {0};
     tw_placement *placed;
+    int length = 0;
+    DL_FOREACH(machine->placements, placed) { length++; }
+    candidates.items = tw_alloc((size_t)length * sizeof *candidates.items);
+    int position = 0;
     DL_FOREACH(machine->placements, placed) {
-        if (placed->mark == VICTIM_MARK) placed->mark = 0;
+        if (tw_preemption_allowed(core, job, placed))
+            candidates.items[candidates.count++] = (victim_candidate){
+                .placed = placed, .cost_s = preemption_cost_s(core, placed), .position = position};
+        position++;
+    }
+    sort_victims(&candidates);
+    core->pass_steps += (uint64_t)length;
+    return candidates;
+}
+
+/* Returns whether a task of the candidate's gang that precedes it is a victim, so that stopping
+ * this one costs nothing more. */
+static bool gang_is_victim(const victim_candidates *candidates, int index) {
+    return index && candidates->items[index - 1].group == candidates->items[index].group &&
+           candidates->items[index - 1].is_victim;
+}
+
+/* State of a selection of victims on a machine. */
+typedef struct {
+    const tw_job *job;
+    tw_capacity available;
+    const preemption_limit *limit; /* NULL: the victims are stopped */
+    double cost_s;
+    bool exceeds_limit;
+} victim_selection;
+
+static bool selection_is_over(const victim_selection *selection) {
+    return selection->exceeds_limit ||
+           tw_capacity_fits(&selection->available, &selection->job->spec, TW_CAPACITY_ROUNDING);
+}
+
+/* Selects candidates in their order until the job's task fits. gpus_only: only tasks that use GPUs,
+ * until enough GPUs are free. of_gangs: only tasks of gangs of which another task was selected. */
+static void select_in_order(tw_core *core, victim_candidates *candidates,
+                            victim_selection *selection, bool gpus_only, bool of_gangs) {
+    const tw_wire_job *spec = &selection->job->spec;
+    for (int i = 0; i < candidates->count && !selection_is_over(selection); i++) {
+        victim_candidate *victim = &candidates->items[i];
+        const bool costs_nothing = gang_is_victim(candidates, i);
+        if (gpus_only && selection->available.gpus + TW_CAPACITY_ROUNDING >= spec->gpus) return;
+        if (victim->is_victim || (of_gangs && !costs_nothing)) continue;
+        if (gpus_only && victim->placed->job->spec.gpus <= 0) continue;
+        victim->is_victim = true;
+        selection->cost_s += costs_nothing ? 0 : victim->cost_s;
+        if (selection->limit &&
+            selection->cost_s + selection->limit->penalty_s >= selection->limit->least_cost_s) {
+            selection->exceeds_limit = true;
+            return;
+        }
+        tw_capacity_add_task(&selection->available, &victim->placed->job->spec);
+        if (!selection->limit) stop_victim(core, victim->placed, selection->job);
     }
 }
 
+/* Selects the cheapest tasks as victims until the job's task fits, and sets *cost_s to their
+ * cost. While the task lacks GPUs, only tasks that use GPUs are selected. limit: stop when the cost
+ * reaches the limit; NULL: there is no limit, and the victims are stopped. Returns whether the task
+ * fits. */
+static bool select_victims(tw_core *core, const tw_job *job, tw_machine *machine,
+                           const preemption_limit *limit, double *cost_s) {
+    const tw_wire_machine_type *type = &core->machine_types[machine->type_index].listed;
+    victim_selection selection = {
+        .job = job, .available = tw_machine_capacity_after_vacating(machine, type), .limit = limit};
+    *cost_s = 0;
+    if (selection_is_over(&selection)) return true;
+    victim_candidates candidates = list_victims(core, job, machine);
+    if (job->spec.gpus > 0) select_in_order(core, &candidates, &selection, true, false);
+    select_in_order(core, &candidates, &selection, false, true);
+    select_in_order(core, &candidates, &selection, false, false);
+    free(candidates.items);
+    *cost_s = selection.cost_s;
+    return !selection.exceeds_limit && selection_is_over(&selection);
+}
+
 /* Returns whether the demand's task may run on the machine once enough capacity is free. */
 static bool machine_is_allowed(tw_core *core, const tw_demand *demand, const tw_machine *machine) {
     return tw_constraints_allow_machine(core, demand->job, machine) &&
@@ -176,14 +242,12 @@
         if (is_late && in_time) continue;
         const preemption_limit limit = {is_late ? COST_OF_MISSED_DEADLINE_S : 0, least_cost_s};
         const bool task_fits = select_victims(core, job, machine, &limit, &cost_s);
-        clear_victim_marks(machine);
         if (!task_fits || cost_s + limit.penalty_s >= least_cost_s) continue;
         least_cost_s = cost_s + limit.penalty_s;
         best = machine;
     }
     if (!best) return NULL;
     select_victims(core, job, best, NULL, &cost_s);
-    clear_victim_marks(best);
     /* Preemption may free more capacity than the task needs, which other tasks can use. */
     tw_placement_failures_clear(core);
     tw_scores_clear(core);
--- a/src/core/scale_in.c
+++ b/src/core/scale_in.c
@@ -56,6 +56,7 @@
             continue;
         if (!update_idle_since(core, machine)) continue;
         machine->return_wanted = machine->cordoned = true;
+        core->machine_reach_version++;
         core->returns_due = true;
         tw_log_info("event=machine_return_requested worker=%s why=idle rented_s=%.0f",
                     machine->name, core->context.now - machine->known_since);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -100,6 +100,8 @@
     double next_heartbeat_sweep_at;
     /* scratch: mark of the placements that the heartbeat being processed lists */
     uint64_t heartbeat_mark;
+    /* counts changes of what decides whether a gang's machines can be sent commands */
+    uint64_t machine_reach_version;
     uint64_t freed_placement_count; /* over the life of this process */
     double next_machine_scan_at;
     /* start of the period over which unresponsive machines are counted */
--- a/src/core/worker_heartbeat.c
+++ b/src/core/worker_heartbeat.c
@@ -104,6 +104,7 @@
     machine->incarnation = heartbeat->incarnation;
     machine->sequence = heartbeat->sequence;
     machine->state = TW_MACHINE_UP;
+    core->machine_reach_version++;
     machine->last_contact_at = core->context.now;
     machine->failed_sends = 0;
     machine->lease_expired = false;
