One input logs at most 1,000 terminations, and an input that takes long is logged

Cause: a heartbeat in which all tasks of a very large gang end wrote a line for each at info, which took longer than all other work on them. Found with the longest inputs logged, which the log could not tell before: input_slow, from 2% of the workers' lease on.

Further terminations of the input are logged at debug, and counted as before.

--- a/src/controller/main.c
+++ b/src/controller/main.c
@@ -40,6 +40,8 @@
  * heartbeat interval. */
 #define EVICTABLE_HEARTBEATS 0.25
 #define MAX_RESPONSE_BYTES ((size_t)2 << 20)
+/* Time from which the processing of an input is logged, in leases of workers. */
+#define SLOW_INPUT_LEASES 0.02
 /* Maximum size of a heartbeat as a share of the configured memory. */
 #define MAX_HEARTBEAT_MEMORY_SHARE 0.15
 #define BYTES_PER_MIB (1024 * 1024)
@@ -153,18 +155,30 @@
     process->draining = false;
 }
 
+/* Logs an input whose processing took so long that the leader's lease was at risk: nothing else,
+ * not even its renewal, happens meanwhile. what: the kind of the input. */
+static void log_slow_input(const controller *process, const char *what, double began_at) {
+    const double took_s = steady_time_s() - began_at;
+    if (took_s > SLOW_INPUT_LEASES * process->config.lease_s)
+        tw_log_info("event=input_slow input=%s s=%.3f", what, took_s);
+}
+
 static void on_request(void *context, int port, uint64_t connection, const char *method,
                        const char *path, const char *body, size_t length) {
     controller *process = context;
-    tw_core_request(process->core, steady_time_s(), wall_time_s(), port, connection, method, path,
-                    body, length);
+    const double now = steady_time_s();
+    tw_core_request(process->core, now, wall_time_s(), port, connection, method, path, body,
+                    length);
     drain_effects(process);
+    log_slow_input(process, "request", now);
 }
 
 static void on_response(void *context, uint64_t call, int status, const char *body, size_t length) {
     controller *process = context;
-    tw_core_response(process->core, steady_time_s(), wall_time_s(), call, status, body, length);
+    const double now = steady_time_s();
+    tw_core_response(process->core, now, wall_time_s(), call, status, body, length);
     drain_effects(process);
+    log_slow_input(process, "response", now);
 }
 
 static void log_statistics(controller *process, double now) {
@@ -189,6 +203,7 @@
     log_statistics(process, now);
     tw_core_tick(process->core, now, wall_time_s());
     drain_effects(process);
+    log_slow_input(process, "tick", now);
 }
 
 static void on_signal(struct ev_loop *loop, ev_signal *watcher, int events) {
--- a/src/core/attempt_termination.c
+++ b/src/core/attempt_termination.c
@@ -9,6 +9,8 @@
  * completed attempt, a repeated launch would start it again, and it would use resources of the
  * machine and the zone until its exit. */
 #define LAUNCH_REPEAT_LEASES 12
+/* Maximum number of terminations in one input that are logged at `info`. */
+#define MAX_LOGGED_TERMINATIONS 1000
 
 static const char *const evidence_names[TW_EVIDENCE_KINDS] = {
     [TW_EVIDENCE_EXITED] = "exited",
@@ -137,12 +139,22 @@
            evidence != TW_EVIDENCE_PLACEMENT_UNDONE && evidence != TW_EVIDENCE_TERM_ENDED;
 }
 
-static void log_termination(const tw_core *core, const tw_placement *placed,
+/* Returns the level at which the termination is logged. One input may end all tasks of a very large
+ * job, and writing a line takes longer than all other work on a task. */
+static int log_level_of(tw_core *core, tw_termination_evidence evidence) {
+    if (!is_logged_at_info(evidence)) return TW_LOG_DEBUG;
+    if (core->terminations_logged_at != core->context.now) core->terminations_logged = 0;
+    core->terminations_logged_at = core->context.now;
+    return ++core->terminations_logged > MAX_LOGGED_TERMINATIONS ? TW_LOG_DEBUG : TW_LOG_INFO;
+}
+
+static void log_termination(tw_core *core, const tw_placement *placed,
                             const tw_attempt_termination *termination) {
     const tw_machine *machine = placed->machine;
     const tw_wire_heartbeat *heartbeat = termination->heartbeat;
-    const int level = is_logged_at_info(termination->evidence) ? TW_LOG_INFO : TW_LOG_DEBUG;
-    if (!placed->counted || !tw_log_is_enabled(level)) return;
+    if (!placed->counted) return;
+    const int level = log_level_of(core, termination->evidence);
+    if (!tw_log_is_enabled(level)) return;
     tw_log_write(level,
                  "event=attempt_terminated task=%s/%d attempt=%llu worker=%s evidence=%s cause=%d "
                  "token=%llu "
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -102,6 +102,9 @@
     uint64_t heartbeat_mark;
     /* counts changes of what decides whether a gang's machines can be sent commands */
     uint64_t machine_reach_version;
+    /* number of terminations logged by the input at that time */
+    int terminations_logged;
+    double terminations_logged_at;
     uint64_t freed_placement_count; /* over the life of this process */
     double next_machine_scan_at;
     /* start of the period over which unresponsive machines are counted */
--- a/tests/runner/net_test.c
+++ b/tests/runner/net_test.c
@@ -329,7 +329,7 @@
              2 * LONG_LENGTH);
     check(send_text(worker, head) && send_text(worker, body) && send_text(worker, body),
           "a request to a path with a larger limit is sent");
-    check(read_answer(worker) == 1 && last_request.body_length == 2 * LONG_LENGTH,
+    check(read_answer(worker) == 1 && last_request.body_length == 2 * (size_t)LONG_LENGTH,
           "a request within its path's limit is handed over whole");
     close(worker);
     close(user);
