Commands that don't fit into a direct message wait for the next answer again

A stop stays due until its task has ended, and a gang's tasks may be reported as running while they stop, so that the same first 500 stops could be sent again at the pace of the round trips, and the others never.

--- a/src/core/direct_commands.c
+++ b/src/core/direct_commands.c
@@ -90,7 +90,6 @@
     char *body = tw_commands_direct_text(core, machine, &commands);
     if (!body) return;
     note_launches(send_to_machine(core, machine, "POST", "/orders", body), &commands);
-    machine->commands_requested = tw_command_list_is_full(&commands);
 }
 
 /* Queues the machines for which direct commands or a probe are requested, and requests probes of
