--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -14,4 +14,5 @@
   cc -std=gnu11 -O2 -Wall -Wextra -Isrc -Isimulator -o "target/review-2/standin-$case" "review/$case/standin.c" \
     "${libraries[@]}" "${libraries[@]}" -lroaring -lcjson -lev -lhttp_parser -lyaml -lgsl -lgslcblas -lstdc++ -lm
 done
+cc -std=gnu11 -O2 -Wall -Wextra -o target/review-2/relay review/8/relay.c
 echo "built"
